Carry a request from caller to target by separate processes

A daemon accepts requests and address questions over HTTP, reads the published configuration and list, and carries each request to a target with one of three outcomes. Stand-ins for the platform, targets and callers and a demo run the co-op's four services on three instances.

Ruled out: forwarding by streams of partial bodies, because a caller must never receive a part of an answer; bodies are read whole up to a limit.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: test lint demo measure soak capacity clean
+
+$(STAMP): requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest -q
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+demo: $(STAMP)
+	$(BIN)/python -m currantline.standin.demo
+
+measure: $(STAMP)
+	$(BIN)/python -m currantline.bench.measure
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/currantline/admission/_work.py
@@ -0,0 +1,38 @@
+"""One request as admission and dispatch see it."""
+
+import attrs
+
+from currantline.configuration import Priority
+
+__all__ = ["Work"]
+
+
+@attrs.frozen(kw_only=True)
+class Work:
+    """A request that waits for a slot.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifier of the request.
+    service : str
+        Service that it is for.
+    route : str
+        Name of its route.
+    priority : Priority
+        Whether it may wait.
+    idempotent : bool
+        Whether it may be sent more than once.
+    deadline : float
+        Time after which it must not be sent, in milliseconds of the clock.
+    arrived : float
+        Time at which it arrived, in milliseconds of the clock.
+    """
+
+    request_id: str
+    service: str
+    route: str
+    priority: Priority = Priority.INTERACTIVE
+    idempotent: bool = False
+    deadline: float
+    arrived: float
--- /dev/null
+++ b/src/currantline/directory/__init__.py
@@ -0,0 +1,18 @@
+"""Which address a caller should use."""
+
+from currantline.directory._answer import (
+    ADDRESS_TTL_MS,
+    AddressAnswer,
+    NamedAddress,
+    build_answer,
+)
+from currantline.directory._ownership import Ownership, assign_owners
+
+__all__ = [
+    "ADDRESS_TTL_MS",
+    "AddressAnswer",
+    "NamedAddress",
+    "Ownership",
+    "assign_owners",
+    "build_answer",
+]
--- /dev/null
+++ b/src/currantline/directory/_answer.py
@@ -0,0 +1,126 @@
+"""Answers to callers that ask which address to use."""
+
+import random
+
+import attrs
+
+from currantline.configuration import Service
+from currantline.directory._ownership import Ownership
+from currantline.membership import InstanceEntry, Status, View, rank
+
+__all__ = ["ADDRESS_TTL_MS", "AddressAnswer", "NamedAddress", "build_answer"]
+
+ADDRESS_TTL_MS = 2000.0
+
+# Addresses besides the owners', for callers that reach no owner.
+FALLBACK_ADDRESSES = 3
+
+
+@attrs.frozen(kw_only=True)
+class NamedAddress:
+    """Address of one instance.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    address : str
+        IP number and port for callers.
+    data_centre : str
+        Data centre of the instance.
+    """
+
+    instance: str
+    address: str
+    data_centre: str
+
+
+@attrs.frozen(kw_only=True)
+class AddressAnswer:
+    """Addresses of a service in the order to try them.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    version : int
+        Configuration version in force.
+    ttl_ms : float
+        Time to keep the answer, in milliseconds.
+    addresses : tuple of NamedAddress
+        Addresses in order of preference.
+    """
+
+    service: str
+    version: int
+    ttl_ms: float
+    addresses: tuple[NamedAddress, ...]
+
+
+def build_answer(
+    service: Service,
+    ownership: Ownership,
+    view: View,
+    *,
+    data_centre: str,
+    version: int,
+    rng: random.Random,
+) -> AddressAnswer:
+    """Build the answer to one address question.
+
+    Parameters
+    ----------
+    service : Service
+        The service asked for.
+    ownership : Ownership
+        Its owners.
+    view : View
+        Live instances.
+    data_centre : str
+        Data centre of the asking instance, preferred for fallbacks.
+    version : int
+        Configuration version in force.
+    rng : random.Random
+        Source of the order, so that callers spread over the owners.
+
+    Returns
+    -------
+    AddressAnswer
+        Owners in random order weighted by owned slots, then fallbacks.
+    """
+    ready = {e.name: e for e in view.instances if e.status is Status.READY}
+    owners = _order_owners(service, ownership, ready, rng)
+    rest = [ready[n] for n in rank(service.name, ready) if n not in owners]
+    rest.sort(key=lambda entry: entry.data_centre != data_centre)
+    chosen = [ready[name] for name in owners] + rest[:FALLBACK_ADDRESSES]
+    return AddressAnswer(
+        service=service.name,
+        version=version,
+        ttl_ms=ADDRESS_TTL_MS,
+        addresses=tuple(_name_address(entry) for entry in chosen),
+    )
+
+
+def _order_owners(
+    service: Service,
+    ownership: Ownership,
+    ready: dict[str, InstanceEntry],
+    rng: random.Random,
+) -> list[str]:
+    weights: dict[str, int] = {}
+    for target in service.targets:
+        owner = ownership.targets.get(target.name)
+        if owner in ready:
+            weights[owner] = weights.get(owner, 0) + target.slots
+    # Sorting by u ** (1 / w) draws without replacement in proportion to w
+    # (Efraimidis and Spirakis, 2006).
+    keys = {name: rng.random() ** (1 / w) for name, w in sorted(weights.items())}
+    return sorted(keys, key=lambda name: -keys[name])
+
+
+def _name_address(entry: InstanceEntry) -> NamedAddress:
+    return NamedAddress(
+        instance=entry.name,
+        address=entry.caller_address,
+        data_centre=entry.data_centre,
+    )
--- /dev/null
+++ b/src/currantline/dispatch/_local.py
@@ -0,0 +1,55 @@
+"""Choice of a target without coordination."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from currantline.admission import Work
+from currantline.configuration import Configuration
+from currantline.exceptions import NotRunError
+from currantline.forwarding import AttemptResult, Permit
+
+__all__ = ["LocalPlacement"]
+
+
+class LocalPlacement:
+    """Power of two choices on this instance's own in-flight requests.
+
+    Parameters
+    ----------
+    read_configuration : callable
+        Returns the configuration in force.
+    rng : random.Random
+        Source of the choices.
+    """
+
+    def __init__(
+        self, read_configuration: Callable[[], Configuration], rng: random.Random
+    ) -> None:
+        self._read_configuration = read_configuration
+        self._rng = rng
+        self._in_flight: Counter[str] = Counter()
+
+    async def acquire(self, work: Work) -> Permit:
+        """Choose a target at once.
+
+        Raises
+        ------
+        NotRunError
+            If the service has no targets.
+        """
+        service = self._read_configuration().services.get(work.service)
+        if service is None or not service.targets:
+            raise NotRunError("the service has no targets", reason="no-target")
+        pair = self._rng.sample(service.targets, min(2, len(service.targets)))
+        target = min(pair, key=lambda target: self._in_flight[target.name])
+        self._in_flight[target.name] += 1
+        return Permit(
+            request_id=work.request_id, target=target.name, address=target.address
+        )
+
+    def release(
+        self, permit: Permit, result: AttemptResult, *, duration_ms: float
+    ) -> None:
+        """Count the request as ended."""
+        self._in_flight[permit.target] -= 1
--- /dev/null
+++ b/src/currantline/forwarding/_placement.py
@@ -0,0 +1,61 @@
+"""What forwarding needs of dispatch."""
+
+import enum
+from typing import Protocol
+
+import attrs
+
+from currantline.admission import Work
+
+__all__ = ["AttemptResult", "Permit", "Placement"]
+
+
+class AttemptResult(enum.Enum):
+    """How the use of a permit ended."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    UNREACHABLE = "unreachable"
+    FAILED = "failed"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+    UNUSED = "unused"
+
+
+@attrs.frozen(kw_only=True)
+class Permit:
+    """Right to run one request on one slot of a target.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    target : str
+        Name of the target.
+    address : str
+        IP number and port of the target.
+    """
+
+    request_id: str
+    target: str
+    address: str
+
+
+class Placement(Protocol):
+    """Source of permits."""
+
+    async def acquire(self, work: Work) -> Permit:
+        """Wait for a slot.
+
+        Raises
+        ------
+        NotRunError
+            If the request is refused.
+        """
+        ...
+
+    def release(
+        self, permit: Permit, result: AttemptResult, *, duration_ms: float
+    ) -> None:
+        """Give a permit back and say how its use ended."""
+        ...
--- /dev/null
+++ b/src/currantline/membership/_entry.py
@@ -0,0 +1,92 @@
+"""What is known of one instance, and the set of live ones."""
+
+import enum
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+__all__ = ["InstanceEntry", "Status", "View"]
+
+
+class Status(enum.Enum):
+    """State of an instance as it tells it itself."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@attrs.frozen(kw_only=True)
+class InstanceEntry:
+    """Row of the gossip table.
+
+    Parameters
+    ----------
+    name : str
+        Name, unique among instances.
+    data_centre : str
+        Data centre that the instance stands in.
+    caller_address : str
+        IP number and port for callers.
+    peer_address : str
+        IP number and port for other instances.
+    incarnation : int
+        Start time in milliseconds; higher replaces lower.
+    heartbeat : int
+        Counter that rises while the instance runs.
+    status : Status
+        State of the instance.
+    sequence : int
+        Highest configuration record seen.
+    version : int
+        Configuration version in force.
+    view_digest : int
+        View that the instance acknowledges, 0 for none.
+    """
+
+    name: str
+    data_centre: str
+    caller_address: str
+    peer_address: str
+    incarnation: int = 0
+    heartbeat: int = 0
+    status: Status = Status.STARTING
+    sequence: int = 0
+    version: int = 0
+    view_digest: int = 0
+
+
+@attrs.frozen
+class View:
+    """Live instances as one instance sees them.
+
+    Parameters
+    ----------
+    instances : tuple of InstanceEntry
+        Live instances by name.
+    """
+
+    instances: tuple[InstanceEntry, ...]
+
+    @classmethod
+    def build(cls, entries: Iterable[InstanceEntry]) -> "View":
+        """Return the view of the given entries."""
+        return cls(tuple(sorted(entries, key=lambda entry: entry.name)))
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the live instances."""
+        return tuple(entry.name for entry in self.instances)
+
+    @property
+    def digest(self) -> int:
+        """64-bit hash of the names and incarnations of the live instances."""
+        text = "\n".join(
+            f"{entry.name}\t{entry.incarnation}" for entry in self.instances
+        )
+        return xxhash.xxh3_64_intdigest(text.encode())
+
+    def find(self, name: str) -> InstanceEntry | None:
+        """Return the entry of an instance, or None if it is not live."""
+        return next((e for e in self.instances if e.name == name), None)
--- /dev/null
+++ b/src/currantline/structure.py
@@ -0,0 +1,119 @@
+"""Conversion of plain mappings to attrs classes with one-line failures."""
+
+import ipaddress
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import cattrs
+from cattrs.errors import AttributeValidationNote, IterableValidationNote
+
+from currantline.exceptions import InvalidValueError
+
+__all__ = [
+    "check_address",
+    "check_at_least",
+    "describe_failure",
+    "make_converter",
+]
+
+UNKNOWN_KEY = "unknown key"
+
+
+def check_address(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
+    """Check that a value is ``ip:port``.
+
+    Raises
+    ------
+    InvalidValueError
+        If the host is not an IP number or the port is outside 1 to 65,535.
+    """
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        is_valid = 0 < int(port) < 65536
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise InvalidValueError(
+            f"{value!r} is not an IP number and a port such as 127.0.0.1:8080",
+            path=attribute.name,
+        )
+
+
+def check_at_least(minimum: float) -> Any:
+    """Return a validator that requires a number not below ``minimum``."""
+
+    def check(instance: Any, attribute: "attrs.Attribute[Any]", value: Any) -> None:
+        if value < minimum:
+            raise InvalidValueError(
+                f"{value!r} is below the minimum of {minimum}", path=attribute.name
+            )
+
+    return check
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a converter that refuses unknown keys and wrong types."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for scalar in (str, int, bool):
+        converter.register_structure_hook(scalar, _require_type)
+    converter.register_structure_hook(float, _require_number)
+    return converter
+
+
+def describe_failure(error: BaseException) -> tuple[str, str]:
+    """Return the path and the reason of the first failure.
+
+    Parameters
+    ----------
+    error : BaseException
+        What the converter raised.
+
+    Returns
+    -------
+    tuple of str
+        Keys that lead to the value, joined by dots, and what is wrong with it.
+    """
+    failures = list(_walk(error, ()))
+    # A misspelt key is both unknown and missing; the unknown one is what to correct.
+    unknown = [failure for failure in failures if failure[1] == UNKNOWN_KEY]
+    return [*unknown, *failures, ("", str(error))][0]
+
+
+def _require_type(value: Any, kind: type) -> Any:
+    if type(value) is not kind:
+        raise InvalidValueError(f"{value!r} is not of type {kind.__name__}")
+    return value
+
+
+def _require_number(value: Any, _: type) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise InvalidValueError(f"{value!r} is not a number")
+    return float(value)
+
+
+def _walk(error: BaseException, path: tuple[str, ...]) -> Iterator[tuple[str, str]]:
+    path = path + _find_key(error)
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from _walk(inner, path)
+        return
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        yield ".".join((*path, sorted(error.extra_fields)[0])), UNKNOWN_KEY
+    elif isinstance(error, KeyError):
+        yield ".".join(path), "required key is missing"
+    elif isinstance(error, InvalidValueError):
+        last = (error.path,) if error.path else ()
+        yield ".".join(path + last), error.message
+    else:
+        yield ".".join(path), " ".join(str(error).split())
+
+
+def _find_key(error: BaseException) -> tuple[str, ...]:
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            return (note.name,)
+        if isinstance(note, IterableValidationNote):
+            return (str(note.index),)
+    return ()
--- /dev/null
+++ b/src/currantline/wire/__init__.py
@@ -0,0 +1,24 @@
+"""HTTP/1.1 by h11, for both sides of a connection."""
+
+from currantline.wire._connection import HttpConnection
+from currantline.wire._fetch import fetch
+from currantline.wire._messages import (
+    HOP_BY_HOP,
+    Answer,
+    Headers,
+    Request,
+    find_header,
+)
+from currantline.wire._service import HttpService, answer_json
+
+__all__ = [
+    "HOP_BY_HOP",
+    "Answer",
+    "Headers",
+    "HttpConnection",
+    "HttpService",
+    "Request",
+    "answer_json",
+    "fetch",
+    "find_header",
+]
--- /dev/null
+++ b/src/currantline/wire/_fetch.py
@@ -0,0 +1,64 @@
+"""One request over a connection of its own."""
+
+import asyncio
+
+import h11
+
+from currantline.exceptions import WireError
+from currantline.wire._connection import HttpConnection
+from currantline.wire._messages import Answer, Request
+
+__all__ = ["fetch"]
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+async def fetch(address: str, request: Request, *, timeout_ms: float) -> Answer:
+    """Send one request and return the whole answer.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    request : Request
+        The request.
+    timeout_ms : float
+        Longest time for connecting and the exchange, in milliseconds.
+
+    Returns
+    -------
+    Answer
+        Status, headers and body.
+
+    Raises
+    ------
+    WireError
+        If no whole answer came in time.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            connection = HttpConnection(
+                reader, writer, h11.CLIENT, max_body_bytes=MAX_BODY_BYTES
+            )
+            try:
+                connection.write_request(_add_host(request, address))
+                return await connection.read_answer()
+            finally:
+                connection.abort()
+    except TimeoutError as error:
+        raise WireError(f"no answer from {address} in {timeout_ms:g} ms") from error
+    except OSError as error:
+        raise WireError(f"cannot reach {address}: {error.strerror}") from error
+
+
+def _add_host(request: Request, address: str) -> Request:
+    if any(name == "host" for name, _ in request.headers):
+        return request
+    return Request(
+        method=request.method,
+        target=request.target,
+        headers=(("host", address), *request.headers),
+        body=request.body,
+    )
--- /dev/null
+++ b/src/currantline/wire/_messages.py
@@ -0,0 +1,83 @@
+"""Whole HTTP requests and responses."""
+
+import attrs
+
+__all__ = [
+    "HOP_BY_HOP",
+    "Answer",
+    "Headers",
+    "Request",
+    "find_header",
+]
+
+Headers = tuple[tuple[str, str], ...]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and
+# content-length, which is set anew for each hop.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """A whole HTTP request.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method.
+    target : str
+        Path and query.
+    headers : tuple of pair of str
+        Header names in lower case, and values.
+    body : bytes
+        The body.
+    """
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A whole HTTP response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : tuple of pair of str
+        Header names in lower case, and values.
+    body : bytes
+        The body.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, or None.
+
+    Examples
+    --------
+    >>> find_header((("host", "a"), ("te", "b")), "te")
+    'b'
+    """
+    return next((value for key, value in headers if key == name), None)
