--- /dev/null
+++ b/src/currantline/directory/tests/test_directory.py
@@ -0,0 +1,108 @@
+"""Tests of ownership and address answers."""
+
+import random
+from collections import Counter
+
+from currantline.configuration import Service, Target
+from currantline.directory import assign_owners, build_answer
+from currantline.membership import InstanceEntry, Status, View
+
+NAMES = tuple(f"instance-{number}" for number in range(18))
+
+
+def build_service(count: int = 10, slots: int = 2, slots_per_owner: int = 5) -> Service:
+    """Return a service with the given pool."""
+    targets = tuple(
+        Target(
+            name=f"target-{number}",
+            address=f"127.0.0.{number + 1}:7000",
+            data_centre="north",
+            slots=slots,
+        )
+        for number in range(count)
+    )
+    return Service(name="service", targets=targets, slots_per_owner=slots_per_owner)
+
+
+def build_view(leaving: str = "") -> View:
+    """Return a view of all instances, one of them leaving."""
+    return View.build(
+        InstanceEntry(
+            name=name,
+            data_centre="north" if number % 2 else "south",
+            caller_address=f"127.0.1.{number + 1}:7100",
+            peer_address=f"127.0.1.{number + 1}:7200",
+            status=Status.LEAVING if name == leaving else Status.READY,
+        )
+        for number, name in enumerate(NAMES)
+    )
+
+
+class TestAssignOwners:
+    """Assignment of targets to owners."""
+
+    def test_shares_are_even(self) -> None:
+        """Guards against an owner with most targets and another with none."""
+        ownership = assign_owners(build_service(), NAMES)
+        shares = Counter(ownership.targets.values())
+        assert len(ownership.owners) == 4
+        assert max(shares.values()) <= 3
+        assert sum(shares.values()) == 10
+
+    def test_order_of_instances_does_not_matter(self) -> None:
+        """Guards against two instances that derive different owners of one view."""
+        service = build_service()
+        reverse = assign_owners(service, reversed(NAMES))
+        assert assign_owners(service, NAMES) == reverse
+
+    def test_loss_of_a_stranger_changes_nothing(self) -> None:
+        """Guards against hand-overs when an instance without targets leaves."""
+        service = build_service()
+        before = assign_owners(service, NAMES)
+        stranger = next(name for name in NAMES if name not in before.owners)
+        rest = [name for name in NAMES if name != stranger]
+        assert assign_owners(service, rest) == before
+
+    def test_no_instances(self) -> None:
+        """Guards against a failure while no instance is ready."""
+        assert assign_owners(build_service(), ()).targets == {}
+
+
+class TestBuildAnswer:
+    """Answers to address questions."""
+
+    def test_owners_first_without_leaving(self) -> None:
+        """Guards against callers sent to an instance that leaves."""
+        service = build_service()
+        ownership = assign_owners(service, NAMES)
+        leaving = ownership.owners[0]
+        answer = build_answer(
+            service,
+            ownership,
+            build_view(leaving),
+            data_centre="north",
+            version=1,
+            rng=random.Random(1),
+        )
+        named = [address.instance for address in answer.addresses]
+        assert leaving not in named
+        assert set(named[:3]) == set(ownership.owners[1:])
+        assert all(address.data_centre == "north" for address in answer.addresses[3:])
+
+    def test_first_address_follows_shares(self) -> None:
+        """Guards against callers that are steered past the owned slots."""
+        service = build_service(count=4, slots_per_owner=6)
+        ownership = assign_owners(service, NAMES)
+        rng = random.Random(2)
+        view = build_view()
+        first = Counter(
+            build_answer(
+                service, ownership, view, data_centre="north", version=1, rng=rng
+            )
+            .addresses[0]
+            .instance
+            for _ in range(2000)
+        )
+        shares = Counter(ownership.targets.values())
+        for owner, share in shares.items():
+            assert abs(first[owner] / 2000 - share / 4) < 0.05
