Separate the process fleet and the load from the demo

The demo held process control, load and report in one module, and the caller opened a connection per request. Fault scenarios need the same parts, and callers that keep connections meet other faults than callers that do not.

The report now also fails if a request that was told not-run reached a target.

--- /dev/null
+++ b/src/currantline/standin/load.py
@@ -0,0 +1,106 @@
+"""A seeded mixed load on the services of a fleet, and its report."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+from currantline.configuration import Service
+from currantline.standin.caller import StandinCaller
+
+__all__ = ["ORDER_MARK", "print_report", "run_load"]
+
+LONG_SHARE = 0.03
+ORDER_SHARE = 0.3
+ORDER_MARK = "-order-"
+
+
+def draw_requests(
+    service: Service, rng: random.Random
+) -> Iterator[tuple[str, str, str]]:
+    """Yield method, path and request id of a mixed load."""
+    has_orders = any(not route.idempotent for route in service.routes)
+    number = 0
+    while True:
+        number += 1
+        if has_orders and rng.random() < ORDER_SHARE:
+            yield "POST", f"/orders/{number}", f"{service.name}{ORDER_MARK}{number}"
+        elif rng.random() < LONG_SHARE:
+            yield "GET", f"/long/{number}", f"{service.name}-long-{number}"
+        else:
+            yield "GET", f"/item/{number}", f"{service.name}-item-{number}"
+
+
+async def run_load(
+    caller: StandinCaller,
+    service: Service,
+    *,
+    seed: int,
+    rate: float,
+    duration_s: float,
+) -> None:
+    """Send requests to one service and wait for all of their outcomes.
+
+    Parameters
+    ----------
+    caller : StandinCaller
+        Sends the requests.
+    service : Service
+        Service to send to.
+    seed : int
+        Seed of arrivals and kinds.
+    rate : float
+        Requests per second.
+    duration_s : float
+        Seconds of arrivals.
+    """
+    rng = random.Random(f"{seed} {service.name}")
+    requests = draw_requests(service, rng)
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    end = due + duration_s
+    async with asyncio.TaskGroup() as group:
+        while due < end:
+            method, path, request_id = next(requests)
+            group.create_task(caller.send(service.name, method, path, request_id))
+            due += rng.expovariate(rate)
+            await asyncio.sleep(max(0.0, due - loop.time()))
+
+
+def print_report(caller: StandinCaller, seen: dict[str, int]) -> list[str]:
+    """Print a line per service and return the guarantees that were broken.
+
+    Parameters
+    ----------
+    caller : StandinCaller
+        What callers saw.
+    seen : dict of str to int
+        How often targets saw each request.
+
+    Returns
+    -------
+    list of str
+        One line for each broken guarantee.
+    """
+    broken = []
+    head = f"{'service':24}{'answered':>9}{'not-run':>9}{'unknown':>9}"
+    print(f"{head}{'p50 ms':>9}{'p99 ms':>9}")
+    for name, report in sorted(caller.reports.items()):
+        counts = report.outcomes
+        p50 = report.latency_us.get_value_at_percentile(50) / 1000
+        p99 = report.latency_us.get_value_at_percentile(99) / 1000
+        print(
+            f"{name:24}{counts['answered']:9}{counts['not-run']:9}"
+            f"{counts['unknown']:9}{p50:9.1f}{p99:9.1f}"
+        )
+        for reason, count in sorted(report.reasons.items()):
+            print(f"    {count} x {reason}")
+        if report.mismatches:
+            broken.append(f"{name}: {report.mismatches} answers of another request")
+        if counts["missing"]:
+            broken.append(f"{name}: {counts['missing']} answers without an outcome")
+    orders = {key: count for key, count in seen.items() if ORDER_MARK in key}
+    repeated = sorted(key for key, count in orders.items() if count > 1)
+    print(f"orders seen by targets: {len(orders)}, more than once: {len(repeated)}")
+    broken += [f"order {key} reached a target more than once" for key in repeated]
+    run = sorted(caller.not_run & seen.keys())
+    return broken + [f"{key} was told not-run and reached a target" for key in run]
