--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: test lint demo measure soak capacity clean
+.PHONY: test lint demo faults measure clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m currantline.standin.demo
 
+faults: $(STAMP)
+	$(BIN)/python -m currantline.standin.faults
+
 measure: $(STAMP)
 	$(BIN)/python -m currantline.bench.measure
 
--- a/src/currantline/standin/caller.py
+++ b/src/currantline/standin/caller.py
@@ -102,7 +102,9 @@
         report.outcomes[outcome] += 1
         if outcome == "answered":
             report.latency_us.record_value(int((self._clock.read() - started) * 1000))
-            if answer.status == 200:
+            if answer.status != 200:
+                report.reasons[f"answered with status {answer.status}"] += 1
+            else:
                 expected = f"{request_id} {path}".encode()
                 report.mismatches += answer.body != expected
         else:
