Add an in-memory network with virtual time for tests

Whole instances have to be tested under cuts, freezes, kills and silent connections with the same verdict every run, which real sockets and real time cannot give. The loop replaces create_server and create_connection by in-memory transports and moves its clock only when nothing is left to do, so the code under test runs unchanged.

Ruled out: fakes for each transport Protocol, because the code between the cores and the sockets would stay untested; network namespaces, because they need tools outside pip and real time.

--- /dev/null
+++ b/src/currantline/standin/network.py
@@ -0,0 +1,394 @@
+"""An in-memory network and a loop with virtual time, in place of sockets.
+
+Whole instances run on it unchanged, in one process, with the same result every
+run: time moves only when nothing is left to do, and bytes travel between hosts
+with a fixed latency. Hosts can be cut off from each other, frozen and killed, and
+open connections can go silent.
+"""
+
+import asyncio
+import contextvars
+import selectors
+from collections import defaultdict, deque
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeVar
+
+import attrs
+
+from currantline.exceptions import InvariantError
+
+__all__ = ["LoopClock", "MemoryLoop", "Network", "run_on_host", "run_session"]
+
+T = TypeVar("T")
+
+HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="")
+
+
+@attrs.define
+class Network:
+    """Reachability of hosts, which are named by their IP numbers.
+
+    Parameters
+    ----------
+    latency_ms : float
+        Time for bytes to travel between two hosts, in milliseconds.
+    """
+
+    latency_ms: float = 0.2
+    frozen: set[str] = attrs.field(factory=set)
+    _groups: tuple[frozenset[str], ...] = ()
+    _held: dict[str, list[Callable[[], None]]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
+    _transports: set["MemoryTransport"] = attrs.field(factory=set)
+
+    def cut(self, *groups: Iterable[str]) -> None:
+        """Let hosts of different groups not reach each other."""
+        self._groups = tuple(frozenset(group) for group in groups)
+
+    def heal(self) -> None:
+        """Let all hosts reach each other; held bytes travel on."""
+        self._groups = ()
+        for transport in tuple(self._transports):
+            transport.send_held()
+
+    def is_cut(self, source: str, destination: str) -> bool:
+        """Return whether two hosts cannot reach each other."""
+        sides = [
+            number
+            for number, group in enumerate(self._groups)
+            if source in group or destination in group
+        ]
+        return len(sides) > 1
+
+    def freeze(self, host: str) -> None:
+        """Stop a host; what is due for it waits."""
+        self.frozen.add(host)
+
+    def thaw(self, host: str) -> None:
+        """Let a host go on with all that waited for it."""
+        self.frozen.discard(host)
+        loop = asyncio.get_running_loop()
+        for callback in self._held.pop(host, ()):
+            loop.call_soon(callback)
+
+    def kill(self, host: str) -> None:
+        """Break all connections of a host, as the kernel does for a dead process."""
+        for transport in tuple(self._transports):
+            if transport.host == host:
+                transport.abort()
+
+    def silence(self, host: str) -> None:
+        """Let open connections of a host carry nothing any more."""
+        for transport in tuple(self._transports):
+            if transport.host == host or transport.peer_host == host:
+                transport.is_silent = True
+
+    def hold(self, host: str, callback: Callable[[], None]) -> None:
+        """Keep a callback until its host thaws."""
+        self._held[host].append(callback)
+
+    def register(self, transport: "MemoryTransport") -> None:
+        """Note an open connection end."""
+        self._transports.add(transport)
+
+    def forget(self, transport: "MemoryTransport") -> None:
+        """Drop a closed connection end."""
+        self._transports.discard(transport)
+
+
+class MemoryTransport(asyncio.Transport):
+    """One end of an in-memory connection."""
+
+    def __init__(
+        self, loop: "MemoryLoop", protocol: Any, host: str, peer_host: str
+    ) -> None:
+        super().__init__(extra={"peername": (peer_host, 0), "sockname": (host, 0)})
+        self.host = host
+        self.peer_host = peer_host
+        self.is_silent = False
+        self.peer: MemoryTransport | None = None
+        self._loop = loop
+        self._protocol = protocol
+        self._outgoing: deque[bytes | None] = deque()
+        self._incoming: deque[bytes | None] = deque()
+        self._is_paused = False
+        self._is_closing = False
+        self._is_lost = False
+        self._context = contextvars.copy_context()
+        loop.network.register(self)
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """Replace the protocol."""
+        self._protocol = protocol
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        """Return the protocol."""
+        protocol: asyncio.BaseProtocol = self._protocol
+        return protocol
+
+    def is_closing(self) -> bool:
+        """Return whether the end is closing or closed."""
+        return self._is_closing
+
+    def is_reading(self) -> bool:
+        """Return whether the protocol takes bytes."""
+        return not self._is_paused
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0, since bytes leave at once."""
+        return 0
+
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Accept limits, which are never reached."""
+
+    def pause_reading(self) -> None:
+        """Keep arriving bytes until reading resumes."""
+        self._is_paused = True
+
+    def resume_reading(self) -> None:
+        """Pass on the bytes that were kept."""
+        self._is_paused = False
+        self._loop.call_soon(self._pass_on, context=self._context)
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Send bytes to the other end."""
+        if not self._is_closing and data:
+            self._send(bytes(data))
+
+    def can_write_eof(self) -> bool:
+        """Return False: a half-closed connection is not modelled."""
+        return False
+
+    def close(self) -> None:
+        """Close after the bytes already written."""
+        if not self._is_closing:
+            self._is_closing = True
+            self._send(None)
+            self._loop.call_soon(self._lose, None, context=self._context)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self.close()
+
+    def send_held(self) -> None:
+        """Send what was written while the hosts were cut off."""
+        for _ in range(len(self._outgoing)):
+            self._schedule()
+
+    def _send(self, item: bytes | None) -> None:
+        self._outgoing.append(item)
+        if not self._loop.network.is_cut(self.host, self.peer_host):
+            self._schedule()
+
+    def _schedule(self) -> None:
+        peer = self.peer
+        assert peer is not None
+        delay_s = self._loop.network.latency_ms / 1000
+        self._loop.call_later(delay_s, self._deliver, context=peer._context)
+
+    def _deliver(self) -> None:
+        network = self._loop.network
+        if not self._outgoing or network.is_cut(self.host, self.peer_host):
+            return
+        item = self._outgoing.popleft()
+        if not self.is_silent and self.peer is not None:
+            self.peer.receive(item)
+
+    def receive(self, item: bytes | None) -> None:
+        """Take bytes, or None for the end, from the other side."""
+        self._incoming.append(item)
+        self._pass_on()
+
+    def _pass_on(self) -> None:
+        while self._incoming and not self._is_paused and not self._is_lost:
+            item = self._incoming.popleft()
+            if item is not None:
+                self._protocol.data_received(item)
+                continue
+            self._protocol.eof_received()
+            self._is_closing = True
+            self._lose(None)
+
+    def _lose(self, error: Exception | None) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._loop.network.forget(self)
+            self._protocol.connection_lost(error)
+
+
+class MemoryServer:
+    """A listening address on the in-memory network."""
+
+    def __init__(self, loop: "MemoryLoop", address: tuple[str, int]) -> None:
+        self._loop = loop
+        self._address = address
+        self.sockets: tuple[()] = ()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._loop.listeners.pop(self._address, None)
+
+    async def wait_closed(self) -> None:
+        """Return at once, since closing takes no time."""
+
+    def is_serving(self) -> bool:
+        """Return whether the address accepts connections."""
+        return self._address in self._loop.listeners
+
+
+class _NoSelector(selectors.BaseSelector):
+    """Selector without files, which moves virtual time instead of waiting."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._keys: dict[Any, selectors.SelectorKey] = {}
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> Any:
+        key = selectors.SelectorKey(fileobj, 0, events, data)
+        self._keys[fileobj] = key
+        return key
+
+    def unregister(self, fileobj: Any) -> Any:
+        return self._keys.pop(fileobj)
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        if timeout is None:
+            raise InvariantError("nothing is due any more: all tasks wait")
+        self.now += max(0.0, timeout)
+        return []
+
+    def get_map(self) -> Any:
+        return self._keys
+
+
+class MemoryLoop(asyncio.SelectorEventLoop):
+    """Event loop with virtual time whose connections are in memory.
+
+    Parameters
+    ----------
+    network : Network
+        Reachability of hosts.
+    """
+
+    def __init__(self, network: Network) -> None:
+        self._virtual = _NoSelector()
+        self.network = network
+        self.listeners: dict[tuple[str, int], tuple[Any, contextvars.Context]] = {}
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        """Return virtual time in seconds."""
+        return self._virtual.now
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Any, *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        """Run a callback next, unless its host is frozen."""
+        context = context or contextvars.copy_context()
+        wrapped = self._wrap(callback, args, context)
+        return super().call_soon(wrapped, context=context)
+
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Any,
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Run a callback at a time, unless its host is frozen."""
+        context = context or contextvars.copy_context()
+        wrapped = self._wrap(callback, args, context)
+        return super().call_at(when, wrapped, context=context)
+
+    async def create_server(  # type: ignore[override]
+        self, protocol_factory: Any, host: str, port: int, **_: Any
+    ) -> MemoryServer:
+        """Listen on an address of the in-memory network."""
+        address = (host, int(port))
+        if address in self.listeners:
+            raise OSError(98, "Address already in use")
+        self.listeners[address] = (protocol_factory, contextvars.copy_context())
+        return MemoryServer(self, address)
+
+    async def create_connection(  # type: ignore[override]
+        self, protocol_factory: Any, host: str, port: int, **_: Any
+    ) -> tuple[MemoryTransport, Any]:
+        """Connect to an address of the in-memory network."""
+        source = HOST.get()
+        await asyncio.sleep(2 * self.network.latency_ms / 1000)
+        while self.network.is_cut(source, host) or host in self.network.frozen:
+            await asyncio.sleep(0.05)
+        if (host, int(port)) not in self.listeners:
+            raise ConnectionRefusedError(111, "Connection refused")
+        accept, context = self.listeners[(host, int(port))]
+        near = MemoryTransport(self, protocol_factory(), source, host)
+        far = context.run(self._accept, accept, host, source)
+        near.peer, far.peer = far, near
+        near.get_protocol().connection_made(near)
+        context.run(far.get_protocol().connection_made, far)
+        return near, near.get_protocol()
+
+    def _accept(self, accept: Any, host: str, source: str) -> MemoryTransport:
+        return MemoryTransport(self, accept(), host, source)
+
+    def _wrap(
+        self, callback: Any, args: tuple[Any, ...], context: contextvars.Context
+    ) -> Callable[[], None]:
+        host = context.get(HOST, "")
+        if not host:
+            return lambda: callback(*args)
+
+        def run() -> None:
+            if host in self.network.frozen:
+                self.network.hold(host, lambda: context.run(callback, *args))
+            else:
+                callback(*args)
+
+        return run
+
+
+@attrs.frozen
+class LoopClock:
+    """Clock that reads the virtual time of a loop."""
+
+    loop: asyncio.AbstractEventLoop
+
+    def read(self) -> float:
+        """Return virtual time in milliseconds."""
+        return self.loop.time() * 1000
+
+
+def run_on_host(host: str, coroutine: Coroutine[Any, Any, T]) -> "asyncio.Task[T]":
+    """Start a coroutine as a task of a host."""
+    context = contextvars.copy_context()
+    context.run(HOST.set, host)
+    return asyncio.get_running_loop().create_task(coroutine, context=context)
+
+
+def run_session(network: Network, session: Coroutine[Any, Any, T]) -> T:
+    """Run a session on a loop with virtual time and end all that it left running.
+
+    Parameters
+    ----------
+    network : Network
+        Reachability of hosts.
+    session : coroutine
+        The session.
+
+    Returns
+    -------
+    object
+        What the session returned.
+    """
+    loop = MemoryLoop(network)
+    try:
+        return loop.run_until_complete(session)
+    finally:
+        leftover = asyncio.all_tasks(loop)
+        for task in leftover:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*leftover, return_exceptions=True))
+        loop.close()
--- /dev/null
+++ b/src/currantline/standin/tests/test_network.py
@@ -0,0 +1,105 @@
+"""Tests of the in-memory network."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from currantline.exceptions import WireError
+from currantline.standin.network import LoopClock, Network, run_on_host, run_session
+from currantline.wire import Answer, HttpService, Request, fetch
+
+SERVER = "10.0.0.1"
+ADDRESS = f"{SERVER}:80"
+REQUEST = Request(method="GET", target="/")
+
+
+async def answer_slowly(_: Request) -> Answer:
+    """Answer after 100 ms."""
+    await asyncio.sleep(0.1)
+    return Answer(status=200, body=b"x" * 300_000)
+
+
+def run(session: Callable[[Network], Coroutine[Any, Any, Any]]) -> Any:
+    """Run a session with a server on the in-memory network."""
+    network = Network(latency_ms=1.0)
+
+    async def prepare() -> Any:
+        await run_on_host(SERVER, HttpService(answer_slowly).start(ADDRESS))
+        return await run_on_host("10.0.0.2", session(network))
+
+    return run_session(network, prepare())
+
+
+class TestNetwork:
+    """Faults of the in-memory network."""
+
+    def test_virtual_time(self) -> None:
+        """Guards against tests that wait for real time or lose bytes."""
+
+        async def session(_: Network) -> tuple[int, float]:
+            clock = LoopClock(asyncio.get_running_loop())
+            answer = await fetch(ADDRESS, REQUEST, timeout_ms=1000)
+            return len(answer.body), clock.read()
+
+        size, now = run(session)
+        assert size == 300_000
+        # Connecting takes two latencies, the exchange two and 100 ms of work.
+        assert now == pytest.approx(104.0)
+
+    def test_cut_and_heal(self) -> None:
+        """Guards against a cut that loses bytes which TCP would send again."""
+
+        async def session(network: Network) -> int:
+            pending = asyncio.create_task(fetch(ADDRESS, REQUEST, timeout_ms=5000))
+            await asyncio.sleep(0.05)
+            network.cut([SERVER], ["10.0.0.2"])
+            await asyncio.sleep(1.0)
+            assert not pending.done()
+            with pytest.raises(WireError):
+                await fetch(ADDRESS, REQUEST, timeout_ms=300)
+            network.heal()
+            return (await pending).status
+
+        assert run(session) == 200
+
+    def test_freeze_and_thaw(self) -> None:
+        """Guards against a frozen host that goes on working."""
+
+        async def session(network: Network) -> float:
+            pending = asyncio.create_task(fetch(ADDRESS, REQUEST, timeout_ms=5000))
+            await asyncio.sleep(0.05)
+            network.freeze(SERVER)
+            await asyncio.sleep(1.0)
+            assert not pending.done()
+            network.thaw(SERVER)
+            await pending
+            return asyncio.get_running_loop().time()
+
+        assert run(session) > 1.05
+
+    def test_kill(self) -> None:
+        """Guards against callers that never hear of a killed process."""
+
+        async def session(network: Network) -> None:
+            pending = asyncio.create_task(fetch(ADDRESS, REQUEST, timeout_ms=5000))
+            await asyncio.sleep(0.05)
+            network.kill(SERVER)
+            with pytest.raises(WireError):
+                await pending
+
+        run(session)
+
+    def test_silence(self) -> None:
+        """Guards against silent connections that also stop new ones."""
+
+        async def session(network: Network) -> int:
+            pending = asyncio.create_task(fetch(ADDRESS, REQUEST, timeout_ms=500))
+            await asyncio.sleep(0.05)
+            network.silence(SERVER)
+            with pytest.raises(WireError, match="no answer"):
+                await pending
+            return (await fetch(ADDRESS, REQUEST, timeout_ms=500)).status
+
+        assert run(session) == 200
