Freeze and kill processes instead of hosts on the in-memory network

An instance that is replaced comes back on the same host, so freezing a host for good, as a kill does, also stopped the successor. Processes now have names of their own, and a killed one loses its listening addresses and its connections. A frozen process still accepts connections, as the kernel does for it.

Ruled out: cancelling the tasks of a killed process, because their cleanup code would run, which a kill does not allow.

--- a/src/currantline/standin/network.py
+++ b/src/currantline/standin/network.py
@@ -22,11 +22,12 @@
 T = TypeVar("T")
 
 HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="")
+PROCESS: contextvars.ContextVar[str] = contextvars.ContextVar("process", default="")
 
 
 @attrs.define
 class Network:
-    """Reachability of hosts, which are named by their IP numbers.
+    """Reachability of hosts, named by IP numbers, and state of their processes.
 
     Parameters
     ----------
@@ -61,22 +62,29 @@
         ]
         return len(sides) > 1
 
-    def freeze(self, host: str) -> None:
-        """Stop a host; what is due for it waits."""
-        self.frozen.add(host)
+    def freeze(self, process: str) -> None:
+        """Stop a process; what is due for it waits."""
+        self.frozen.add(process)
 
-    def thaw(self, host: str) -> None:
-        """Let a host go on with all that waited for it."""
-        self.frozen.discard(host)
+    def thaw(self, process: str) -> None:
+        """Let a process go on with all that waited for it."""
+        self.frozen.discard(process)
         loop = asyncio.get_running_loop()
-        for callback in self._held.pop(host, ()):
+        for callback in self._held.pop(process, ()):
             loop.call_soon(callback)
 
-    def kill(self, host: str) -> None:
-        """Break all connections of a host, as the kernel does for a dead process."""
+    def kill(self, process: str) -> None:
+        """End a process: nothing of it runs, and the kernel closes its sockets."""
+        self.frozen.add(process)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, MemoryLoop)
+        for address, (_, context) in tuple(loop.listeners.items()):
+            if context.get(PROCESS) == process:
+                del loop.listeners[address]
         for transport in tuple(self._transports):
-            if transport.host == host:
+            if transport.process == process:
                 transport.abort()
+                self.forget(transport)
 
     def silence(self, host: str) -> None:
         """Let open connections of a host carry nothing any more."""
@@ -84,9 +92,9 @@
             if transport.host == host or transport.peer_host == host:
                 transport.is_silent = True
 
-    def hold(self, host: str, callback: Callable[[], None]) -> None:
-        """Keep a callback until its host thaws."""
-        self._held[host].append(callback)
+    def hold(self, process: str, callback: Callable[[], None]) -> None:
+        """Keep a callback until its process thaws."""
+        self._held[process].append(callback)
 
     def register(self, transport: "MemoryTransport") -> None:
         """Note an open connection end."""
@@ -105,6 +113,7 @@
     ) -> None:
         super().__init__(extra={"peername": (peer_host, 0), "sockname": (host, 0)})
         self.host = host
+        self.process = PROCESS.get()
         self.peer_host = peer_host
         self.is_silent = False
         self.peer: MemoryTransport | None = None
@@ -286,7 +295,7 @@
     def call_soon(  # type: ignore[override]
         self, callback: Any, *args: Any, context: contextvars.Context | None = None
     ) -> asyncio.Handle:
-        """Run a callback next, unless its host is frozen."""
+        """Run a callback next, unless its process is frozen."""
         context = context or contextvars.copy_context()
         wrapped = self._wrap(callback, args, context)
         return super().call_soon(wrapped, context=context)
@@ -298,7 +307,7 @@
         *args: Any,
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
-        """Run a callback at a time, unless its host is frozen."""
+        """Run a callback at a time, unless its process is frozen."""
         context = context or contextvars.copy_context()
         wrapped = self._wrap(callback, args, context)
         return super().call_at(when, wrapped, context=context)
@@ -319,7 +328,7 @@
         """Connect to an address of the in-memory network."""
         source = HOST.get()
         await asyncio.sleep(2 * self.network.latency_ms / 1000)
-        while self.network.is_cut(source, host) or host in self.network.frozen:
+        while self.network.is_cut(source, host):
             await asyncio.sleep(0.05)
         if (host, int(port)) not in self.listeners:
             raise ConnectionRefusedError(111, "Connection refused")
@@ -328,7 +337,7 @@
         far = context.run(self._accept, accept, host, source)
         near.peer, far.peer = far, near
         near.get_protocol().connection_made(near)
-        context.run(far.get_protocol().connection_made, far)
+        self.call_soon(far.get_protocol().connection_made, far, context=context)
         return near, near.get_protocol()
 
     def _accept(self, accept: Any, host: str, source: str) -> MemoryTransport:
@@ -337,13 +346,13 @@
     def _wrap(
         self, callback: Any, args: tuple[Any, ...], context: contextvars.Context
     ) -> Callable[[], None]:
-        host = context.get(HOST, "")
-        if not host:
+        process = context.get(PROCESS, "")
+        if not process:
             return lambda: callback(*args)
 
         def run() -> None:
-            if host in self.network.frozen:
-                self.network.hold(host, lambda: context.run(callback, *args))
+            if process in self.network.frozen:
+                self.network.hold(process, lambda: context.run(callback, *args))
             else:
                 callback(*args)
 
@@ -361,10 +370,28 @@
         return self.loop.time() * 1000
 
 
-def run_on_host(host: str, coroutine: Coroutine[Any, Any, T]) -> "asyncio.Task[T]":
-    """Start a coroutine as a task of a host."""
+def run_on_host(
+    host: str, coroutine: Coroutine[Any, Any, T], *, process: str = ""
+) -> "asyncio.Task[T]":
+    """Start a coroutine as a task of a process on a host.
+
+    Parameters
+    ----------
+    host : str
+        IP number of the host.
+    coroutine : coroutine
+        What to run.
+    process : str
+        Name of the process for `freeze` and `kill`; the host's by default.
+
+    Returns
+    -------
+    asyncio.Task
+        The task.
+    """
     context = contextvars.copy_context()
     context.run(HOST.set, host)
+    context.run(PROCESS.set, process or host)
     return asyncio.get_running_loop().create_task(coroutine, context=context)
 
 
@@ -387,6 +414,8 @@
     try:
         return loop.run_until_complete(session)
     finally:
+        # Tasks of frozen and killed processes can only be cancelled if they run.
+        network.frozen.clear()
         leftover = asyncio.all_tasks(loop)
         for task in leftover:
             task.cancel()
