Keep a gossip table of instances

Instances must agree on who is live without a coordination service.

A row carries the age of its counter besides the counter, so that passing a row on does not restart the time to death. Without the age, a chain of relays keeps a dead instance in views for another dead_ms at each hop. The age alone, without a counter, was ruled out: the time on the way makes an old row look newer at each hop, and two instances would keep a dead one alive between them.

Exchanges name rows by a 32-bit key and send the full entry only to a peer that lacks it. An instance whose wall clock stepped back before its start learns of its earlier incarnation and goes above it.

The digest of a view now covers the status of each instance. Only ready instances own targets, so two instances that agreed on names but not on who is ready could both take themselves for the owner of a target.

A stateful test with partitions, kills, restarts and pauses checks that no silent instance stays in a view for dead_ms, that incarnations never fall and that healed partitions converge.

--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -1,6 +1,29 @@
 """Which instances are live, and who looks after what."""
 
 from currantline.membership._entry import InstanceEntry, Status, View
+from currantline.membership._gossip import (
+    Gossip,
+    GossipRow,
+    GossipState,
+    IntroducedRow,
+    row_key,
+)
+from currantline.membership._options import MembershipOptions
 from currantline.membership._rendezvous import rank, rendezvous_score
+from currantline.membership._table import Contact, GossipTable
 
-__all__ = ["InstanceEntry", "Status", "View", "rank", "rendezvous_score"]
+__all__ = [
+    "Contact",
+    "Gossip",
+    "GossipRow",
+    "GossipState",
+    "GossipTable",
+    "InstanceEntry",
+    "IntroducedRow",
+    "MembershipOptions",
+    "Status",
+    "View",
+    "rank",
+    "rendezvous_score",
+    "row_key",
+]
--- a/src/currantline/membership/_entry.py
+++ b/src/currantline/membership/_entry.py
@@ -43,6 +43,8 @@
         Configuration version in force.
     view_digest : int
         View that the instance acknowledges, 0 for none.
+    configuration_digest : int
+        Digest of the configuration in force.
     """
 
     name: str
@@ -55,6 +57,7 @@
     sequence: int = 0
     version: int = 0
     view_digest: int = 0
+    configuration_digest: int = 0
 
 
 @attrs.frozen
@@ -81,9 +84,14 @@
 
     @property
     def digest(self) -> int:
-        """64-bit hash of the names and incarnations of the live instances."""
+        """64-bit hash of names, incarnations and statuses of the live instances.
+
+        The status is part of it because only ready instances own targets: two
+        instances that agree on the digest must agree on the owners.
+        """
         text = "\n".join(
-            f"{entry.name}\t{entry.incarnation}" for entry in self.instances
+            f"{entry.name}\t{entry.incarnation}\t{entry.status.value}"
+            for entry in self.instances
         )
         return xxhash.xxh3_64_intdigest(text.encode())
 
--- /dev/null
+++ b/src/currantline/membership/_gossip.py
@@ -0,0 +1,128 @@
+"""Values that instances exchange by gossip."""
+
+import attrs
+import xxhash
+
+from currantline.membership._entry import InstanceEntry, Status
+
+__all__ = ["Gossip", "GossipRow", "GossipState", "IntroducedRow", "row_key"]
+
+
+def row_key(name: str, incarnation: int) -> int:
+    """Return the 32-bit key that stands for an instance and incarnation."""
+    return xxhash.xxh3_64_intdigest(f"{name}\0{incarnation}".encode()) & 0xFFFF_FFFF
+
+
+@attrs.frozen(kw_only=True)
+class GossipState:
+    """Part of a row that many rows have in common.
+
+    Parameters
+    ----------
+    status : Status
+        State of the instance.
+    sequence : int
+        Highest configuration record seen.
+    version : int
+        Configuration version in force.
+    view_digest : int
+        View that the instance acknowledges, 0 for none.
+    configuration_digest : int
+        Digest of the configuration in force.
+    """
+
+    status: Status
+    sequence: int = 0
+    version: int = 0
+    view_digest: int = 0
+    configuration_digest: int = 0
+
+    @classmethod
+    def read(cls, entry: InstanceEntry) -> "GossipState":
+        """Return the state of an entry."""
+        return cls(
+            status=entry.status,
+            sequence=entry.sequence,
+            version=entry.version,
+            view_digest=entry.view_digest,
+            configuration_digest=entry.configuration_digest,
+        )
+
+    def apply(self, entry: InstanceEntry, heartbeat: int) -> InstanceEntry:
+        """Return the entry with this state and counter."""
+        return attrs.evolve(
+            entry,
+            heartbeat=heartbeat,
+            status=self.status,
+            sequence=self.sequence,
+            version=self.version,
+            view_digest=self.view_digest,
+            configuration_digest=self.configuration_digest,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class GossipRow:
+    """Row about an instance that the receiver probably knows.
+
+    Parameters
+    ----------
+    key : int
+        Name and incarnation of the instance, by `row_key`.
+    heartbeat : int
+        Counter of the instance.
+    age_ms : float
+        Time since the counter moved, in milliseconds.
+    state : GossipState
+        Its state.
+    """
+
+    key: int
+    heartbeat: int
+    age_ms: float
+    state: GossipState
+
+
+@attrs.frozen(kw_only=True)
+class IntroducedRow:
+    """Row with all that is known of an instance.
+
+    Parameters
+    ----------
+    entry : InstanceEntry
+        The instance.
+    age_ms : float
+        Time since its counter moved, in milliseconds.
+    """
+
+    entry: InstanceEntry
+    age_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class Gossip:
+    """One direction of an exchange.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the sender.
+    rows : tuple of GossipRow
+        In a question all live rows; in an answer those that are newer.
+    introduced : tuple of IntroducedRow
+        Rows that the receiver does not know.
+    unknown : tuple of int
+        Keys of the question that the sender of the answer does not know.
+    lease_digest : int
+        Digest that the sender wants acknowledged; the proofs are for it.
+    proofs : tuple of float or None
+        For each row of the question, the highest possible age in milliseconds of the
+        latest proven acknowledgement of the digest. Only in answers.
+    """
+
+    sender: str
+    rows: tuple[GossipRow, ...] = ()
+    introduced: tuple[IntroducedRow, ...] = ()
+    unknown: tuple[int, ...] = ()
+    lease_digest: int = 0
+    proofs: tuple[float | None, ...] = ()
--- /dev/null
+++ b/src/currantline/membership/tests/test_table.py
@@ -0,0 +1,245 @@
+"""Tests of the gossip table."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from currantline.membership import (
+    Contact,
+    GossipTable,
+    InstanceEntry,
+    IntroducedRow,
+    MembershipOptions,
+    Status,
+)
+
+OPTIONS = MembershipOptions()
+NAMES = ("a", "b", "c", "d")
+# Exchanges with instances outside the view are 1 in 8, one every 2 s, which makes 20
+# of them for each instance.
+CONVERGENCE_MS = 40_000.0
+
+
+def make_entry(name: str, incarnation: int = 1, heartbeat: int = 0) -> InstanceEntry:
+    """Return an entry with made-up addresses."""
+    port = 7000 + NAMES.index(name)
+    return InstanceEntry(
+        name=name,
+        data_centre="north",
+        caller_address=f"127.0.0.1:{port}",
+        peer_address=f"127.0.0.1:{port + 100}",
+        incarnation=incarnation,
+        heartbeat=heartbeat,
+        status=Status.READY,
+    )
+
+
+def make_contact(name: str) -> Contact:
+    """Return the contact of an instance."""
+    return Contact(name=name, peer_address=make_entry(name).peer_address)
+
+
+def exchange(asking: GossipTable, asked: GossipTable, now: float) -> None:
+    """Run one whole exchange without any delay."""
+    question = asking.digest(now)
+    follow_up = asking.accept(asked.answer(question, now), now, now)
+    if follow_up is not None:
+        asking.accept(asked.answer(follow_up, now), now, now)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Tables under partitions, kills, restarts and pauses."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rng = random.Random(7)
+        self.now = 0.0
+        self.side = dict.fromkeys(NAMES, 0)
+        self.paused: set[str] = set()
+        self.ticked: dict[tuple[str, int], float] = {}
+        self.seen: dict[tuple[int, str], int] = {}
+        self.tables: dict[str, GossipTable] = {}
+        for name in NAMES:
+            self.start(name, 1)
+
+    def start(self, name: str, incarnation: int) -> None:
+        """Start a process."""
+        table = GossipTable(make_entry(name, incarnation))
+        table.set_published(make_contact(other) for other in NAMES)
+        self.tables[name] = table
+        self.paused.discard(name)
+
+    @rule(rounds=st.integers(1, 16))
+    def run_rounds(self, rounds: int) -> None:
+        """Let each running instance gossip for some intervals."""
+        for _ in range(rounds):
+            self.now += OPTIONS.gossip_interval_ms
+            for name in sorted(self.tables.keys() - self.paused):
+                self.step(name)
+            self.check_views()
+
+    def step(self, name: str) -> None:
+        """Tick one instance and let it gossip once."""
+        table = self.tables[name]
+        table.tick(self.now)
+        self.ticked[name, table.own.incarnation] = self.now
+        partner = table.choose_partner(self.now, self.rng)
+        if partner is None or partner.name not in self.tables:
+            return
+        if partner.name in self.paused or self.side[name] != self.side[partner.name]:
+            return
+        exchange(table, self.tables[partner.name], self.now)
+        for each in (name, partner.name):
+            own = self.tables[each].own
+            self.ticked.setdefault((each, own.incarnation), self.now)
+
+    @rule(sides=st.tuples(*[st.integers(0, 1)] * len(NAMES)))
+    def split(self, sides: tuple[int, ...]) -> None:
+        """Split the fleet."""
+        self.side = dict(zip(NAMES, sides, strict=True))
+
+    @rule(name=st.sampled_from(NAMES))
+    def kill(self, name: str) -> None:
+        """End a process without notice."""
+        self.tables.pop(name, None)
+        self.paused.discard(name)
+
+    @rule(name=st.sampled_from(NAMES), step=st.integers(-9000, 9000))
+    def restart(self, name: str, step: int) -> None:
+        """Replace a process; the wall clock may have stepped either way."""
+        self.start(name, max(1, int(self.now) + step))
+        for key in [key for key in self.seen if key[0] not in map(id, self.running())]:
+            del self.seen[key]
+
+    @rule(name=st.sampled_from(NAMES))
+    def pause(self, name: str) -> None:
+        """Stop a process that goes on later with its old state."""
+        if name in self.tables:
+            self.paused.add(name)
+
+    @rule()
+    def resume(self) -> None:
+        """Let paused processes go on."""
+        for name in self.paused:
+            self.tables[name].reset(self.now)
+        self.paused.clear()
+
+    @rule()
+    def converge(self) -> None:
+        """Heal all faults and require equal views after a while."""
+        self.side = dict.fromkeys(NAMES, 0)
+        self.resume()
+        self.run_rounds(int(CONVERGENCE_MS / OPTIONS.gossip_interval_ms))
+        expected = tuple(sorted(self.tables))
+        for table in self.running():
+            assert table.view(self.now).names == expected
+        assert len({table.view(self.now).digest for table in self.running()}) <= 1
+
+    def running(self) -> list[GossipTable]:
+        """Return the tables of running processes."""
+        return [t for name, t in self.tables.items() if name not in self.paused]
+
+    @invariant()
+    def check_views(self) -> None:
+        """Check that the silent are out of all views and incarnations never fall."""
+        for table in self.running():
+            for entry in table.view(self.now).instances:
+                silent_ms = self.now - self.ticked.get(
+                    (entry.name, entry.incarnation), self.now
+                )
+                assert silent_ms < OPTIONS.dead_ms or entry == table.own
+            for name in NAMES:
+                known = table.own if name == table.own.name else table.find(name)
+                if known is not None:
+                    last = self.seen.get((id(table), name), 0)
+                    assert known.incarnation >= last
+                    self.seen[id(table), name] = known.incarnation
+
+
+class TestFleet:
+    """Several tables together."""
+
+    def test_fleet(self) -> None:
+        """Guards against views that keep the dead, fall back or stay apart."""
+        run_state_machine_as_test(
+            Fleet,
+            settings=settings(
+                derandomize=True,
+                deadline=None,
+                max_examples=20,
+                stateful_step_count=20,
+                database=None,
+            ),
+        )
+
+
+class TestGossipTable:
+    """One table."""
+
+    def test_relayed_death(self) -> None:
+        """Guards against a dead instance kept alive by being passed on and on."""
+        tables = [GossipTable(make_entry(name)) for name in ("a", "b", "c")]
+        row = IntroducedRow(entry=make_entry("d"), age_ms=0)
+        tables[0].merge([row], 0)
+        exchange(tables[1], tables[0], 2000)
+        exchange(tables[2], tables[1], 2400)
+        assert all("d" in table.view(2400).names for table in tables)
+        assert not any("d" in table.view(2500).names for table in tables)
+        exchange(tables[0], tables[1], 2600)
+        assert "d" not in tables[0].view(2600).names
+
+    def test_forgotten_stays_away(self) -> None:
+        """Guards against a dropped row that returns from a peer with a later death."""
+        table = GossipTable(make_entry("a"))
+        table.merge([IntroducedRow(entry=make_entry("b", heartbeat=9), age_ms=0)], 0)
+        table.tick(OPTIONS.forget_ms)
+        assert table.find("b") is None
+        row = IntroducedRow(entry=make_entry("b", heartbeat=9), age_ms=2500)
+        table.merge([row], OPTIONS.forget_ms)
+        assert table.find("b") is None
+
+    def test_leaving_by_gossip(self) -> None:
+        """Guards against an instance that leaves and stays listed until it is dead."""
+        first, second = GossipTable(make_entry("a")), GossipTable(make_entry("b"))
+        exchange(first, second, 0)
+        assert first.view(0).names == ("a", "b")
+        second.describe(status=Status.LEAVING)
+        exchange(first, second, 1)
+        assert first.view(1).names == ("a",)
+        assert second.view(1).names == ("a",)
+
+    def test_leaving_by_list(self) -> None:
+        """Guards against a replacement that is hidden by the old one's leaving."""
+        table = GossipTable(make_entry("a"))
+        table.merge([IntroducedRow(entry=make_entry("b", 1), age_ms=0)], 0)
+        table.set_published([], leaving=["b"])
+        assert table.view(0).names == ("a",)
+        table.merge([IntroducedRow(entry=make_entry("b", 2), age_ms=0)], 0)
+        table.set_published([], leaving=["b"])
+        assert table.view(0).names == ("a", "b")
+
+    def test_replaced(self) -> None:
+        """Guards against a replaced process that goes on beside its successor."""
+        table = GossipTable(make_entry("a", 5))
+        table.merge([IntroducedRow(entry=make_entry("a", 6), age_ms=0)], 0)
+        assert table.is_replaced(0)
+        assert table.view(0).names == ()
+        table.tick(2500)
+        assert not table.is_replaced(2500)
+        assert table.own.incarnation == 7
+
+    def test_suspect(self) -> None:
+        """Guards against a suspect that leaves the view before it is dead."""
+        table = GossipTable(make_entry("a"))
+        table.merge([IntroducedRow(entry=make_entry("b"), age_ms=0)], 0)
+        assert table.suspects(1499) == ()
+        assert table.suspects(1500) == ("b",)
+        assert table.view(2499).names == ("a", "b")
+        assert table.view(2500).names == ("a",)
