Read the published list and remember removed entries

The majority of a lease is counted over the listed instances and those removed within list_memory_ms. That alone does not make majorities overlap: with a, b, c of a list of five on one side of a partition, and d, e with two new instances of a list of seven on the other, both sides have a majority.

An instance therefore counts as a voter only after it was listed for list_memory_ms, and nobody counts while the copy is older than that. If the list lags by at most list_memory_ms, all voters of one instance are known to every other, and two majorities share a voter. Counting over max_instances was ruled out: 19 of 32 instances could lose only two.

A list with a malformed entry is refused as a whole, because a missing entry reads as a removed one.

--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -9,6 +9,14 @@
     row_key,
 )
 from currantline.membership._options import MembershipOptions
+from currantline.membership._published import (
+    ListedInstance,
+    ListedTarget,
+    ListMemory,
+    ListReader,
+    PublishedList,
+    parse_list,
+)
 from currantline.membership._rendezvous import rank, rendezvous_score
 from currantline.membership._table import Contact, GossipTable
 
@@ -20,9 +28,15 @@
     "GossipTable",
     "InstanceEntry",
     "IntroducedRow",
+    "ListMemory",
+    "ListReader",
+    "ListedInstance",
+    "ListedTarget",
     "MembershipOptions",
+    "PublishedList",
     "Status",
     "View",
+    "parse_list",
     "rank",
     "rendezvous_score",
     "row_key",
--- /dev/null
+++ b/src/currantline/membership/tests/test_published.py
@@ -0,0 +1,151 @@
+"""Tests of reading the published list."""
+
+import asyncio
+import json
+import random
+import socket
+from typing import Any
+
+import pytest
+
+from currantline.clock import ManualClock
+from currantline.exceptions import PlatformError
+from currantline.membership import (
+    ListedInstance,
+    ListedTarget,
+    ListMemory,
+    ListReader,
+    MembershipOptions,
+    PublishedList,
+    parse_list,
+)
+from currantline.standin.platform import Platform
+
+OPTIONS = MembershipOptions()
+INSTANCE = {
+    "kind": "instance",
+    "state": "leaving",
+    "name": "a",
+    "data_centre": "north",
+    "caller_address": "127.0.0.1:7000",
+    "peer_address": "127.0.0.1:7100",
+}
+TARGET = {"kind": "target", "state": "live", "name": "t"}
+
+
+def find_address() -> str:
+    """Return a free address on loopback."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def list_names(names: str) -> PublishedList:
+    """Return a list of instances with made-up addresses."""
+    address = "127.0.0.1:7000"
+    return PublishedList(
+        instances=tuple(
+            ListedInstance(
+                name=name,
+                data_centre="north",
+                caller_address=address,
+                peer_address=address,
+            )
+            for name in names
+        )
+    )
+
+
+class TestParseList:
+    """Reading the platform's answer."""
+
+    def test_entries(self) -> None:
+        """Guards against a leaving instance that is read as live."""
+        later = {**TARGET, "name": "u", "region": "new field"}
+        body = json.dumps({"entries": [INSTANCE, TARGET, later, {"kind": "other"}]})
+        published = parse_list(body.encode())
+        assert [(e.name, e.is_leaving) for e in published.instances] == [("a", True)]
+        assert published.targets == (ListedTarget(name="t"), ListedTarget(name="u"))
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            [],
+            {},
+            {"entries": 3},
+            {"entries": [3]},
+            {"entries": [{**TARGET, "state": "gone"}]},
+            {"entries": [TARGET, {**INSTANCE, "name": ""}]},
+            {"entries": [TARGET, {**INSTANCE, "peer_address": "host:1"}]},
+        ],
+    )
+    def test_malformed(self, value: Any) -> None:
+        """Guards against a damaged list that reads as if entries were removed."""
+        with pytest.raises(PlatformError):
+            parse_list(json.dumps(value).encode())
+
+
+class TestListReader:
+    """Reading again and again."""
+
+    def test_backoff(self) -> None:
+        """Guards against a platform that is down and asked ever more often."""
+
+        async def run() -> None:
+            platform, address = Platform(), find_address()
+            platform.entries = [INSTANCE]
+            got: list[PublishedList] = []
+            reader = ListReader(
+                address,
+                clock=ManualClock(),
+                rng=random.Random(3),
+                publish=lambda published, now: got.append(published),
+            )
+            await platform.service.start(address)
+            try:
+                assert await reader.read()
+                assert 750 <= reader.choose_delay() <= 1250
+                platform.is_down = True
+                for _ in range(20):
+                    assert not await reader.read()
+                assert 7500 <= reader.choose_delay() <= 12_500
+                platform.is_down = False
+                assert await reader.read()
+                assert reader.choose_delay() <= 1250
+            finally:
+                await platform.service.stop()
+            assert len(got) == 2
+
+        asyncio.run(run())
+
+
+class TestListMemory:
+    """The instances that majorities are counted over."""
+
+    def test_new_names_have_no_vote(self) -> None:
+        """Guards against a majority of new names beside one of an older list."""
+        older, newer = ListMemory(OPTIONS), ListMemory(OPTIONS)
+        for at in (0, 30_000, 59_000, 61_000):
+            older.update(list_names("abcde"), at)
+            newer.update(list_names("abcde" if at < 61_000 else "abcdefg"), at)
+        now = 61_000
+        assert older.list_voters(now) == frozenset("abcde")
+        assert newer.list_known(now) == frozenset("abcdefg")
+        # d, e, f and g are a majority of seven, a, b and c one of five.
+        assert newer.list_voters(now) & frozenset("defg") == frozenset("de")
+
+    def test_removed_names_count(self) -> None:
+        """Guards against a majority over a list that has just become shorter."""
+        memory = ListMemory(OPTIONS)
+        memory.update(list_names("abcde"), 0)
+        memory.update(list_names("ab"), 1000)
+        assert memory.list_known(60_999) == frozenset("abcde")
+        assert memory.list_known(61_000) == frozenset("ab")
+
+    def test_old_copy_has_no_vote(self) -> None:
+        """Guards against majorities over copies that differ without limit."""
+        memory = ListMemory(OPTIONS)
+        memory.update(list_names("abc"), 0)
+        memory.update(list_names("abc"), 60_000)
+        assert memory.list_voters(119_999) == frozenset("abc")
+        assert memory.list_voters(120_000) == frozenset()
