Grant the majority lease of a view

The lease half of the probe budget needs at most one holder at a time.

An acknowledgement proves its time only in an answer, which is built after its question was sent; its age counts from that sending. Instances pass proofs on with the time that they have known of them, because at 19 instances one instance reaches no majority directly within the lease: it starts 8 exchanges in 2 s. Counting from the arrival was ruled out: a late message would outlive the promise behind it.

What is acknowledged covers the view and the configuration version, as owners follow from both.

A test with five leases runs late, lost and held up messages, restarts, pauses and changing views, without any margin.

--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -8,6 +8,7 @@
     IntroducedRow,
     row_key,
 )
+from currantline.membership._lease import ViewLease, combine_digest
 from currantline.membership._options import MembershipOptions
 from currantline.membership._published import (
     ListedInstance,
@@ -36,6 +37,8 @@
     "PublishedList",
     "Status",
     "View",
+    "ViewLease",
+    "combine_digest",
     "parse_list",
     "rank",
     "rendezvous_score",
--- /dev/null
+++ b/src/currantline/membership/tests/test_lease.py
@@ -0,0 +1,187 @@
+"""Tests of the majority lease."""
+
+import functools
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from currantline.membership import (
+    Gossip,
+    MembershipOptions,
+    Status,
+    View,
+    ViewLease,
+    combine_digest,
+)
+from currantline.membership.tests.test_table import make_entry
+
+# Clocks do not drift here, so that a lease without any margin must be safe.
+OPTIONS = MembershipOptions(lease_margin_ms=0.0)
+NAMES = ("a", "b", "c", "d", "e")
+EVERYONE = frozenset(NAMES)
+
+
+@attrs.define
+class Node:
+    """One instance with a clock of its own."""
+
+    lease: ViewLease
+    offset: float
+    digest: int = 0
+    start: int = 0
+    paused_until: float = 0.0
+
+
+class Network:
+    """Instances whose messages are late, lost or held up by pauses.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all choices.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = itertools.count()
+        self.side = dict.fromkeys(NAMES, 0)
+        self.nodes: dict[str, Node] = {}
+        self.held: set[int] = set()
+        for name in NAMES:
+            self.start(name)
+        self.after(0, self.disturb)
+        for name in NAMES:
+            self.after(0, functools.partial(self.ask, name))
+
+    def start(self, name: str) -> None:
+        """Start or restart an instance."""
+        offset = self.rng.uniform(0, 1e6)
+        lease = ViewLease(name, started_at=self.now + offset, options=OPTIONS)
+        lease.set_digest(self.side[name] + 1)
+        old = self.nodes.get(name)
+        start = 0 if old is None else old.start + 1
+        self.nodes[name] = Node(lease=lease, offset=offset, start=start)
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        heapq.heappush(self.events, (self.now + delay_ms, next(self.count), action))
+
+    def ask(self, name: str) -> None:
+        """Let an instance ask a random other one."""
+        self.after(self.rng.uniform(50, 300), lambda: self.ask(name))
+        node, other = self.nodes[name], self.rng.choice(NAMES)
+        if self.now < node.paused_until or other == name:
+            return
+        sent_at, start = self.now + node.offset, node.start
+        self.after(self.delay(), lambda: self.reply(other, name, sent_at, start))
+
+    def reply(self, name: str, asker: str, sent_at: float, start: int) -> None:
+        """Answer, after a pause if the instance is paused."""
+        node = self.nodes[name]
+        if self.now < node.paused_until:
+            wait = node.paused_until - self.now
+            self.after(wait, lambda: self.reply(name, asker, sent_at, start))
+            return
+        proofs = node.lease.prove(NAMES, self.now + node.offset)
+        digest = node.lease.digest
+        answer = Gossip(sender=name, lease_digest=digest, proofs=proofs)
+        if self.rng.random() < 0.9:
+            self.after(
+                self.delay(), lambda: self.receive(asker, answer, sent_at, start)
+            )
+
+    def receive(self, name: str, answer: Gossip, sent_at: float, start: int) -> None:
+        """Take over an answer unless the instance was restarted."""
+        node = self.nodes[name]
+        if self.now < node.paused_until:
+            wait = node.paused_until - self.now
+            self.after(wait, lambda: self.receive(name, answer, sent_at, start))
+        elif node.start == start:
+            node.lease.collect(answer, NAMES, sent_at=sent_at)
+
+    def delay(self) -> float:
+        """Return the time of one way; a few messages are very late."""
+        late = self.rng.random() < 0.05
+        return self.rng.uniform(500, 4000) if late else self.rng.uniform(0, 5)
+
+    def disturb(self) -> None:
+        """Change views, restart or pause instances."""
+        self.after(self.rng.uniform(200, 4000), self.disturb)
+        kind = self.rng.choice(("view", "view", "restart", "pause"))
+        name = self.rng.choice(NAMES)
+        if kind == "restart":
+            self.start(name)
+        elif kind == "pause":
+            node = self.nodes[name]
+            node.paused_until = self.now + self.rng.uniform(100, 6000)
+        else:
+            for each in self.rng.sample(NAMES, self.rng.randint(1, len(NAMES))):
+                self.side[each] = self.rng.choice((0, 1))
+                self.nodes[each].lease.set_digest(self.side[each] + 1)
+
+    def run(self, duration_ms: float) -> None:
+        """Run events and check after each that one digest at most is held."""
+        while self.events[0][0] < duration_ms:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+            held = {
+                node.lease.digest
+                for node in self.nodes.values()
+                if node.lease.holds(EVERYONE, EVERYONE, self.now + node.offset)
+            }
+            assert len(held) <= 1
+            self.held |= held
+
+
+class TestViewLease:
+    """The majority lease."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_exclusive(self, seed: int) -> None:
+        """Guards against two views that hold the lease at the same time."""
+        network = Network(seed)
+        network.run(120_000)
+        # A run in which nobody holds it would prove nothing.
+        assert network.held == {1, 2}
+
+    def test_age_counts_from_sending(self) -> None:
+        """Guards against a late answer that prolongs an acknowledgement."""
+        lease = ViewLease("a", started_at=-9000, options=OPTIONS)
+        lease.set_digest(1)
+        answer = Gossip(sender="b", lease_digest=1, proofs=(500.0, 0.0))
+        lease.collect(answer, ["c", "b"], sent_at=1000)
+        assert lease.evidence == {"c": 500, "b": 1000}
+        known = frozenset("abc")
+        assert lease.holds(known, known, 2999)
+        assert not lease.holds(known, known, 3000)
+
+    def test_waits_between_digests(self) -> None:
+        """Guards against an instance that binds itself to two views at once."""
+        lease = ViewLease("a", started_at=0, options=OPTIONS)
+        lease.set_digest(1)
+        assert lease.acknowledge(1999) == 0
+        assert lease.acknowledge(2000) == 1
+        lease.set_digest(2)
+        assert lease.acknowledge(3999) == 0
+        lease.set_digest(1)
+        assert lease.acknowledge(3999) == 1
+        lease.set_digest(2)
+        assert lease.acknowledge(5998) == 0
+        assert lease.acknowledge(5999) == 2
+
+    def test_digest_covers_owners(self) -> None:
+        """Guards against instances that agree on a digest but not on the owners."""
+        entry = make_entry("a")
+        starting = attrs.evolve(entry, status=Status.STARTING)
+        digests = {
+            combine_digest(View.build([entry]), 1),
+            combine_digest(View.build([starting]), 1),
+            combine_digest(View.build([entry]), 2),
+        }
+        assert len(digests) == 3
