Decide when a starting instance is ready

An instance that serves an older configuration than its peers would undo an accepted patch for its callers. An instance without any configuration stays unready even if all peers answered, because it has nothing to serve.

Each refusal has a one-line reason for the status page.

--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -18,11 +18,13 @@
     PublishedList,
     parse_list,
 )
+from currantline.membership._readiness import Decision, Readiness
 from currantline.membership._rendezvous import rank, rendezvous_score
 from currantline.membership._table import Contact, GossipTable
 
 __all__ = [
     "Contact",
+    "Decision",
     "Gossip",
     "GossipRow",
     "GossipState",
@@ -35,6 +37,7 @@
     "ListedTarget",
     "MembershipOptions",
     "PublishedList",
+    "Readiness",
     "Status",
     "View",
     "ViewLease",
--- /dev/null
+++ b/src/currantline/membership/_readiness.py
@@ -0,0 +1,173 @@
+"""When an instance is ready to serve."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from currantline.membership._entry import Status
+from currantline.membership._options import MembershipOptions
+
+__all__ = ["Decision", "Readiness"]
+
+
+@attrs.frozen(kw_only=True)
+class Decision:
+    """Whether an instance is ready, and why.
+
+    Parameters
+    ----------
+    is_ready : bool
+        Whether the instance takes work.
+    reason : str
+        One line for the status page.
+    """
+
+    is_ready: bool
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class _Heard:
+    status: Status
+    position: tuple[int, int]
+
+
+class Readiness:
+    """Decides when a starting instance becomes ready.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    started_at : float
+        Time of the start in milliseconds.
+    options : MembershipOptions, optional
+        Times.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        started_at: float,
+        options: MembershipOptions | None = None,
+    ) -> None:
+        self._name = name
+        self._options = options or MembershipOptions()
+        self._joining_since = started_at
+        self._own = (0, 0)
+        self._highest = (0, 0)
+        self._answers: dict[str, _Heard] = {}
+        self._listed: frozenset[str] | None = None
+        self._has_joined = False
+        self._is_leaving = False
+        self._is_replaced = False
+        self._knows_schema = True
+
+    def note_own(self, sequence: int, version: int) -> None:
+        """Take over the highest record seen and the version in force."""
+        self._own = max(self._own, (sequence, version))
+
+    def note_told(self, sequence: int, version: int = 0) -> None:
+        """Take over a record or version that the service or a peer told of."""
+        self._highest = max(self._highest, (sequence, version))
+
+    def note_answer(
+        self, name: str, status: Status, *, sequence: int, version: int
+    ) -> None:
+        """Take over what a peer answered since the start or the last pause.
+
+        Parameters
+        ----------
+        name : str
+            Name of the peer.
+        status : Status
+            State that the peer gave.
+        sequence : int
+            Highest record that the peer has seen.
+        version : int
+            Version in force at the peer.
+        """
+        self._answers[name] = _Heard(status=status, position=(sequence, version))
+        self._highest = max(self._highest, (sequence, version))
+
+    def note_listed(self, names: Iterable[str]) -> None:
+        """Take over the names of the instances that the list names live."""
+        self._listed = frozenset(names)
+
+    def note_replaced(self, is_replaced: bool) -> None:
+        """Take over whether a later start of the same instance runs."""
+        self._is_replaced = is_replaced
+
+    def note_schema(self, is_known: bool) -> None:
+        """Take over whether this release knows the schema level in force."""
+        self._knows_schema = is_known
+
+    def leave(self) -> None:
+        """Start to leave, for good."""
+        self._is_leaving = True
+
+    def reset(self, now: float) -> None:
+        """Start to join anew, after a pause.
+
+        Parameters
+        ----------
+        now : float
+            Current time in milliseconds.
+        """
+        self._joining_since = now
+        self._answers = {}
+        self._has_joined = False
+
+    def decide(self, now: float) -> Decision:
+        """Return whether the instance is ready.
+
+        Parameters
+        ----------
+        now : float
+            Current time in milliseconds.
+        """
+        if self._is_leaving:
+            return Decision(is_ready=False, reason="leaving")
+        if self._is_replaced:
+            return Decision(is_ready=False, reason="a later start of this name runs")
+        if not self._knows_schema:
+            return Decision(is_ready=False, reason="unknown schema level in force")
+        if self._has_joined:
+            return Decision(is_ready=True, reason="ready")
+        reason = self._find_obstacle(now)
+        self._has_joined = reason is None
+        return Decision(is_ready=reason is None, reason=reason or "ready")
+
+    def status(self, now: float) -> Status:
+        """Return the status to tell other instances."""
+        if self._is_leaving:
+            return Status.LEAVING
+        return Status.READY if self.decide(now).is_ready else Status.STARTING
+
+    def _find_obstacle(self, now: float) -> str | None:
+        if self._own == (0, 0):
+            return "no configuration yet"
+        if self._own < self._highest:
+            return f"at record {self._own[0]} of {self._highest[0]}"
+        if any(heard.status is Status.READY for heard in self._answers.values()):
+            return None
+        if self._listed is None:
+            return "no ready peer answered and the published list was not read"
+        peers = self._listed - {self._name}
+        if peers <= self._answers.keys():
+            return None
+        return self._find_majority_obstacle(peers, now)
+
+    def _find_majority_obstacle(self, peers: frozenset[str], now: float) -> str | None:
+        starting = {
+            name
+            for name, heard in self._answers.items()
+            if heard.status is Status.STARTING
+        }
+        answered = len(starting & peers) + 1
+        count = len(peers) + 1
+        progress = f"{answered} of {count} listed instances answered, none ready"
+        if now - self._joining_since < self._options.join_patience_ms:
+            return f"{progress}; a majority is enough later"
+        return None if answered * 2 > count else f"{progress}; no majority"
