Gossip in a task and tell subscribers of views

One task owns the table, the lease and readiness. Exchanges run beside the tick, so that a silent peer does not stop the own counter. A pause is found at the first use of the clock after it, by tick, question, answer or check of the lease, and an answer to a question from before the pause is dropped.

--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -21,10 +21,12 @@
 from currantline.membership._readiness import Decision, Readiness
 from currantline.membership._rendezvous import rank, rendezvous_score
 from currantline.membership._table import Contact, GossipTable
+from currantline.membership._task import Exchange, MembershipTask, ViewChanged
 
 __all__ = [
     "Contact",
     "Decision",
+    "Exchange",
     "Gossip",
     "GossipRow",
     "GossipState",
@@ -36,10 +38,12 @@
     "ListedInstance",
     "ListedTarget",
     "MembershipOptions",
+    "MembershipTask",
     "PublishedList",
     "Readiness",
     "Status",
     "View",
+    "ViewChanged",
     "ViewLease",
     "combine_digest",
     "parse_list",
