--- /dev/null
+++ b/src/currantline/peer/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from ``peer.proto``."""
