Learn lengths and queue short work before long

The order of requests and early refusals need a home that knows no sockets. The queue keeps short, deferrable and long work apart.

Ruled out: means, because a few stragglers would move the long threshold; a rate measured over all time for early refusal, because an idle queue moves at the rate of arrivals and would refuse the start of a burst.

A request is refused once the time left is less than three times the 95th percentile of its route (at most three quarters of its timeout), so that what starts also ends in time.

Conclusion: the tests cover order, fairness start, refusal and expiry.

--- /dev/null
+++ b/src/currantline/admission/_queue.py
@@ -0,0 +1,338 @@
+"""The queue of requests of one service that wait at one instance."""
+
+import heapq
+import itertools
+
+import attrs
+
+from currantline.admission._lengths import LengthEstimator
+from currantline.admission._work import Work
+from currantline.configuration import Priority
+
+__all__ = ["Admitted", "QueueOptions", "QueueSummary", "Rejected", "WaitingQueue"]
+
+
+@attrs.frozen(kw_only=True)
+class QueueOptions:
+    """Limits of a queue.
+
+    Parameters
+    ----------
+    limit : int
+        Most interactive requests that may wait, and most deferrable ones.
+    fairness_interval : int
+        Of so many starts with other than short work waiting, one goes to the
+        oldest of that work.
+    run_factor : float
+        Multiple of a route's 95th percentile that is kept for running, so that
+        a request that starts also ends by its deadline.
+    run_share : float
+        Largest share of the time from arrival to deadline kept for running.
+    pace_starts : int
+        Starts after which the measured rate is used to refuse early.
+    """
+
+    limit: int = 1000
+    fairness_interval: int = 8
+    run_factor: float = 3.0
+    run_share: float = 0.75
+    pace_starts: int = 20
+
+
+@attrs.frozen
+class Admitted:
+    """The request waits."""
+
+
+@attrs.frozen
+class Rejected:
+    """The request is refused.
+
+    Parameters
+    ----------
+    reason : str
+        Short fixed word.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class QueueSummary:
+    """What waits; the second kind is all work that is not short."""
+
+    short_waiting: int
+    long_waiting: int
+    oldest_short_ms: float
+    oldest_long_ms: float
+
+
+@attrs.define
+class _Pace:
+    """Rate of starts while requests wait."""
+
+    # Each start weighs 2% less than the next, so the rate covers about 50 starts.
+    decay: float = 0.98
+    starts: float = 0.0
+    busy_ms: float = 0.0
+    seen: int = 0
+    since: float = 0.0
+
+    def begin(self, now: float) -> None:
+        self.since = now
+
+    def count(self, now: float) -> None:
+        self.starts = self.starts * self.decay + 1
+        self.busy_ms = self.busy_ms * self.decay + max(0.0, now - self.since)
+        self.seen += 1
+        self.since = now
+
+    def estimate_wait(self, ahead: int, now: float) -> float:
+        busy_ms = self.busy_ms + max(0.0, now - self.since)
+        return ahead * busy_ms / self.starts
+
+
+class _Lane:
+    """Requests of one kind by arrival."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Work]] = []
+        self._live: dict[str, int] = {}
+        self.pace = _Pace()
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def push(self, order: int, work: Work, now: float) -> None:
+        if not self._live:
+            self.pace.begin(now)
+        self._live[work.request_id] = order
+        heapq.heappush(self._heap, (work.arrived, order, work))
+
+    def peek(self) -> Work | None:
+        while self._heap:
+            _, order, work = self._heap[0]
+            if self._live.get(work.request_id) == order:
+                return work
+            heapq.heappop(self._heap)
+        return None
+
+    def pop(self, now: float) -> Work:
+        work = heapq.heappop(self._heap)[2]
+        del self._live[work.request_id]
+        self.pace.count(now)
+        return work
+
+    def discard(self, request_id: str) -> None:
+        del self._live[request_id]
+
+
+class WaitingQueue:
+    """Requests of one service that wait for a slot.
+
+    Short interactive work is started first. Deferrable and long work follows by
+    arrival, with a fairness start for the oldest of it.
+
+    Parameters
+    ----------
+    lengths : LengthEstimator
+        Expected lengths.
+    options : QueueOptions
+        Limits.
+    """
+
+    def __init__(self, lengths: LengthEstimator, options: QueueOptions) -> None:
+        self._lengths = lengths
+        self._options = options
+        self._short = _Lane()
+        self._deferrable = _Lane()
+        self._long = _Lane()
+        self._order = itertools.count()
+        self._expiry: list[tuple[float, int, str]] = []
+        self._waiting: dict[str, tuple[int, Work, _Lane]] = {}
+        self._counts = dict.fromkeys(Priority, 0)
+        self._starts_since_fair = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def is_fair_due(self) -> bool:
+        """Whether the next start belongs to the oldest work that is not short."""
+        return self._starts_since_fair >= self._options.fairness_interval - 1
+
+    @property
+    def has_long(self) -> bool:
+        """Whether work that is expected to be long waits."""
+        return len(self._long) > 0
+
+    def set_options(self, options: QueueOptions) -> None:
+        """Take over changed limits; requests that already wait stay."""
+        self._options = options
+
+    def start_by(self, work: Work) -> float:
+        """Return the time after which a request could not end by its deadline."""
+        run_ms = self._options.run_factor * self._lengths.upper(work.route)
+        allowed_ms = self._options.run_share * (work.deadline - work.arrived)
+        return work.deadline - max(0.0, min(run_ms, allowed_ms))
+
+    def push(self, work: Work, now: float) -> Admitted | Rejected:
+        """Add a request or refuse it at once.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        now : float
+            Time in ms.
+
+        Returns
+        -------
+        Admitted or Rejected
+            Rejected if it cannot start in time or the queue is full.
+        """
+        start_by = self.start_by(work)
+        if now >= start_by:
+            return Rejected("deadline")
+        if self._counts[work.priority] >= self._options.limit:
+            return Rejected("queue-full")
+        lane = self._find_lane(work)
+        if now + self._estimate_wait(lane, now) > start_by:
+            return Rejected("overload")
+        order = next(self._order)
+        lane.push(order, work, now)
+        self._waiting[work.request_id] = (order, work, lane)
+        self._counts[work.priority] += 1
+        heapq.heappush(self._expiry, (start_by, order, work.request_id))
+        return Admitted()
+
+    def pop(
+        self,
+        allow_long: bool,
+        now: float,
+        *,
+        allow_fair_long: bool | None = None,
+        peers_wait: bool = False,
+    ) -> Work | None:
+        """Take the request that starts next.
+
+        Parameters
+        ----------
+        allow_long : bool
+            Whether a slot for long work is free.
+        now : float
+            Time in ms.
+        allow_fair_long : bool, optional
+            The same for a fairness start; as ``allow_long`` if not given.
+        peers_wait : bool
+            Whether other instances wait with work that is not short, which the
+            fairness start counts too.
+
+        Returns
+        -------
+        Work or None
+            None if nothing suitable waits.
+        """
+        if allow_fair_long is None:
+            allow_fair_long = allow_long
+        other = self._find_oldest_other(allow_long)
+        if self.is_fair_due:
+            fair = self._find_oldest_other(allow_fair_long)
+            if fair is not None:
+                self._starts_since_fair = 0
+                return self._take(fair, now)
+        has_others = peers_wait or len(self._deferrable) + len(self._long) > 0
+        if self._short.peek() is not None:
+            self._starts_since_fair += has_others
+            return self._take(self._short, now)
+        if other is None:
+            return None
+        self._starts_since_fair = 0
+        return self._take(other, now)
+
+    def use_fair_turn(self) -> None:
+        """Count the fairness start as used by another instance."""
+        self._starts_since_fair = 0
+
+    def expire(self, now: float) -> list[Work]:
+        """Remove and return the requests that can no longer end in time."""
+        expired = []
+        while self.next_expiry() <= now:
+            request_id = self._expiry[0][2]
+            expired.append(self._waiting[request_id][1])
+            self.remove(request_id)
+        return expired
+
+    def next_expiry(self) -> float:
+        """Return the time at which the next request expires, or infinity."""
+        while self._expiry:
+            start_by, order, request_id = self._expiry[0]
+            found = self._waiting.get(request_id)
+            if found is not None and found[0] == order:
+                return start_by
+            heapq.heappop(self._expiry)
+        return float("inf")
+
+    def remove(self, request_id: str) -> Work | None:
+        """Remove a request, for example because its caller has gone."""
+        found = self._waiting.pop(request_id, None)
+        if found is None:
+            return None
+        _, work, lane = found
+        lane.discard(request_id)
+        self._counts[work.priority] -= 1
+        return work
+
+    def summary(self, now: float) -> QueueSummary:
+        """Return how much waits and for how long.
+
+        Parameters
+        ----------
+        now : float
+            Time in ms.
+
+        Returns
+        -------
+        QueueSummary
+            Counts, and ages of the oldest in ms.
+        """
+        short = self._short.peek()
+        other = self._find_oldest_other(True)
+        oldest = other.peek() if other else None
+        return QueueSummary(
+            short_waiting=len(self._short),
+            long_waiting=len(self._deferrable) + len(self._long),
+            oldest_short_ms=max(0.0, now - short.arrived) if short else 0.0,
+            oldest_long_ms=max(0.0, now - oldest.arrived) if oldest else 0.0,
+        )
+
+    def is_long(self, work: Work) -> bool:
+        """Return whether a request of this route is expected to be long."""
+        return self._lengths.is_long(work.route)
+
+    def _find_lane(self, work: Work) -> _Lane:
+        if self._lengths.is_long(work.route):
+            return self._long
+        if work.priority is Priority.DEFERRABLE:
+            return self._deferrable
+        return self._short
+
+    def _estimate_wait(self, lane: _Lane, now: float) -> float:
+        # While nothing waits the rate of starts is that of arrivals, which says
+        # nothing of how fast a queue would move.
+        if not len(lane) or lane.pace.seen < self._options.pace_starts:
+            return 0.0
+        return lane.pace.estimate_wait(len(lane) + 1, now)
+
+    def _find_oldest_other(self, allow_long: bool) -> _Lane | None:
+        lanes = (self._deferrable, self._long) if allow_long else (self._deferrable,)
+        heads = [(lane.peek(), lane) for lane in lanes]
+        filled = [(work.arrived, lane) for work, lane in heads if work is not None]
+        return min(filled, key=lambda pair: pair[0])[1] if filled else None
+
+    def _take(self, lane: _Lane, now: float) -> Work:
+        lane.peek()
+        work = lane.pop(now)
+        del self._waiting[work.request_id]
+        self._counts[work.priority] -= 1
+        return work
--- /dev/null
+++ b/src/currantline/admission/tests/test_queue.py
@@ -0,0 +1,163 @@
+"""Tests of lengths and of the waiting queue."""
+
+import random
+
+import pytest
+
+from currantline.admission import (
+    Admitted,
+    LengthEstimator,
+    QueueOptions,
+    Rejected,
+    WaitingQueue,
+    Work,
+)
+from currantline.configuration import Priority
+
+
+def make_lengths() -> LengthEstimator:
+    """Return an estimator that has seen a short and a long route."""
+    lengths = LengthEstimator()
+    rng = random.Random(1)
+    for count in range(2000):
+        is_long = count % 20 == 0
+        mean_ms = 200.0 if is_long else 8.0
+        duration_ms = rng.expovariate(1 / mean_ms)
+        lengths.observe("pull" if is_long else "lookup", duration_ms)
+    return lengths
+
+
+def make_work(
+    name: str,
+    *,
+    route: str = "lookup",
+    arrived: float = 0.0,
+    deadline: float = 10_000.0,
+    priority: Priority = Priority.INTERACTIVE,
+) -> Work:
+    """Return a request."""
+    return Work(
+        request_id=name,
+        service="s",
+        route=route,
+        priority=priority,
+        deadline=deadline,
+        arrived=arrived,
+    )
+
+
+def make_queue(limit: int = 100) -> WaitingQueue:
+    """Return an empty queue."""
+    return WaitingQueue(make_lengths(), QueueOptions(limit=limit))
+
+
+class TestLengthEstimator:
+    """Learning of lengths without labels."""
+
+    def test_long_route_is_found(self) -> None:
+        """Guards against long work that is queued as short, or the reverse."""
+        lengths = make_lengths()
+        assert lengths.is_long("pull")
+        assert not lengths.is_long("lookup")
+        assert 3 < lengths.expected("lookup") < 10
+        assert 12 < lengths.upper("lookup") < 40
+
+    def test_unknown_route_is_short(self) -> None:
+        """Guards against a new route that waits behind everything."""
+        assert not LengthEstimator().is_long("new")
+
+    def test_change_of_speed(self) -> None:
+        """Guards against a route that stays long after it became fast."""
+        lengths = make_lengths()
+        for _ in range(200):
+            lengths.observe("pull", 6.0)
+        assert not lengths.is_long("pull")
+
+
+class TestWaitingQueue:
+    """Order and refusals."""
+
+    def test_short_before_long_and_deferrable(self) -> None:
+        """Guards against short work behind work that may wait."""
+        queue = make_queue()
+        queue.push(make_work("long", route="pull"), 0.0)
+        deferrable = make_work("later", arrived=1.0, priority=Priority.DEFERRABLE)
+        queue.push(deferrable, 1.0)
+        queue.push(make_work("short", arrived=2.0), 2.0)
+        popped = [queue.pop(True, 3.0) for _ in range(3)]
+        assert [w.request_id for w in popped if w] == ["short", "long", "later"]
+
+    def test_last_slot(self) -> None:
+        """Guards against long work on the slot that is kept for short work."""
+        queue = make_queue()
+        queue.push(make_work("long", route="pull"), 0.0)
+        assert queue.pop(False, 0.0) is None
+        later = make_work("later", arrived=1.0, priority=Priority.DEFERRABLE)
+        queue.push(later, 1.0)
+        assert queue.pop(False, 1.0) is later
+
+    def test_fairness_start(self) -> None:
+        """Guards against deferrable work that starves behind short work."""
+        queue = make_queue()
+        later = make_work("later", priority=Priority.DEFERRABLE)
+        queue.push(later, 0.0)
+        for count in range(50):
+            queue.push(make_work(f"short-{count}"), 0.0)
+        interval = QueueOptions().fairness_interval
+        popped = [queue.pop(True, 0.0) for _ in range(interval)]
+        assert popped[-1] is later
+
+    def test_early_refusal(self) -> None:
+        """Guards against waits that are certain to end in a refusal."""
+        queue = make_queue()
+        for count in range(60):
+            queue.push(make_work(f"first-{count}"), 0.0)
+        # One start each 100 ms: 30 waiting requests need 3 s.
+        for count in range(30):
+            queue.pop(True, 100.0 * (count + 1))
+        now = 3000.0
+        late = make_work("late", arrived=now, deadline=now + 2000)
+        assert queue.push(late, now) == Rejected("overload")
+        patient = make_work("patient", arrived=now, deadline=now + 8000)
+        assert queue.push(patient, now) == Admitted()
+
+    def test_idle_rate_refuses_nothing(self) -> None:
+        """Guards against a rate that was limited by arrivals, not by slots."""
+        queue = make_queue()
+        for count in range(100):
+            now = 1000.0 * count
+            queue.push(make_work(f"{count}", arrived=now, deadline=now + 900), now)
+            queue.pop(True, now)
+        now = 200_000.0
+        for count in range(5):
+            work = make_work(f"burst-{count}", arrived=now, deadline=now + 900)
+            assert queue.push(work, now) == Admitted()
+
+    def test_expiry_leaves_time_to_run(self) -> None:
+        """Guards against a start so late that the answer is late."""
+        queue = make_queue()
+        work = make_work("long", route="pull", deadline=4000.0)
+        queue.push(work, 0.0)
+        assert queue.expire(1000.0) == []
+        assert queue.expire(4000.0 - 400.0) == [work]
+        assert len(queue) == 0
+
+    @pytest.mark.parametrize("full", list(Priority))
+    def test_room_of_its_own(self, full: Priority) -> None:
+        """Guards against one class that takes the room of the other."""
+        queue = make_queue(limit=3)
+        for count in range(3):
+            queue.push(make_work(f"{count}", priority=full), 0.0)
+        assert queue.push(make_work("x", priority=full), 0.0) == Rejected("queue-full")
+        other = next(p for p in Priority if p is not full)
+        assert queue.push(make_work("y", priority=other), 0.0) == Admitted()
+
+    def test_removed_request_returns(self) -> None:
+        """Guards against a request that is popped after it was cancelled."""
+        queue = make_queue()
+        queue.push(make_work("a"), 0.0)
+        queue.remove("a")
+        again = make_work("a", arrived=5.0)
+        queue.push(again, 5.0)
+        assert queue.pop(True, 6.0) is again
+        assert queue.pop(True, 6.0) is None
