Limit retries by a budget tied to first attempts

A fixed number of retries per request multiplies the load of a service whose targets all shed. A token bucket that gains retry_ratio per first attempt bounds retries to that share.

Ruled out: a bucket refilled by time, because it allows the same number of retries at any load.

Conclusion: 1,000 failing first attempts at ratio 0.1 get 100 retries.

--- /dev/null
+++ b/src/currantline/dispatch/tests/test_retry.py
@@ -0,0 +1,23 @@
+"""Tests of the retry budget."""
+
+from currantline.dispatch import RetryBudget
+
+
+class TestRetryBudget:
+    """Limit on retries."""
+
+    def test_ratio(self) -> None:
+        """Guards against retries that multiply the load of a failing service."""
+        budget = RetryBudget(retry_ratio=0.1)
+        retries = 0
+        for _ in range(1000):
+            budget.count_attempt()
+            retries += budget.spend(0.0)
+        assert retries == 100
+
+    def test_cap(self) -> None:
+        """Guards against a long calm that saves up a burst of retries."""
+        budget = RetryBudget(retry_ratio=0.1, capacity=10.0)
+        for _ in range(10_000):
+            budget.count_attempt()
+        assert sum(budget.spend(0.0) for _ in range(100)) == 10
