Share slots between instances by owners and loans

Instances that choose targets independently collide on targets of 2 or 6 slots, and the targets' own queues put short work behind long. The Dispatcher counts the slots of owned targets, queues the rest and lends free slots by leases. It is pure: time and randomness are passed in.

A lent slot carries allow_long, because only the owner knows whether long work on it would take the last slot for short work. Slots used without a loan, after a change of view or a local choice, are reported as Usage and repeated until they end, so that a lost report costs at most one lease.

Ruled out: keeping a loan while work keeps coming, because renewals would then hold the slot for good; a renewal serves the running request only.

--- a/src/currantline/dispatch/__init__.py
+++ b/src/currantline/dispatch/__init__.py
@@ -1,5 +1,38 @@
 """Which slot of which target a request gets."""
 
+from currantline.dispatch._dispatcher import Dispatcher, ServiceCounts
 from currantline.dispatch._local import LocalPlacement
+from currantline.dispatch._messages import (
+    Demand,
+    Effect,
+    Lend,
+    Message,
+    Refuse,
+    Renew,
+    Return,
+    Send,
+    Start,
+    Usage,
+)
+from currantline.dispatch._options import DispatchOptions
+from currantline.dispatch._pool import PoolCounts
+from currantline.dispatch._retry import RetryBudget
 
-__all__ = ["LocalPlacement"]
+__all__ = [
+    "Demand",
+    "DispatchOptions",
+    "Dispatcher",
+    "Effect",
+    "Lend",
+    "LocalPlacement",
+    "Message",
+    "PoolCounts",
+    "Refuse",
+    "Renew",
+    "RetryBudget",
+    "Return",
+    "Send",
+    "ServiceCounts",
+    "Start",
+    "Usage",
+]
--- /dev/null
+++ b/src/currantline/dispatch/_ledger.py
@@ -0,0 +1,357 @@
+"""Slots of one service as one instance counts them."""
+
+import random
+from collections.abc import Iterable, Mapping, Sequence
+
+import attrs
+
+from currantline.exceptions import InvariantError
+
+INFINITY = float("inf")
+
+__all__ = ["Borrowed", "Lent", "Running", "SlotLedger"]
+
+
+@attrs.define(kw_only=True)
+class Running:
+    """A request of this instance that uses a slot.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    route : str
+        Its route.
+    target : str
+        Target that it runs on.
+    is_long : bool
+        Whether it was expected to be long.
+    started : float
+        Start in ms.
+    loan : Borrowed or None
+        Loan whose slot it uses.
+    """
+
+    request_id: str
+    route: str
+    target: str
+    is_long: bool
+    started: float
+    loan: "Borrowed | None" = None
+
+
+@attrs.define(kw_only=True)
+class Lent:
+    """A slot of an owned target that another instance may use."""
+
+    loan_id: int
+    target: str
+    borrower: str
+    is_long: bool
+    since: float
+    expires: float
+
+
+@attrs.define(kw_only=True)
+class Borrowed:
+    """A slot that an owner has lent to this instance."""
+
+    owner: str
+    loan_id: int
+    target: str
+    allow_long: bool
+    lease_ms: float
+    granted: float
+    renewed: float
+    request_id: str | None = None
+
+    @property
+    def expires(self) -> float:
+        """Time at which the lease ends unless it is renewed."""
+        return self.renewed + self.lease_ms
+
+    def may_start(self, now: float) -> bool:
+        """Return whether another request may start on the slot.
+
+        Renewals serve the request that runs. The slot goes back after the first
+        lease, so that it is given out anew by need.
+        """
+        return self.request_id is None and now < self.granted + self.lease_ms
+
+
+@attrs.define
+class _TargetSlots:
+    name: str
+    slots: int
+    limit: int = 0
+    is_owned: bool = False
+    running: dict[str, Running] = attrs.field(factory=dict)
+    lent: dict[int, Lent] = attrs.field(factory=dict)
+    # Slots that others use without a loan, and when that report is forgotten.
+    usage: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+    taken: int = 0
+    free: int = 0
+
+    def recount(self) -> None:
+        """Derive the sums after a change."""
+        used_elsewhere = sum(count for count, _ in self.usage.values())
+        self.taken = len(self.running) + len(self.lent) + used_elsewhere
+        self.free = max(0, self.limit - self.taken) if self.is_owned else 0
+
+    def count_long(self, now: float, threshold_ms: float) -> int:
+        started = [(r.is_long, r.started) for r in self.running.values()]
+        started += [(loan.is_long, loan.since) for loan in self.lent.values()]
+        return sum(long or now - since > threshold_ms for long, since in started)
+
+    def has_long_room(self, now: float, threshold_ms: float) -> bool:
+        """Whether one more long request leaves a slot for short work."""
+        return self.limit == 1 or (self.count_long(now, threshold_ms) < self.limit - 1)
+
+
+class SlotLedger:
+    """Counts the slots of one service's targets.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of choices among equal targets.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._targets: dict[str, _TargetSlots] = {}
+        self._owned: list[_TargetSlots] = []
+        # No loan or usage report ends before this time.
+        self._next_end = INFINITY
+
+    def set_targets(self, slots: dict[str, int]) -> None:
+        """Take over the configured targets; others take no new work."""
+        for name, count in slots.items():
+            known = self._targets.setdefault(name, _TargetSlots(name, count))
+            known.slots = count
+            known.limit = min(known.limit, count)
+        for name in set(self._targets) - set(slots):
+            known = self._targets[name]
+            known.limit = 0
+            known.is_owned = False
+            if not known.running:
+                del self._targets[name]
+        self._refresh()
+
+    def set_owned(self, names: Iterable[str]) -> list[Lent]:
+        """Take over the owned targets and drop the loans of the others."""
+        owned = set(names)
+        dropped: list[Lent] = []
+        for name, target in self._targets.items():
+            target.is_owned = name in owned
+            if not target.is_owned:
+                dropped += target.lent.values()
+                target.lent.clear()
+                target.usage.clear()
+        self._refresh()
+        return dropped
+
+    def set_limit(self, name: str, slots: int) -> None:
+        """Set how many slots of a target may be used now."""
+        if name in self._targets:
+            target = self._targets[name]
+            target.limit = max(0, min(slots, target.slots))
+            target.recount()
+
+    def start(self, running: Running) -> None:
+        """Count a request as running.
+
+        Raises
+        ------
+        InvariantError
+            If it already runs, or its slot is not free.
+        """
+        target = self._targets[running.target]
+        if running.request_id in target.running:
+            raise InvariantError(f"request {running.request_id} already runs")
+        if running.loan is None and target.is_owned and target.free < 1:
+            raise InvariantError(f"no slot of {running.target} is free")
+        if running.loan is not None:
+            if running.loan.request_id is not None:
+                raise InvariantError(f"loan {running.loan.loan_id} is in use")
+            running.loan.request_id = running.request_id
+        target.running[running.request_id] = running
+        target.recount()
+
+    def finish(self, running: Running) -> None:
+        """Count a request as ended.
+
+        Raises
+        ------
+        InvariantError
+            If it does not run.
+        """
+        target = self._targets[running.target]
+        if target.running.pop(running.request_id, None) is None:
+            raise InvariantError(f"request {running.request_id} does not run")
+        target.recount()
+        if running.loan is not None:
+            running.loan.request_id = None
+
+    def lend(self, lent: Lent) -> None:
+        """Count a slot as lent.
+
+        Raises
+        ------
+        InvariantError
+            If no slot of the target is free.
+        """
+        target = self._targets[lent.target]
+        if target.free < 1:
+            raise InvariantError(f"no slot of {lent.target} is free to lend")
+        target.lent[lent.loan_id] = lent
+        target.recount()
+        self._next_end = min(self._next_end, lent.expires)
+
+    def find_lent(self, loan_id: int) -> Lent | None:
+        """Return a loan that has not ended."""
+        for target in self._owned:
+            if loan_id in target.lent:
+                return target.lent[loan_id]
+        return None
+
+    def take_back(self, lent: Lent) -> None:
+        """Count a lent slot as free again."""
+        target = self._targets[lent.target]
+        target.lent.pop(lent.loan_id, None)
+        target.recount()
+
+    def expire(self, now: float) -> list[Lent]:
+        """Take back the loans whose lease has ended and forget old usage."""
+        if now < self._next_end:
+            return []
+        ended = []
+        for target in self._owned:
+            over = [loan for loan in target.lent.values() if loan.expires <= now]
+            for loan in over:
+                del target.lent[loan.loan_id]
+            ended += over
+            for name in [n for n, (_, end) in target.usage.items() if end <= now]:
+                del target.usage[name]
+            target.recount()
+        ends = [loan.expires for t in self._owned for loan in t.lent.values()]
+        ends += [end for t in self._owned for _, end in t.usage.values()]
+        self._next_end = min(ends, default=INFINITY)
+        return ended
+
+    def next_expiry(self) -> float:
+        """Return a time before which no loan or usage report ends."""
+        return self._next_end
+
+    def note_usage(self, name: str, instance: str, count: int, until: float) -> None:
+        """Count slots of an owned target that another instance says it uses."""
+        target = self._targets.get(name)
+        if target is None or not target.is_owned:
+            return
+        if count > 0:
+            target.usage[instance] = (count, until)
+            self._next_end = min(self._next_end, until)
+        else:
+            target.usage.pop(instance, None)
+        target.recount()
+
+    def count_lent(self) -> int:
+        """Return how many slots are lent."""
+        return sum(len(target.lent) for target in self._owned)
+
+    def count_free(self) -> int:
+        """Return how many slots of owned targets are free."""
+        return sum(target.free for target in self._owned)
+
+    def is_owner(self, name: str) -> bool:
+        """Return whether this instance owns a target."""
+        return name in self._targets and self._targets[name].is_owned
+
+    @property
+    def has_usable(self) -> bool:
+        """Whether any owned target takes work."""
+        return any(target.limit > 0 for target in self._owned)
+
+    def choose(self) -> str | None:
+        """Choose an owned target with a free slot, fewest in use first."""
+        return self._pick([target for target in self._owned if target.free > 0])
+
+    def choose_for_long(
+        self, now: float, threshold_ms: float, *, spare: int = 1
+    ) -> str | None:
+        """Choose an owned target for long work.
+
+        Parameters
+        ----------
+        now : float
+            Time in ms.
+        threshold_ms : float
+            Running time from which a running request counts as long.
+        spare : int
+            Free slots that must remain, except on a target with one slot.
+
+        Returns
+        -------
+        str or None
+            None if long work would leave no slot for short work.
+        """
+        fits = [
+            target
+            for target in self._owned
+            if target.free > 0
+            and (target.free > spare or target.limit == 1)
+            and target.has_long_room(now, threshold_ms)
+        ]
+        return self._pick(fits)
+
+    def has_long_room(self, name: str, now: float, threshold_ms: float) -> bool:
+        """Return whether a target has room for one more long request."""
+        return self._targets[name].has_long_room(now, threshold_ms)
+
+    def choose_local(
+        self, *, is_long: bool, now: float, threshold_ms: float
+    ) -> str | None:
+        """Choose by power of two choices on own in-flight requests."""
+        fits = [
+            (name, target)
+            for name, target in self._targets.items()
+            if len(target.running) < target.limit
+            and (not is_long or target.has_long_room(now, threshold_ms))
+        ]
+        if not fits:
+            return None
+        pair = self._rng.sample(fits, min(2, len(fits)))
+        return min(pair, key=lambda entry: len(entry[1].running))[0]
+
+    def check(self, running: Mapping[str, Running]) -> None:
+        """Check the counts against the running requests.
+
+        Raises
+        ------
+        InvariantError
+            If they differ, or a loan is counted for a target that is not owned.
+        """
+        counted = [r for t in self._targets.values() for r in t.running.values()]
+        if sorted(r.request_id for r in counted) != sorted(running):
+            raise InvariantError("running requests and slots in use differ")
+        for target in self._targets.values():
+            if target.lent and not target.is_owned:
+                raise InvariantError(f"loans of {target.name} without ownership")
+            taken = target.taken
+            target.recount()
+            if target.taken != taken:
+                raise InvariantError(f"slots of {target.name} were miscounted")
+
+    def _refresh(self) -> None:
+        self._owned = [t for t in self._targets.values() if t.is_owned]
+        for target in self._targets.values():
+            target.recount()
+
+    def _pick(self, targets: Sequence[_TargetSlots]) -> str | None:
+        if not targets:
+            return None
+        least = min(target.taken for target in targets)
+        equal = [target for target in targets if target.taken == least]
+        chosen = equal[0] if len(equal) == 1 else self._rng.choice(equal)
+        return chosen.name
--- /dev/null
+++ b/src/currantline/dispatch/_lending.py
@@ -0,0 +1,237 @@
+"""Who waits for slots elsewhere, and whom to ask for one."""
+
+import random
+
+import attrs
+
+from currantline.admission import QueueSummary
+from currantline.dispatch._messages import Demand
+from currantline.dispatch._options import DispatchOptions
+
+__all__ = ["DemandReports", "PeerDemands"]
+
+
+@attrs.define
+class _Need:
+    """Demand of one instance as it was told, less what it was lent since."""
+
+    short: int
+    other: int
+    # Estimated arrival of the oldest request, in ms of this instance's clock.
+    short_since: float
+    other_since: float
+    received: float
+
+    def lend_short(self, now: float) -> None:
+        # The ages of the younger requests are unknown; an even spacing is assumed.
+        self.short_since = now - (now - self.short_since) * (1 - 1 / self.short)
+        self.short -= 1
+
+    def lend_other(self, now: float) -> None:
+        self.other_since = now - (now - self.other_since) * (1 - 1 / self.other)
+        self.other -= 1
+
+
+class PeerDemands:
+    """Work that waits at other instances, from their reports.
+
+    Parameters
+    ----------
+    options : DispatchOptions
+        Durations.
+    """
+
+    def __init__(self, options: DispatchOptions) -> None:
+        self._options = options
+        self._needs: dict[str, _Need] = {}
+
+    def note(self, instance: str, demand: Demand, now: float) -> None:
+        """Take note of a report."""
+        if demand.short_waiting <= 0 and demand.long_waiting <= 0:
+            self._needs.pop(instance, None)
+            return
+        self._needs[instance] = _Need(
+            short=max(0, demand.short_waiting),
+            other=max(0, demand.long_waiting),
+            short_since=now - demand.oldest_short_ms,
+            other_since=now - demand.oldest_long_ms,
+            received=now,
+        )
+
+    def forget(self) -> None:
+        """Drop all reports."""
+        self._needs.clear()
+
+    def expire(self, now: float) -> None:
+        """Drop reports that were not repeated."""
+        if not self._needs:
+            return
+        oldest = now - self._options.demand_expiry_ms
+        for name in [n for n, need in self._needs.items() if need.received <= oldest]:
+            del self._needs[name]
+
+    def needs(self, instance: str) -> bool:
+        """Return whether an instance still waits for a slot."""
+        need = self._needs.get(instance)
+        return need is not None and need.short + need.other > 0
+
+    @property
+    def has_other(self) -> bool:
+        """Whether work that is not short waits at any instance."""
+        return any(need.other > 0 for need in self._needs.values())
+
+    def find_oldest_short(self) -> tuple[float, str] | None:
+        """Return since when short work has waited longest, and where."""
+        waits = [(n.short_since, name) for name, n in self._needs.items() if n.short]
+        return min(waits) if waits else None
+
+    def find_oldest_other(self) -> tuple[float, str] | None:
+        """Return since when other work has waited longest, and where."""
+        waits = [(n.other_since, name) for name, n in self._needs.items() if n.other]
+        return min(waits) if waits else None
+
+    def count_loan(self, instance: str, *, is_short: bool, now: float) -> None:
+        """Subtract one loan from what an instance waits for."""
+        need = self._needs[instance]
+        if is_short:
+            need.lend_short(now)
+        else:
+            need.lend_other(now)
+
+
+@attrs.define
+class _Told:
+    """What an instance was told last, less the loans that it sent since."""
+
+    short: int = 0
+    other: int = 0
+    sent: float = float("-inf")
+
+    @property
+    def total(self) -> int:
+        return self.short + self.other
+
+
+class DemandReports:
+    """Decides which owners are told what waits here.
+
+    Parameters
+    ----------
+    options : DispatchOptions
+        Durations.
+    rng : random.Random
+        Source of the choice of the first owner to ask.
+    """
+
+    def __init__(self, options: DispatchOptions, rng: random.Random) -> None:
+        self._options = options
+        self._rng = rng
+        self._told: dict[str, _Told] = {}
+        self._free: dict[str, tuple[int, float]] = {}
+        self._asked: str | None = None
+
+    def forget(self) -> None:
+        """Drop what was told to whom."""
+        self._told.clear()
+        self._free.clear()
+        self._asked = None
+
+    def note_free(self, owner: str, free_slots: int, now: float) -> None:
+        """Take note of the free slots of an owner."""
+        self._free[owner] = (free_slots, now)
+
+    def note_loan(self, owner: str) -> None:
+        """Subtract a loan from what its owner was told, as the owner does."""
+        told = self._told.get(owner)
+        if told is not None and told.short:
+            told.short -= 1
+        elif told is not None and told.other:
+            told.other -= 1
+
+    def find_told(self, owner: str) -> tuple[int, int]:
+        """Return the short and other requests that an owner knows of."""
+        told = self._told.get(owner)
+        return (told.short, told.other) if told else (0, 0)
+
+    def plan(
+        self, owners: list[str], waiting: QueueSummary, now: float
+    ) -> list[tuple[str, int, int]]:
+        """Return the owners to tell now, with the counts to tell.
+
+        Parameters
+        ----------
+        owners : list of str
+            Other owners of the service.
+        waiting : QueueSummary
+            What waits here.
+        now : float
+            Time in ms.
+
+        Returns
+        -------
+        list of tuple
+            Owner, short requests and other requests.
+        """
+        shares = self._share(owners, waiting, now)
+        due = []
+        for owner in owners:
+            short, other = shares.get(owner, (0, 0))
+            told = self._told.get(owner)
+            if told is None:
+                if short + other == 0:
+                    continue
+                told = self._told.setdefault(owner, _Told())
+            if self._is_due(told, short, other, now):
+                told.short, told.other, told.sent = short, other, now
+                due.append((owner, short, other))
+        return due
+
+    def next_due(self, waiting: QueueSummary, now: float) -> float:
+        """Return when reports are to be planned again, or infinity."""
+        options = self._options
+        if waiting.short_waiting + waiting.long_waiting:
+            return now + options.demand_interval_ms
+        sent = [told.sent for told in self._told.values() if told.total]
+        return min(sent, default=float("inf")) + options.demand_interval_ms
+
+    def _share(
+        self, owners: list[str], waiting: QueueSummary, now: float
+    ) -> dict[str, tuple[int, int]]:
+        if not owners or not waiting.short_waiting + waiting.long_waiting:
+            self._asked = None
+            return {}
+        oldest_ms = max(waiting.oldest_short_ms, waiting.oldest_long_ms)
+        if len(owners) == 1 or oldest_ms >= self._options.ask_all_ms:
+            asked = owners
+        else:
+            if self._asked not in owners:
+                self._asked = self._choose_first(owners, now)
+            asked = [self._asked]
+        share = (
+            -(-waiting.short_waiting // len(asked)),
+            -(-waiting.long_waiting // len(asked)),
+        )
+        return dict.fromkeys(asked, share)
+
+    def _choose_first(self, owners: list[str], now: float) -> str:
+        fresh = now - self._options.demand_expiry_ms
+        known = {n: free for n, (free, at) in self._free.items() if at > fresh}
+        # An owner of which nothing is known may well have a free slot.
+        best = max(known.get(name, 1) for name in owners)
+        return self._rng.choice([n for n in owners if known.get(n, 1) == best])
+
+    def _is_due(self, told: _Told, short: int, other: int, now: float) -> bool:
+        # The same sum as in next_due: a difference may round to just below the
+        # interval, and the instance would be woken at one instant for ever.
+        if now < told.sent + self._options.demand_interval_ms:
+            return False
+        if short + other == 0:
+            return told.total > 0
+        if now >= told.sent + self._options.demand_refresh_ms:
+            return True
+        return (
+            (short > 0) != (told.short > 0)
+            or (other > 0) != (told.other > 0)
+            or short > 2 * told.short
+            or other > 2 * told.other
+        )
--- /dev/null
+++ b/src/currantline/dispatch/_loans.py
@@ -0,0 +1,168 @@
+"""Loans held by one instance, and reports of slots used without one."""
+
+import attrs
+
+from currantline.dispatch._ledger import Borrowed
+from currantline.dispatch._messages import Lend, Renew, Return, Send, Usage
+
+__all__ = ["BorrowedLoans", "UsageReports"]
+
+INFINITY = float("inf")
+
+
+class BorrowedLoans:
+    """Slots that owners have lent to this instance for one service."""
+
+    def __init__(self) -> None:
+        self._loans: dict[tuple[str, int], Borrowed] = {}
+        self._idle: list[Borrowed] = []
+        # Ended loans are remembered, because a repeated or late Lend must not
+        # bring a slot back that its owner has given to someone else.
+        self._ended: dict[tuple[str, int], float] = {}
+
+    def __len__(self) -> int:
+        return len(self._loans)
+
+    def is_known(self, owner: str, loan_id: int) -> bool:
+        """Return whether a loan is held or has ended lately."""
+        return (owner, loan_id) in self._loans or (owner, loan_id) in self._ended
+
+    def covers(self, loan: Borrowed | None) -> bool:
+        """Return whether a loan is still held."""
+        return loan is not None and (loan.owner, loan.loan_id) in self._loans
+
+    def add(self, owner: str, lend: Lend, now: float) -> None:
+        """Take over a loan, idle."""
+        loan = Borrowed(
+            owner=owner,
+            loan_id=lend.loan_id,
+            target=lend.target,
+            allow_long=lend.allow_long,
+            lease_ms=lend.lease_ms,
+            granted=now,
+            renewed=now,
+        )
+        self._loans[owner, lend.loan_id] = loan
+        self._idle.append(loan)
+
+    def decline(self, owner: str, lend: Lend, now: float) -> Send:
+        """Return a loan that was not taken over."""
+        self._ended[owner, lend.loan_id] = now + 10 * lend.lease_ms
+        return Send(owner, Return(loan_id=lend.loan_id))
+
+    def find_idle(self, now: float) -> list[Borrowed]:
+        """Return the loans on which a request may start."""
+        return [loan for loan in self._idle if loan.may_start(now)]
+
+    def use(self, loan: Borrowed) -> None:
+        """Take a loan out of the idle ones."""
+        self._idle.remove(loan)
+
+    def release(self, loan: Borrowed) -> None:
+        """Make a loan idle after its request has ended."""
+        if self.covers(loan):
+            self._idle.append(loan)
+
+    def drop(self, now: float, owners: dict[str, str] | None = None) -> list[Send]:
+        """Give up all loans, or those of targets that have another owner now."""
+        sends = []
+        for loan in list(self._loans.values()):
+            if owners is None or owners.get(loan.target) != loan.owner:
+                sends.append(self._end(loan, now))
+        return sends
+
+    def return_idle(self, now: float) -> list[Send]:
+        """Return the loans that nothing suitable waits for."""
+        return [self._end(loan, now) for loan in list(self._idle)]
+
+    def renew(self, now: float) -> list[Send]:
+        """Renew the loans in use at half of their lease, drop those that ended."""
+        sends = []
+        for loan in list(self._loans.values()):
+            if now >= loan.expires:
+                sends.append(self._end(loan, now))
+            elif now >= loan.renewed + loan.lease_ms / 2:
+                loan.renewed = now
+                sends.append(Send(loan.owner, Renew(loan_id=loan.loan_id)))
+        for key in [key for key, until in self._ended.items() if until <= now]:
+            del self._ended[key]
+        return sends
+
+    def next_due(self) -> float:
+        """Return when `renew` is needed next, or infinity."""
+        ends = [loan.renewed + loan.lease_ms / 2 for loan in self._loans.values()]
+        return min([*ends, *self._ended.values()], default=INFINITY)
+
+    def _end(self, loan: Borrowed, now: float) -> Send:
+        del self._loans[loan.owner, loan.loan_id]
+        if loan in self._idle:
+            self._idle.remove(loan)
+        self._ended[loan.owner, loan.loan_id] = now + 10 * loan.lease_ms
+        return Send(loan.owner, Return(loan_id=loan.loan_id))
+
+
+@attrs.define
+class _ToldUsage:
+    owner: str
+    in_use: int
+    sent: float
+
+
+class UsageReports:
+    """Tells owners which of their slots are used here without a loan.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    refresh_ms : float
+        Time after which a report that still holds is repeated.
+    """
+
+    def __init__(self, service: str, refresh_ms: float) -> None:
+        self._service = service
+        self._refresh_ms = refresh_ms
+        self._told: dict[str, _ToldUsage] = {}
+
+    def plan(
+        self, in_use: dict[str, int], owners: dict[str, str], now: float
+    ) -> list[Send]:
+        """Return the reports that are due.
+
+        Parameters
+        ----------
+        in_use : dict of str to int
+            Slots used without a loan by target, where there are any.
+        owners : dict of str to str
+            Owner of each target, without this instance.
+        now : float
+            Time in ms.
+        """
+        sends = []
+        for target in sorted({*in_use, *self._told}):
+            owner = owners.get(target)
+            count = in_use.get(target, 0)
+            told = self._told.get(target)
+            if owner is None:
+                self._told.pop(target, None)
+            elif told is None or told.owner != owner:
+                if count:
+                    sends.append(self._tell(target, owner, count, now))
+                else:
+                    self._told.pop(target, None)
+            elif told.in_use != count or now >= told.sent + self._refresh_ms:
+                sends.append(self._tell(target, owner, count, now))
+        return sends
+
+    def next_due(self) -> float:
+        """Return when `plan` is needed next, or infinity."""
+        sent = [told.sent for told in self._told.values()]
+        return min(sent, default=INFINITY) + self._refresh_ms
+
+    def _tell(self, target: str, owner: str, count: int, now: float) -> Send:
+        if count:
+            self._told[target] = _ToldUsage(owner, count, now)
+        else:
+            del self._told[target]
+        message = Usage(service=self._service, target=target, in_use=count)
+        return Send(owner, message)
