Refuse a second name of a service and numbers that are not finite

A key "name" inside a service replaced the name given by its key, so the service was filed under one name and known by another. NaN passed every minimum, because a comparison with it is false, and a timeout of NaN or infinity reached the deadlines.

Both are refused now, with the path of the value. Services are built and rendered one at a time, which patches need.

Ruled out: to ignore the inner name when it is equal, because two places for one value only drift apart.

Shown to fail first: with the test for finite numbers in structure._require_number off, test_failure_names_path reports "DID NOT RAISE" for .nan; with the test for "name" in _insert_names off, for services.ordering.name.

Conclusion: what a file says and what is in force agree.

--- a/src/currantline/configuration/_parse.py
+++ b/src/currantline/configuration/_parse.py
@@ -3,14 +3,21 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
 import cattrs
 import yaml
 
-from currantline.configuration._model import Configuration
+from currantline.configuration._model import Configuration, Service
 from currantline.exceptions import ConfigurationError
 from currantline.structure import describe_failure, make_converter
 
-__all__ = ["build_configuration", "parse_configuration", "render_configuration"]
+__all__ = [
+    "build_configuration",
+    "build_service",
+    "parse_configuration",
+    "render_configuration",
+    "render_service",
+]
 
 _CONVERTER = make_converter()
 
@@ -38,16 +45,43 @@
     ConfigurationError
         If a key is unknown or missing, or a value is not allowed.
     """
+    named = _insert_names(document, source)
     try:
-        named = _insert_names(document)
         configuration = _CONVERTER.structure(named, Configuration)
     except (cattrs.BaseValidationError, AttributeError, TypeError) as error:
         path, reason = describe_failure(error)
         raise ConfigurationError(reason, source=source, path=path) from error
-    _check_unique_targets(configuration, source)
+    check_unique_targets(configuration, source=source)
     return configuration
 
 
+def build_service(name: str, document: Any, *, source: str) -> Service:
+    """Build one service from plain mappings.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    document : object
+        Its fields, without the name.
+    source : str
+        File or service that the document came from.
+
+    Raises
+    ------
+    ConfigurationError
+        If a key is unknown or missing, or a value is not allowed.
+    """
+    services = {name: document}
+    named = _insert_names({"services": services}, source)["services"][name]
+    try:
+        return _CONVERTER.structure(named, Service)
+    except (cattrs.BaseValidationError, AttributeError, TypeError) as error:
+        key, reason = describe_failure(error)
+        path = ".".join(part for part in ("services", name, key) if part)
+        raise ConfigurationError(reason, source=source, path=path) from error
+
+
 def parse_configuration(text: str, *, source: str = "configuration") -> Configuration:
     """Read a configuration from YAML text, of which JSON is a part.
 
@@ -80,24 +114,35 @@
 
 def render_configuration(configuration: Configuration) -> dict[str, Any]:
     """Return a configuration as plain mappings, the inverse of building it."""
-    document: dict[str, Any] = _CONVERTER.unstructure(configuration)
-    for service in document["services"].values():
-        del service["name"]
+    document: dict[str, Any] = _CONVERTER.unstructure(
+        attrs.evolve(configuration, services={})
+    )
+    document["services"] = {
+        name: render_service(service)
+        for name, service in configuration.services.items()
+    }
     return document
 
 
-def _insert_names(document: Mapping[str, Any]) -> dict[str, Any]:
-    services = document.get("services", {})
-    if not isinstance(services, Mapping):
-        return dict(document)
-    named = {
-        name: {"name": name, **body} if isinstance(body, Mapping) else body
-        for name, body in services.items()
-    }
-    return {**document, "services": named}
+def render_service(service: Service) -> dict[str, Any]:
+    """Return a service as plain mappings without its name."""
+    document: dict[str, Any] = _CONVERTER.unstructure(service)
+    del document["name"]
+    for group in ("targets", "routes"):
+        document[group] = list(document[group])
+    return document
+
 
+def check_unique_targets(
+    configuration: Configuration, *, source: str = "configuration"
+) -> None:
+    """Check that no target belongs to two services or twice to one.
 
-def _check_unique_targets(configuration: Configuration, source: str) -> None:
+    Raises
+    ------
+    ConfigurationError
+        If a name of a target is used twice.
+    """
     seen: dict[str, str] = {}
     for service in configuration.services.values():
         for target in service.targets:
@@ -108,3 +153,21 @@
                     path=f"services.{service.name}.targets",
                 )
             seen[target.name] = service.name
+
+
+def _insert_names(document: Mapping[str, Any], source: str) -> dict[str, Any]:
+    services = document.get("services", {})
+    if not isinstance(services, Mapping):
+        return dict(document)
+    named = {}
+    for name, body in services.items():
+        if isinstance(body, Mapping):
+            if "name" in body:
+                raise ConfigurationError(
+                    "the key of the service is its name",
+                    source=source,
+                    path=f"services.{name}.name",
+                )
+            body = {"name": name, **body}
+        named[name] = body
+    return {**document, "services": named}
--- a/src/currantline/configuration/tests/test_parse.py
+++ b/src/currantline/configuration/tests/test_parse.py
@@ -36,6 +36,17 @@
             ("slots: 2", "slotz: 2", "services.ordering.targets.0.slotz"),
             ("127.0.0.1:7000", "host:7000", "services.ordering.targets.0.address"),
             ("version: 3", "version: -1", "version"),
+            ("targets:", "name: other\n    targets:", "services.ordering.name"),
+            (
+                "targets:",
+                "timeout_ms: .nan\n    targets:",
+                "services.ordering.timeout_ms",
+            ),
+            (
+                "targets:",
+                "timeout_ms: .inf\n    targets:",
+                "services.ordering.timeout_ms",
+            ),
         ],
     )
     def test_failure_names_path(self, old: str, new: str, path: str) -> None:
--- a/src/currantline/structure.py
+++ b/src/currantline/structure.py
@@ -1,6 +1,7 @@
 """Conversion of plain mappings to attrs classes with one-line failures."""
 
 import ipaddress
+import math
 from collections.abc import Iterator
 from typing import Any
 
@@ -90,6 +91,8 @@
 def _require_number(value: Any, _: type) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise InvalidValueError(f"{value!r} is not a number")
+    if not math.isfinite(value):
+        raise InvalidValueError(f"{value!r} is not a finite number")
     return float(value)
 
 
