Judge configuration records by one pure function

Every instance has to reach the same verdict on the same records without asking another, so judge(state, record) depends on nothing else. A record that is malformed is refused like any other and keeps its place in the log.

A field that a release does not know and a field above the schema level in force are refused with the same reason and text, and fields above the level are left out of the digest, so an older and a newer release agree.

Ruled out: JSON merge patches, which cannot name one target of a list and cannot tell a null from a removal; a verdict that depends on the levels that the judging release knows, because releases would differ.

Conclusion: a verdict is a function of the log alone.

--- a/src/currantline/configuration/__init__.py
+++ b/src/currantline/configuration/__init__.py
@@ -1,5 +1,22 @@
 """The configuration: its model, its versions, and how it spreads."""
 
+from currantline.configuration._changes import (
+    Change,
+    Group,
+    RemoveMember,
+    RemoveService,
+    SetField,
+    SetMember,
+    SetService,
+    SetServiceField,
+    apply_changes,
+    compute_changes,
+    parse_changes,
+    render_change,
+)
+from currantline.configuration._digest import digest_configuration
+from currantline.configuration._judge import find_obstacle, judge
+from currantline.configuration._limits import find_violation
 from currantline.configuration._model import (
     Configuration,
     Priority,
@@ -12,14 +29,51 @@
     parse_configuration,
     render_configuration,
 )
+from currantline.configuration._record import (
+    Accepted,
+    ConfigurationState,
+    Reason,
+    Record,
+    RecordKind,
+    Refused,
+    read_record,
+    render_record,
+)
+from currantline.configuration._schema import RELEASE_SCHEMA, Schema
 
 __all__ = [
+    "RELEASE_SCHEMA",
+    "Accepted",
+    "Change",
     "Configuration",
+    "ConfigurationState",
+    "Group",
     "Priority",
+    "Reason",
+    "Record",
+    "RecordKind",
+    "Refused",
+    "RemoveMember",
+    "RemoveService",
     "Route",
+    "Schema",
     "Service",
+    "SetField",
+    "SetMember",
+    "SetService",
+    "SetServiceField",
     "Target",
+    "apply_changes",
     "build_configuration",
+    "compute_changes",
+    "digest_configuration",
+    "find_obstacle",
+    "find_violation",
+    "judge",
+    "parse_changes",
     "parse_configuration",
+    "read_record",
+    "render_change",
     "render_configuration",
+    "render_record",
 ]
--- /dev/null
+++ b/src/currantline/configuration/_limits.py
@@ -0,0 +1,104 @@
+"""What a configuration must satisfy beyond the types of its fields."""
+
+import re
+from collections.abc import Iterable, Iterator
+
+from currantline.configuration._model import Configuration, Service
+from currantline.configuration._parse import check_unique_targets
+from currantline.configuration._record import Reason, Refused
+from currantline.exceptions import ConfigurationError
+
+__all__ = ["MAX_BODY_BYTES", "find_violation"]
+
+# Names are parts of URL paths and of paths in patches.
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+
+# The configuration service takes values of up to 1 MB.
+MAX_BODY_BYTES = 1_000_000
+# About three times the size to design for: 1,300 services and 6,700 targets.
+MAX_SERVICES = 4_000
+MAX_TARGETS = 20_000
+MAX_MEMBERS = 1_000
+MAX_SLOTS = 10_000
+MAX_INSTANCES = 1_000
+MAX_QUEUE = 1_000_000
+MAX_PROBES_PER_SECOND = 1_000
+MAX_TIMEOUT_MS = 3_600_000
+MAX_RETRY_RATIO = 1
+# An instance keeps at least this many connections to a target.
+MIN_CONNECTIONS = 2
+
+
+def find_violation(configuration: Configuration) -> Refused | None:
+    """Return why a configuration may not come into force, or None.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        A configuration with fields of the right types.
+    """
+    for detail in _list_faults(configuration):
+        return Refused(reason=Reason.INVALID, detail=detail)
+    for detail in _list_excesses(configuration):
+        return Refused(reason=Reason.LIMIT_EXCEEDED, detail=detail)
+    return None
+
+
+def _list_faults(configuration: Configuration) -> Iterator[str]:
+    if configuration.version < 1:
+        yield "version: the first version is 1"
+    if configuration.schema_level < 1:
+        yield "schema_level: the first level is 1"
+    try:
+        check_unique_targets(configuration)
+    except ConfigurationError as error:
+        yield f"{error.path}: {error.message}"
+    for service in configuration.services.values():
+        routes = [route.name for route in service.routes]
+        targets = [target.name for target in service.targets]
+        yield from _check_names(f"services.{service.name}", [service.name])
+        yield from _check_names(f"services.{service.name}.targets", targets)
+        yield from _check_names(f"services.{service.name}.routes", routes)
+        if len(set(routes)) < len(routes):
+            yield f"services.{service.name}.routes: a name is used twice"
+
+
+def _check_names(path: str, names: Iterable[str]) -> Iterator[str]:
+    for name in names:
+        if not NAME.fullmatch(name):
+            yield f"{path}: {name!r} is not a name"
+
+
+def _list_excesses(configuration: Configuration) -> Iterator[str]:
+    services = configuration.services.values()
+    targets = sum(len(service.targets) for service in services)
+    yield from _compare("services", len(services), MAX_SERVICES)
+    yield from _compare("targets", targets, MAX_TARGETS)
+    yield from _compare("max_instances", configuration.max_instances, MAX_INSTANCES)
+    needed = MIN_CONNECTIONS * configuration.max_instances
+    for service in services:
+        yield from _measure_service(service, f"services.{service.name}", needed)
+
+
+def _measure_service(service: Service, path: str, needed: int) -> Iterator[str]:
+    yield from _compare(f"{path}.targets", len(service.targets), MAX_MEMBERS)
+    yield from _compare(f"{path}.routes", len(service.routes), MAX_MEMBERS)
+    yield from _compare(f"{path}.timeout_ms", service.timeout_ms, MAX_TIMEOUT_MS)
+    yield from _compare(f"{path}.queue_limit", service.queue_limit, MAX_QUEUE)
+    yield from _compare(
+        f"{path}.probe_budget", service.probe_budget, MAX_PROBES_PER_SECOND
+    )
+    yield from _compare(f"{path}.retry_ratio", service.retry_ratio, MAX_RETRY_RATIO)
+    for target in service.targets:
+        place = f"{path}.targets.{target.name}"
+        yield from _compare(f"{place}.slots", target.slots, MAX_SLOTS)
+        if target.connections < needed:
+            yield (
+                f"{place}.connections: {target.connections} is below {needed}, "
+                f"{MIN_CONNECTIONS} for each of max_instances"
+            )
+
+
+def _compare(path: str, value: float, maximum: float) -> Iterator[str]:
+    if value > maximum:
+        yield f"{path}: {value:g} is above the maximum of {maximum:g}"
--- /dev/null
+++ b/src/currantline/configuration/_record.py
@@ -0,0 +1,183 @@
+"""Published records and the state that they lead to."""
+
+import enum
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from currantline.configuration._digest import digest_configuration
+from currantline.configuration._model import Configuration
+from currantline.configuration._schema import RELEASE_SCHEMA, Schema
+from currantline.exceptions import RecordError
+
+__all__ = [
+    "Accepted",
+    "ConfigurationState",
+    "Reason",
+    "Record",
+    "RecordKind",
+    "Refused",
+    "encode_body",
+    "read_record",
+    "render_record",
+]
+
+
+class RecordKind(enum.Enum):
+    """Kinds of record.
+
+    ``STATE`` travels between instances only: it stands for all records up to its
+    sequence. A published record of this kind is malformed.
+    """
+
+    SNAPSHOT = "snapshot"
+    PATCH = "patch"
+    STATE = "state"
+
+
+class Reason(enum.Enum):
+    """Why a record is refused."""
+
+    STALE_BASE_VERSION = "stale-base-version"
+    INVALID = "invalid"
+    LIMIT_EXCEEDED = "limit-exceeded"
+    SCHEMA_LEVEL_NOT_IN_FORCE = "schema-level-not-in-force"
+    MALFORMED = "malformed"
+    UNEXPECTED_SNAPSHOT = "unexpected-snapshot"
+
+
+@attrs.frozen(kw_only=True)
+class Record:
+    """A record as published, not yet judged.
+
+    Fields other than ``sequence`` are kept as they were received, so that a
+    malformed record is refused by every instance instead of stopping its log.
+
+    Parameters
+    ----------
+    sequence : int
+        Position in the log of the configuration service, from 1.
+    kind : str
+        Value of a `RecordKind`.
+    base_version : int
+        Version that a patch was made against.
+    author : str
+        Who published the record.
+    schema_level : int
+        Highest level of the fields that the record uses.
+    body : object
+        Configuration document of a snapshot, list of changes of a patch.
+    """
+
+    sequence: int
+    kind: Any
+    base_version: Any = 0
+    author: Any = ""
+    schema_level: Any = 1
+    body: Any = None
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationState:
+    """What the records up to a sequence lead to.
+
+    Parameters
+    ----------
+    sequence : int
+        Last record judged, 0 for none.
+    configuration : Configuration or None
+        Configuration in force, None before the first snapshot.
+    digest : int
+        Digest of the configuration in force; 0 for none, and for one of a schema
+        level that this release does not know.
+    """
+
+    sequence: int = 0
+    configuration: Configuration | None = None
+    digest: int = 0
+
+    @classmethod
+    def build(
+        cls,
+        sequence: int,
+        configuration: Configuration,
+        schema: Schema = RELEASE_SCHEMA,
+    ) -> "ConfigurationState":
+        """Return the state with the digest of its configuration."""
+        is_known = configuration.schema_level <= schema.known_level
+        digest = digest_configuration(configuration, schema) if is_known else 0
+        return cls(sequence=sequence, configuration=configuration, digest=digest)
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def schema_level(self) -> int:
+        """Schema level in force, 0 for none."""
+        return self.configuration.schema_level if self.configuration else 0
+
+
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """Verdict: the record takes effect.
+
+    Parameters
+    ----------
+    state : ConfigurationState
+        State after the record.
+    """
+
+    state: ConfigurationState
+
+
+@attrs.frozen(kw_only=True)
+class Refused:
+    """Verdict: nothing of the record takes effect.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    detail : str
+        One line for people.
+    """
+
+    reason: Reason
+    detail: str
+
+
+def read_record(document: Any) -> Record:
+    """Return the record of a plain mapping.
+
+    Parameters
+    ----------
+    document : object
+        A published record; keys that are not known are ignored.
+
+    Raises
+    ------
+    RecordError
+        If there is no sequence, without which a record has no place in the log.
+    """
+    sequence = document.get("sequence") if isinstance(document, Mapping) else None
+    if type(sequence) is not int or sequence < 1:
+        raise RecordError(f"{sequence!r} is not a sequence of a record")
+    names = [field.name for field in attrs.fields(Record)]
+    return Record(**{name: document[name] for name in names if name in document})
+
+
+def render_record(record: Record) -> dict[str, Any]:
+    """Return a record as a plain mapping, the inverse of reading it."""
+    return attrs.asdict(record, recurse=False)
+
+
+def encode_body(body: Any) -> str | None:
+    """Return the JSON text of a body, or None if it has none."""
+    try:
+        return json.dumps(body, allow_nan=False, separators=(",", ":"))
+    except (TypeError, ValueError, RecursionError):
+        return None
--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AddressInUseError",
     "BodyTooLargeError",
+    "ChangeError",
     "ConfigurationError",
     "CurrantlineError",
     "InvalidValueError",
@@ -15,6 +16,7 @@
     "PeerTimeoutError",
     "PlatformError",
     "ProtocolError",
+    "RecordError",
     "SettingsError",
     "TargetConnectError",
     "TargetError",
@@ -74,6 +76,14 @@
     """A configuration cannot be used."""
 
 
+class RecordError(CurrantlineError):
+    """A published record has no place in the log."""
+
+
+class ChangeError(CurrantlineError):
+    """The body of a patch is not a list of changes."""
+
+
 class AddressInUseError(SettingsError):
     """An address from the settings is taken by another process."""
 
