Keep the state in force and a recent tail of the records

History applies records strictly in order of their sequence: repeated ones are dropped, nothing is applied past a gap, and a peer that asks for records which are no longer kept gets the state in force as one record. Such a state is adopted only with a higher sequence and a version that is not lower, or equal with an equal digest. The tail holds 256 records and 2 MB, well inside the 64 MB of control work.

Shown to fail first, each line broken in a scratch copy: - gap not refused: test_gap, and test_agreement with 5 distinct failures; - repeated records judged again: test_agreement, 2 distinct failures; - records_after one record short: test_agreement, "assert 0 >= 1"; - state of a lower version adopted: test_contradicting_state; - tail kept after a state: test_compaction; - bytes of the tail not bounded: test_bounded_bytes; - level of a peer's state not compared: test_older_release, [4, 3, 4].

Conclusion: delays, repeats, stale reads and restarts end in one state.

--- a/src/currantline/configuration/__init__.py
+++ b/src/currantline/configuration/__init__.py
@@ -15,6 +15,7 @@
     render_change,
 )
 from currantline.configuration._digest import digest_configuration
+from currantline.configuration._history import History, HistoryCounts, Judged
 from currantline.configuration._judge import find_obstacle, judge
 from currantline.configuration._limits import find_violation
 from currantline.configuration._model import (
@@ -48,6 +49,9 @@
     "Configuration",
     "ConfigurationState",
     "Group",
+    "History",
+    "HistoryCounts",
+    "Judged",
     "Priority",
     "Reason",
     "Record",
--- /dev/null
+++ b/src/currantline/configuration/_history.py
@@ -0,0 +1,264 @@
+"""Records that one instance has judged, and the state that they led to."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from currantline.configuration._judge import find_obstacle, judge
+from currantline.configuration._limits import find_violation
+from currantline.configuration._model import Configuration
+from currantline.configuration._parse import build_configuration, render_configuration
+from currantline.configuration._record import (
+    Accepted,
+    ConfigurationState,
+    Record,
+    RecordKind,
+    Refused,
+    encode_body,
+)
+from currantline.configuration._schema import RELEASE_SCHEMA, Schema
+from currantline.exceptions import ConfigurationError
+
+__all__ = ["History", "HistoryCounts", "Judged"]
+
+# At 3,500 changes a day this is more than an hour, longer than an instance lags.
+TAIL_RECORDS = 256
+# A share of the 64 MB of control work; one record can be 1 MB.
+TAIL_BYTES = 2_000_000
+AUTHOR = "currantline"
+
+
+@attrs.frozen(kw_only=True)
+class Judged:
+    """A record and its verdict.
+
+    Parameters
+    ----------
+    record : Record
+        The record.
+    verdict : Accepted or Refused
+        Its verdict.
+    from_version : int
+        Version in force before.
+    """
+
+    record: Record
+    verdict: Accepted | Refused
+    from_version: int
+
+
+@attrs.define(kw_only=True)
+class HistoryCounts:
+    """Records that changed nothing, by cause.
+
+    Parameters
+    ----------
+    repeated : int
+        Records that were judged before.
+    early : int
+        Records that were received before the one in front of them.
+    obstructed : int
+        Records that this release cannot judge.
+    conflicting : int
+        States of peers that contradict the own one.
+    """
+
+    repeated: int = 0
+    early: int = 0
+    obstructed: int = 0
+    conflicting: int = 0
+
+
+class History:
+    """State in force and a recent tail of the log.
+
+    Parameters
+    ----------
+    schema : Schema
+        Fields that this release knows.
+    tail_records : int
+        Most records kept for peers.
+    tail_bytes : int
+        Most bytes of bodies kept for peers.
+
+    Attributes
+    ----------
+    state : ConfigurationState
+        State after the last record judged.
+    obstacle : str
+        Why records are not judged any more; empty while they are.
+    changed_at : float
+        Time in ms at which the configuration in force last changed.
+    counts : HistoryCounts
+        Records that changed nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        schema: Schema = RELEASE_SCHEMA,
+        tail_records: int = TAIL_RECORDS,
+        tail_bytes: int = TAIL_BYTES,
+    ) -> None:
+        self.state = ConfigurationState()
+        self.obstacle = ""
+        self.changed_at = 0.0
+        self.counts = HistoryCounts()
+        self._schema = schema
+        self._tail: deque[tuple[Record, int]] = deque()
+        self._tail_records = tail_records
+        self._tail_bytes = tail_bytes
+        self._bytes = 0
+
+    @property
+    def in_force(self) -> Configuration | None:
+        """Configuration in force, None before the first snapshot."""
+        return self.state.configuration
+
+    def apply(self, record: Record, now: float) -> Accepted | Refused | None:
+        """Judge a record if it is the next one.
+
+        Parameters
+        ----------
+        record : Record
+            A published record.
+        now : float
+            Current time in ms.
+
+        Returns
+        -------
+        Accepted, Refused or None
+            The verdict; None for a record that was judged before, that follows a
+            gap, or that this release cannot judge.
+        """
+        if record.sequence <= self.state.sequence:
+            self.counts.repeated += 1
+            return None
+        if record.sequence > self.state.sequence + 1:
+            self.counts.early += 1
+            return None
+        if self._find_obstacle(record):
+            return None
+        verdict = judge(self.state, record, self._schema)
+        if isinstance(verdict, Accepted):
+            self._enter(verdict.state, now)
+        else:
+            self.state = attrs.evolve(self.state, sequence=record.sequence)
+        self._keep(record)
+        return verdict
+
+    def catch_up(self, records: Iterable[Record], now: float) -> list[Judged]:
+        """Apply what a peer sent, which may start with its state in force.
+
+        Parameters
+        ----------
+        records : iterable of Record
+            Records in order of their sequence.
+        now : float
+            Current time in ms.
+
+        Returns
+        -------
+        list of Judged
+            Records that were judged or, for a state, adopted.
+        """
+        judged = []
+        verdict: Accepted | Refused | None
+        for record in records:
+            from_version = self.state.version
+            if record.kind == RecordKind.STATE.value:
+                verdict = self._adopt(record, now)
+            else:
+                verdict = self.apply(record, now)
+            if verdict is not None:
+                judged.append(
+                    Judged(record=record, verdict=verdict, from_version=from_version)
+                )
+        return judged
+
+    def records_after(self, sequence: int) -> list[Record]:
+        """Return what an instance at a sequence needs to catch up.
+
+        Parameters
+        ----------
+        sequence : int
+            Last record that the other instance judged.
+
+        Returns
+        -------
+        list of Record
+            The records that follow or, if they are not kept any more, the state
+            in force as one record.
+        """
+        if sequence >= self.state.sequence:
+            return []
+        if self._tail and self._tail[0][0].sequence <= sequence + 1:
+            return [r for r, _ in self._tail if r.sequence > sequence]
+        return [self._render_state()]
+
+    def _find_obstacle(self, record: Record) -> str:
+        self.obstacle = find_obstacle(self.state, record, self._schema)
+        if self.obstacle:
+            self.counts.obstructed += 1
+        return self.obstacle
+
+    def _enter(self, state: ConfigurationState, now: float) -> None:
+        if state.version != self.state.version:
+            self.changed_at = now
+        self.state = state
+        self.obstacle = find_obstacle(
+            state, Record(sequence=state.sequence, kind=""), self._schema
+        )
+
+    def _keep(self, record: Record) -> None:
+        size = len(encode_body(record.body) or "")
+        self._tail.append((record, size))
+        self._bytes += size
+        while len(self._tail) > self._tail_records or self._bytes > self._tail_bytes:
+            self._bytes -= self._tail.popleft()[1]
+
+    def _adopt(self, record: Record, now: float) -> Accepted | None:
+        if record.sequence <= self.state.sequence:
+            self.counts.repeated += 1
+            return None
+        if self._find_obstacle(record):
+            return None
+        state = self._build_state(record)
+        if state is None or not self._follows(state):
+            self.counts.conflicting += 1
+            return None
+        self._enter(state, now)
+        self._tail.clear()
+        self._bytes = 0
+        return Accepted(state=state)
+
+    def _build_state(self, record: Record) -> ConfigurationState | None:
+        if record.body is None:
+            return ConfigurationState(sequence=record.sequence)
+        try:
+            configuration = build_configuration(record.body, source="peer")
+        except (ConfigurationError, AttributeError, TypeError):
+            return None
+        if find_violation(configuration) is not None:
+            return None
+        return ConfigurationState.build(record.sequence, configuration, self._schema)
+
+    def _follows(self, state: ConfigurationState) -> bool:
+        if state.version == self.state.version:
+            return state.digest == self.state.digest
+        return state.version > self.state.version
+
+    def _render_state(self) -> Record:
+        body = None
+        if self.state.configuration is not None:
+            document = render_configuration(self.state.configuration)
+            body = self._schema.restrict(document, self.state.schema_level)
+        return Record(
+            sequence=self.state.sequence,
+            kind=RecordKind.STATE.value,
+            base_version=self.state.version,
+            author=AUTHOR,
+            schema_level=self.state.schema_level,
+            body=body,
+        )
--- /dev/null
+++ b/src/currantline/configuration/tests/test_history.py
@@ -0,0 +1,241 @@
+"""Tests of the records that one instance has judged."""
+
+import json
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from currantline.configuration import (
+    RELEASE_SCHEMA,
+    Accepted,
+    History,
+    Reason,
+    Record,
+    Refused,
+    Schema,
+    read_record,
+    render_record,
+)
+
+INSTANCES = 4
+TAIL = 3
+instance_numbers = st.integers(0, INSTANCES - 1)
+
+
+def write_patch(sequence: int, base: int, size: int = 40, **fields: Any) -> Record:
+    """Return a patch that sets ``max_instances``."""
+    body = [{"set": "max_instances", "value": size}]
+    return Record(
+        sequence=sequence, kind="patch", base_version=base, body=body, **fields
+    )
+
+
+def write_snapshot(sequence: int = 1, version: int = 1) -> Record:
+    """Return a snapshot without services."""
+    return Record(sequence=sequence, kind="snapshot", body={"version": version})
+
+
+def write_log(length: int) -> list[Record]:
+    """Return a snapshot and the patches that follow it."""
+    patches = [write_patch(n, n - 1, size=n) for n in range(2, length + 1)]
+    return [write_snapshot(), *patches]
+
+
+def send(records: list[Record]) -> list[Record]:
+    """Return records as they are after a way over the wire."""
+    texts = [json.dumps(render_record(record)) for record in records]
+    return [read_record(json.loads(text)) for text in texts]
+
+
+class TestHistory:
+    """One history."""
+
+    def test_two_patches(self) -> None:
+        """Guards against the second of two patches of one version taking effect."""
+        history = History()
+        history.apply(write_snapshot(), 0.0)
+        assert isinstance(history.apply(write_patch(2, 1, size=5), 1.0), Accepted)
+        verdict = history.apply(write_patch(3, 1, size=6), 2.0)
+        assert isinstance(verdict, Refused)
+        assert verdict.reason is Reason.STALE_BASE_VERSION
+        assert history.in_force is not None
+        assert history.in_force.max_instances == 5
+        assert (history.state.sequence, history.state.version) == (3, 2)
+        assert history.changed_at == 1.0
+
+    def test_gap(self) -> None:
+        """Guards against a record that is judged without the one in front of it."""
+        history = History()
+        assert history.apply(write_snapshot(sequence=2), 0.0) is None
+        assert (history.state.sequence, history.counts.early) == (0, 1)
+
+    def test_compaction(self) -> None:
+        """Guards against a peer that cannot catch up with a long log."""
+        history = History(tail_records=TAIL)
+        for record in write_log(9):
+            history.apply(record, 0.0)
+        assert [r.sequence for r in history.records_after(6)] == [7, 8, 9]
+        assert [r.kind for r in history.records_after(5)] == ["state"]
+        assert history.records_after(9) == []
+        for start in range(10):
+            peer = History()
+            peer.catch_up(write_log(9)[:start], 0.0)
+            peer.catch_up(send(history.records_after(start)), 0.0)
+            assert peer.state == history.state
+            third = History()
+            third.catch_up(peer.records_after(0), 0.0)
+            assert third.state == history.state
+
+    def test_bounded_bytes(self) -> None:
+        """Guards against a tail of large records that outgrows the memory."""
+        history = History(tail_bytes=100)
+        for record in write_log(9):
+            history.apply(record, 0.0)
+        assert [r.kind for r in history.records_after(5)] == ["state"]
+        assert len(history.records_after(8)) == 1
+
+    def test_contradicting_state(self) -> None:
+        """Guards against a peer's state that takes a version back or replaces it."""
+        history = History()
+        for record in write_log(4):
+            history.apply(record, 0.0)
+        state = history.state
+        lower = Record(sequence=9, kind="state", body={"version": 3})
+        other = Record(sequence=9, kind="state", body={"version": 4})
+        wrong = Record(sequence=9, kind="state", body={"version": 5, "services": 1})
+        empty = Record(sequence=9, kind="state", body=None)
+        assert history.catch_up([lower, other, wrong, empty], 1.0) == []
+        assert (history.state, history.counts.conflicting) == (state, 4)
+
+    def test_older_release(self) -> None:
+        """Guards against an older release that adopts or judges what it cannot know."""
+        newer = Schema(known_level=2, levels=RELEASE_SCHEMA.levels)
+        log = write_log(2)
+        log.append(
+            Record(
+                sequence=3,
+                kind="patch",
+                base_version=2,
+                body=[{"set": "schema_level", "value": 2}],
+            )
+        )
+        log.append(write_patch(4, 3, schema_level=2))
+        histories = History(schema=newer, tail_records=1), History(), History()
+        for record in log:
+            histories[0].apply(record, 0.0)
+            histories[1].apply(record, 0.0)
+        histories[2].catch_up(send(histories[0].records_after(0)), 0.0)
+        assert histories[0].obstacle == ""
+        assert [history.state.sequence for history in histories] == [4, 3, 0]
+        assert all("schema level 2" in history.obstacle for history in histories[1:])
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Instances that read one log late, twice, out of order or from each other."""
+
+    @initialize()
+    def start(self) -> None:
+        """Start all instances with an empty log."""
+        self.log: list[Record] = []
+        self.fleet = [History(tail_records=TAIL) for _ in range(INSTANCES)]
+        self.versions = [0] * INSTANCES
+        self.digests: dict[int, int] = {0: 0}
+        self.contents: dict[int, Any] = {}
+        self.verdicts: dict[int, str] = {}
+
+    @rule(lag=st.integers(0, 2), size=st.integers(0, 150))
+    def publish_patch(self, lag: int, size: int) -> None:
+        """Publish a patch, perhaps against an old version or invalid."""
+        base = max(history.state.version for history in self.fleet) - lag
+        self.log.append(write_patch(len(self.log) + 1, base, size))
+
+    @rule(version=st.integers(0, 4))
+    def publish_snapshot(self, version: int) -> None:
+        """Publish a snapshot, which only the first instances may accept."""
+        self.log.append(write_snapshot(len(self.log) + 1, version))
+
+    @rule(number=instance_numbers, start=st.integers(0, 9), rng=st.randoms())
+    def read_disordered(self, number: int, start: int, rng: Any) -> None:
+        """Read from any place of the log, in any order."""
+        records = self.log[start:]
+        rng.shuffle(records)
+        for record in records:
+            self.deliver(number, record)
+
+    @rule(number=instance_numbers, lag=st.integers(0, 4))
+    def read_stale(self, number: int, lag: int) -> None:
+        """Read the whole log from a service that lags."""
+        for record in self.log[: len(self.log) - lag]:
+            self.deliver(number, record)
+
+    @rule(number=instance_numbers, peer=instance_numbers)
+    def ask_peer(self, number: int, peer: int) -> None:
+        """Fetch what a peer has and the instance lacks."""
+        history = self.fleet[number]
+        records = self.fleet[peer].records_after(history.state.sequence)
+        for judged in history.catch_up(send(records), 0.0):
+            if judged.record.kind != "state":
+                self.note(judged.record, judged.verdict)
+
+    @rule(number=instance_numbers)
+    def restart(self, number: int) -> None:
+        """Replace an instance by one that asks its peers first."""
+        self.fleet[number] = History(tail_records=TAIL)
+        peers = [n for n in range(INSTANCES) if n != number]
+        best = max(peers, key=lambda n: self.fleet[n].state.sequence)
+        self.versions[number] = self.fleet[best].state.version
+        self.ask_peer(number, best)
+
+    def deliver(self, number: int, record: Record) -> None:
+        """Apply a record at one instance."""
+        verdict = self.fleet[number].apply(record, 0.0)
+        if verdict is not None:
+            self.note(record, verdict)
+
+    def note(self, record: Record, verdict: Accepted | Refused) -> None:
+        """Compare a verdict with that of the other instances."""
+        text = str(verdict.reason) if isinstance(verdict, Refused) else "accepted"
+        assert self.verdicts.setdefault(record.sequence, text) == text
+
+    @invariant()
+    def versions_agree(self) -> None:
+        """Equal versions have equal digests, and versions never fall."""
+        for number, history in enumerate(self.fleet):
+            state = history.state
+            digest = self.digests.setdefault(state.version, state.digest)
+            assert digest == state.digest
+            content = self.contents.setdefault(state.digest, state.configuration)
+            assert content == state.configuration
+            assert state.version >= self.versions[number]
+            self.versions[number] = state.version
+
+    def teardown(self) -> None:
+        """All instances agree once each has read the whole log."""
+        for number in range(INSTANCES):
+            self.read_stale(number, 0)
+        assert len({history.state.digest for history in self.fleet}) == 1
+        assert {h.state.sequence for h in self.fleet} == {len(self.log)}
+
+
+class TestFleet:
+    """Several histories of one log."""
+
+    def test_agreement(self) -> None:
+        """Guards against instances that disagree on verdicts, versions or content."""
+        run_state_machine_as_test(
+            FleetMachine,
+            settings=settings(
+                derandomize=True,
+                max_examples=100,
+                stateful_step_count=30,
+                deadline=None,
+            ),
+        )
