Add the state machine of one request

The outcome of a request followed from the order of statements in the carrier, so a later change could break guarantee 2, 3 or 4 unnoticed. A pure class now holds the step of a request and raises InvariantError on a second end, on not-run after a send, on a second send of a non-idempotent request and on a send at or after the deadline.

Ruled out: checks spread over the carrier, which a search over random sequences of steps cannot reach.

--- a/src/currantline/forwarding/__init__.py
+++ b/src/currantline/forwarding/__init__.py
@@ -2,6 +2,7 @@
 
 from currantline.forwarding._caller import CallerServer, Guidance
 from currantline.forwarding._carrier import Carrier, Completion
+from currantline.forwarding._exchange import Exchange, Step
 from currantline.forwarding._outcome import Outcome
 from currantline.forwarding._placement import AttemptResult, Permit, Placement
 from currantline.forwarding._target import ConnectionPool
@@ -12,8 +13,10 @@
     "Carrier",
     "Completion",
     "ConnectionPool",
+    "Exchange",
     "Guidance",
     "Outcome",
     "Permit",
     "Placement",
+    "Step",
 ]
--- /dev/null
+++ b/src/currantline/forwarding/tests/test_exchange.py
@@ -0,0 +1,85 @@
+"""Tests of the state machine of one request."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from currantline.exceptions import InvariantError
+from currantline.forwarding import Exchange, Step
+
+DEADLINE = 100.0
+STEPS = ("queue", "assign", "hold_answer", "answer", "refuse", "lose", "abandon")
+NOWS = st.sampled_from([0.0, DEADLINE - 1.0, DEADLINE, DEADLINE + 50.0])
+ACTIONS = st.one_of(
+    st.tuples(st.sampled_from(STEPS), st.none()), st.tuples(st.just("send"), NOWS)
+)
+
+
+def apply(exchange: Exchange, action: tuple[str, float | None]) -> bool:
+    """Take a step and return whether it was allowed."""
+    name, now = action
+    try:
+        getattr(exchange, name)(**({} if now is None else {"now": now}))
+    except InvariantError:
+        return False
+    return True
+
+
+def start(*, idempotent: bool) -> Exchange:
+    """Return an exchange that has a slot."""
+    exchange = Exchange(idempotent=idempotent, deadline=DEADLINE)
+    exchange.queue()
+    exchange.assign()
+    return exchange
+
+
+class TestExchange:
+    """The rules of one request."""
+
+    @settings(derandomize=True, max_examples=1000)
+    @given(st.booleans(), st.lists(ACTIONS, max_size=14))
+    def test_guarantees_hold_for_every_sequence(
+        self, idempotent: bool, actions: list[tuple[str, float | None]]
+    ) -> None:
+        """Guards against a sequence of steps that breaks guarantee 2, 3 or 4."""
+        exchange = Exchange(idempotent=idempotent, deadline=DEADLINE)
+        sent: list[float] = []
+        for action in actions:
+            was_ended, before = exchange.is_ended, exchange.step
+            is_allowed = apply(exchange, action)
+            if is_allowed and action[1] is not None:
+                sent.append(action[1])
+            assert not (was_ended and is_allowed)
+            assert is_allowed or exchange.step is before
+        assert exchange.sends == len(sent)
+        assert idempotent or len(sent) <= 1
+        assert all(now < DEADLINE for now in sent)
+        assert exchange.step is not Step.NOT_RUN or not sent
+        assert exchange.step not in (Step.ANSWERED, Step.UNKNOWN) or sent
+
+    def test_not_run_after_send(self) -> None:
+        """Guards against telling a caller *not run* once a byte was written."""
+        exchange = start(idempotent=True)
+        exchange.send(now=1.0)
+        exchange.queue()
+        with pytest.raises(InvariantError):
+            exchange.refuse()
+
+    def test_second_send_of_order(self) -> None:
+        """Guards against placing a non-idempotent request again after a send."""
+        exchange = start(idempotent=False)
+        exchange.send(now=1.0)
+        with pytest.raises(InvariantError):
+            exchange.queue()
+
+    def test_answer_of_earlier_send(self) -> None:
+        """Guards against passing on a shed after a later send gave no answer."""
+        exchange = start(idempotent=True)
+        exchange.send(now=1.0)
+        exchange.hold_answer()
+        exchange.queue()
+        exchange.assign()
+        exchange.send(now=2.0)
+        exchange.queue()
+        with pytest.raises(InvariantError):
+            exchange.answer()
