--- a/src/currantline/admission/_work.py
+++ b/src/currantline/admission/_work.py
@@ -27,6 +27,8 @@
         Time after which it must not be sent, in milliseconds of the clock.
     arrived : float
         Time at which it arrived, in milliseconds of the clock.
+    avoid : frozenset of str
+        Targets that failed it already; others are preferred.
     """
 
     request_id: str
@@ -36,3 +38,4 @@
     idempotent: bool = False
     deadline: float
     arrived: float
+    avoid: frozenset[str] = frozenset()
--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -18,7 +18,13 @@
     UnknownServiceError,
     WireError,
 )
-from currantline.forwarding import CallerServer, Carrier, Guidance
+from currantline.forwarding import (
+    CallerOptions,
+    CallerServer,
+    Carrier,
+    CarrierOptions,
+    Guidance,
+)
 from currantline.membership import InstanceEntry, Status, View
 from currantline.settings import Settings
 from currantline.wire import Answer, HttpService, Request, answer_json, fetch
@@ -51,7 +57,7 @@
         self._carrier = Carrier(
             LocalPlacement(lambda: self._configuration, self._rng),
             clock=self._clock,
-            max_body_bytes=settings.max_body_bytes,
+            options=CarrierOptions(max_body_bytes=settings.max_body_bytes),
         )
         self._callers = CallerServer(
             settings.name,
@@ -63,7 +69,7 @@
                 is_leaving=lambda: self._is_leaving,
             ),
             clock=self._clock,
-            max_body_bytes=settings.max_body_bytes,
+            options=CallerOptions(max_body_bytes=settings.max_body_bytes),
         )
         self._operators = HttpService(self._answer_operator)
 
--- a/src/currantline/dispatch/_local.py
+++ b/src/currantline/dispatch/_local.py
@@ -7,7 +7,7 @@
 from currantline.admission import Work
 from currantline.configuration import Configuration
 from currantline.exceptions import NotRunError
-from currantline.forwarding import AttemptResult, Permit
+from currantline.forwarding import AttemptResult, Permit, share_connections
 
 __all__ = ["LocalPlacement"]
 
@@ -38,14 +38,22 @@
         NotRunError
             If the service has no targets.
         """
-        service = self._read_configuration().services.get(work.service)
+        configuration = self._read_configuration()
+        service = configuration.services.get(work.service)
         if service is None or not service.targets:
             raise NotRunError("the service has no targets", reason="no-target")
-        pair = self._rng.sample(service.targets, min(2, len(service.targets)))
+        targets = [t for t in service.targets if t.name not in work.avoid]
+        targets = targets or list(service.targets)
+        pair = self._rng.sample(targets, min(2, len(targets)))
         target = min(pair, key=lambda target: self._in_flight[target.name])
         self._in_flight[target.name] += 1
         return Permit(
-            request_id=work.request_id, target=target.name, address=target.address
+            request_id=work.request_id,
+            target=target.name,
+            address=target.address,
+            connections=share_connections(
+                target.connections, configuration.max_instances
+            ),
         )
 
     def release(
--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -6,6 +6,7 @@
     "AddressInUseError",
     "BodyTooLargeError",
     "ConfigurationError",
+    "ConnectionLimitError",
     "CurrantlineError",
     "InvalidValueError",
     "InvariantError",
@@ -16,6 +17,7 @@
     "PlatformError",
     "ProtocolError",
     "SettingsError",
+    "SlowRequestError",
     "TargetConnectError",
     "TargetError",
     "TargetTimeoutError",
@@ -86,14 +88,29 @@
     """A message on the wire cannot be used."""
 
 
+@attrs.define(auto_exc=True)
 class ProtocolError(WireError):
-    """The other side broke the HTTP protocol."""
+    """The other side broke the HTTP protocol.
+
+    Parameters
+    ----------
+    message : str
+        One line for people.
+    status : int
+        HTTP status that describes the fault.
+    """
+
+    status: int = 400
 
 
 class BodyTooLargeError(WireError):
     """A body exceeds the size limit."""
 
 
+class SlowRequestError(WireError):
+    """A request did not arrive, or an answer was not taken, in time."""
+
+
 class TargetError(CurrantlineError):
     """An exchange with a target failed."""
 
@@ -102,6 +119,10 @@
     """No connection to the target could be opened; nothing was sent."""
 
 
+class ConnectionLimitError(TargetError):
+    """All allowed connections to the target stayed in use; nothing was sent."""
+
+
 class TargetTimeoutError(TargetError):
     """The target did not answer in time."""
 
--- a/src/currantline/forwarding/__init__.py
+++ b/src/currantline/forwarding/__init__.py
@@ -1,16 +1,36 @@
 """HTTP towards callers and targets, and the outcome of each request."""
 
-from currantline.forwarding._caller import CallerServer, Guidance
-from currantline.forwarding._carrier import Carrier, Completion
+from currantline.forwarding._caller import CallerOptions, CallerServer, Guidance
+from currantline.forwarding._carrier import Carrier, CarrierOptions
 from currantline.forwarding._exchange import Exchange, Step
+from currantline.forwarding._observation import (
+    AttemptObservation,
+    AttemptObserver,
+    RequestObservation,
+    RequestObserver,
+    RetryBudget,
+    TargetLoad,
+    TargetState,
+    parse_target_load,
+)
 from currantline.forwarding._outcome import Outcome
-from currantline.forwarding._placement import AttemptResult, Permit, Placement
+from currantline.forwarding._placement import (
+    AttemptResult,
+    Permit,
+    Placement,
+    share_connections,
+)
+from currantline.forwarding._progress import Completion
 from currantline.forwarding._target import ConnectionPool
 
 __all__ = [
+    "AttemptObservation",
+    "AttemptObserver",
     "AttemptResult",
+    "CallerOptions",
     "CallerServer",
     "Carrier",
+    "CarrierOptions",
     "Completion",
     "ConnectionPool",
     "Exchange",
@@ -18,5 +38,12 @@
     "Outcome",
     "Permit",
     "Placement",
+    "RequestObservation",
+    "RequestObserver",
+    "RetryBudget",
     "Step",
+    "TargetLoad",
+    "TargetState",
+    "parse_target_load",
+    "share_connections",
 ]
--- a/src/currantline/forwarding/_caller.py
+++ b/src/currantline/forwarding/_caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-import uuid
+from collections import Counter
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
@@ -12,23 +12,57 @@
 
 from currantline.admission import Work
 from currantline.clock import Clock
-from currantline.configuration import Configuration, Service
+from currantline.configuration import Configuration
 from currantline.directory import AddressAnswer
-from currantline.exceptions import BodyTooLargeError, UnknownServiceError, WireError
-from currantline.forwarding._carrier import Carrier, Completion
-from currantline.forwarding._outcome import Outcome
-from currantline.wire import (
-    HOP_BY_HOP,
-    Answer,
-    Headers,
-    HttpConnection,
-    Request,
-    find_header,
+from currantline.exceptions import (
+    BodyTooLargeError,
+    ProtocolError,
+    SlowRequestError,
+    UnknownServiceError,
+    WireError,
 )
+from currantline.forwarding._carrier import Carrier
+from currantline.forwarding._interpret import interpret, present, refuse
+from currantline.forwarding._observation import RequestObservation, RequestObserver
+from currantline.forwarding._outcome import Outcome
+from currantline.forwarding._progress import Completion
+from currantline.forwarding._timer import Schedule, schedule_on_loop
+from currantline.wire import Answer, HttpConnection, Request
 
-__all__ = ["CallerServer", "Guidance"]
+__all__ = ["CallerOptions", "CallerServer", "Guidance"]
 
-RETRY_AFTER_S = 1
+
+@attrs.frozen(kw_only=True)
+class CallerOptions:
+    """Limits towards callers.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest request body accepted.
+    max_connections : int
+        Most open connections.
+    max_connections_per_host : int
+        Most open connections from one IP number.
+    idle_timeout_ms : float
+        Longest time between two requests on a connection.
+    request_timeout_ms : float
+        Longest time from the first to the last byte of a request.
+    answer_timeout_ms : float
+        Longest time for a caller to take an answer.
+    linger_ms : float
+        Time for which a leaving instance still accepts connections. Callers
+        keep addresses for 2,000 ms, and a connection that arrives while the
+        listener closes is reset.
+    """
+
+    max_body_bytes: int = 16 * 1024 * 1024
+    max_connections: int = 10_000
+    max_connections_per_host: int = 1_000
+    idle_timeout_ms: float = 60_000.0
+    request_timeout_ms: float = 10_000.0
+    answer_timeout_ms: float = 30_000.0
+    linger_ms: float = 2_500.0
 
 
 @attrs.frozen(kw_only=True)
@@ -66,8 +100,12 @@
         What the server asks the rest of the instance.
     clock : Clock
         Source of time.
-    max_body_bytes : int
-        Largest request body accepted.
+    options : CallerOptions, optional
+        Limits.
+    observer : RequestObserver, optional
+        Counts requests.
+    schedule : Schedule, optional
+        Source of timers.
     """
 
     def __init__(
@@ -77,16 +115,34 @@
         carrier: Carrier,
         guidance: Guidance,
         clock: Clock,
-        max_body_bytes: int,
+        options: CallerOptions | None = None,
+        observer: RequestObserver | None = None,
+        schedule: Schedule = schedule_on_loop,
     ) -> None:
         self._name = name
         self._carrier = carrier
         self._guidance = guidance
         self._clock = clock
-        self._max_body_bytes = max_body_bytes
+        self._options = options or CallerOptions()
+        self._observer = observer
+        self._schedule = schedule
         self._server: asyncio.Server | None = None
-        self._busy: set[asyncio.Task[None]] = set()
-        self._idle: set[asyncio.Task[None]] = set()
+        self._is_closing = False
+        self._hosts: Counter[str] = Counter()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle: set[HttpConnection] = set()
+
+    @property
+    def address(self) -> str:
+        """Address that the server listens on, ``ip:port``."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return self._hosts.total()
 
     async def start(self, address: str) -> None:
         """Listen on an address.
@@ -97,69 +153,133 @@
             If the address cannot be used.
         """
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._build, host, int(port))
 
     async def leave(self, timeout_ms: float) -> None:
         """Stop listening, finish open requests, then close all connections.
 
+        New connections are accepted for ``linger_ms`` or half of the time,
+        whichever is less.
+
         Parameters
         ----------
         timeout_ms : float
-            Longest time to wait for open requests, in milliseconds.
+            Longest time for all of it, in milliseconds.
         """
+        linger_ms = min(self._options.linger_ms, timeout_ms / 2)
+        await self._pause(linger_ms)
         if self._server is not None:
             self._server.close()
-        for task in self._idle:
-            task.cancel()
-        if self._busy:
-            await asyncio.wait(self._busy, timeout=timeout_ms / 1000)
-        for task in self._busy:
+        self._is_closing = True
+        for connection in tuple(self._idle):
+            # A request that has arrived already is still answered.
+            if not connection.has_unread and not connection.is_readable():
+                connection.interrupt(SlowRequestError("the instance is leaving"))
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=(timeout_ms - linger_ms) / 1000)
+        for task in tuple(self._tasks):
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        connection = HttpConnection(
-            reader, writer, h11.SERVER, max_body_bytes=self._max_body_bytes
+    async def _pause(self, duration_ms: float) -> None:
+        over = asyncio.Event()
+        self._schedule(duration_ms, over.set)
+        await over.wait()
+
+    def _build(self) -> HttpConnection:
+        return HttpConnection(
+            h11.SERVER,
+            max_body_bytes=self._options.max_body_bytes,
+            on_open=self._open,
         )
+
+    def _open(self, connection: HttpConnection) -> None:
+        host = connection.peer_host
+        if (
+            self.connection_count >= self._options.max_connections
+            or self._hosts[host] >= self._options.max_connections_per_host
+        ):
+            text = "too many connections"
+            self._refuse_and_close(connection, 503, "too-many-connections", text)
+            return
+        self._hosts[host] += 1
+        task = asyncio.get_running_loop().create_task(self._serve(connection, host))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection: HttpConnection, host: str) -> None:
         try:
-            while await self._serve_one(connection, task):
+            while await self._serve_one(connection):
                 connection.start_next()
+        except BodyTooLargeError as error:
+            self._refuse_and_close(connection, 413, "too-large", str(error))
+        except ProtocolError as error:
+            self._refuse_and_close(connection, error.status, "bad-request", str(error))
+        except SlowRequestError as error:
+            self._refuse_and_close(connection, 408, "slow-request", str(error))
         except (WireError, OSError, asyncio.CancelledError):
             connection.abort()
         finally:
-            self._idle.discard(task)
-            self._busy.discard(task)
+            connection.on_lost = None
             connection.close()
+            self._hosts[host] -= 1
+            if not self._hosts[host]:
+                del self._hosts[host]
+
+    async def _serve_one(self, connection: HttpConnection) -> bool:
+        if not await self._wait_for_request(connection):
+            return False
+        request = await self._read(connection)
+        if request is None or connection.is_lost:
+            return False
+        task = asyncio.current_task()
+        assert task is not None
+        # A caller that closes its connection cancels its request.
+        connection.on_lost = task.cancel
+        answer = await self._answer(request)
+        if self._guidance.is_leaving():
+            closing = (*answer.headers, ("connection", "close"))
+            answer = attrs.evolve(answer, headers=closing)
+        await self._write(connection, answer)
+        connection.on_lost = None
+        return connection.is_reusable
 
-    async def _serve_one(
-        self, connection: HttpConnection, task: "asyncio.Task[None]"
-    ) -> bool:
-        self._idle.add(task)
+    async def _wait_for_request(self, connection: HttpConnection) -> bool:
+        if connection.has_unread:
+            return True
+        if self._is_closing and not connection.is_readable():
+            return False
+        timer = self._limit(connection, self._options.idle_timeout_ms)
+        self._idle.add(connection)
         try:
-            request = await connection.read_request()
-        except BodyTooLargeError as error:
-            connection.write_answer(_refuse(413, "too-large", str(error)))
-            await connection.drain()
+            return await connection.wait_for_data()
+        except SlowRequestError:
             return False
         finally:
-            self._idle.discard(task)
-        if request is None:
-            return False
-        self._busy.add(task)
+            self._idle.discard(connection)
+            timer.cancel()
+
+    async def _read(self, connection: HttpConnection) -> Request | None:
+        timer = self._limit(connection, self._options.request_timeout_ms)
+        try:
+            return await connection.read_request()
+        finally:
+            timer.cancel()
+
+    async def _write(self, connection: HttpConnection, answer: Answer) -> None:
+        connection.write_answer(answer)
+        timer = self._limit(connection, self._options.answer_timeout_ms)
         try:
-            answer = await self._answer(request)
-            if self._guidance.is_leaving():
-                answer = attrs.evolve(
-                    answer, headers=(*answer.headers, ("connection", "close"))
-                )
-            connection.write_answer(answer)
             await connection.drain()
+        except SlowRequestError:
+            connection.abort()
+            raise WireError("the caller does not take its answer") from None
         finally:
-            self._busy.discard(task)
-        return connection.is_reusable
+            timer.cancel()
+
+    def _limit(self, connection: HttpConnection, limit_ms: float) -> "_Limit":
+        return _Limit(connection, limit_ms, self._schedule)
 
     async def _answer(self, request: Request) -> Answer:
         path = urlsplit(request.target).path
@@ -168,13 +288,13 @@
             return await self._forward(parts[2], request)
         if len(parts) == 4 and parts[1:3] == ["v1", "addresses"]:
             return self._answer_addresses(parts[3])
-        return _refuse(404, "no-such-path", f"no such path: {path}")
+        return refuse(404, "no-such-path", f"no such path: {path}")
 
     def _answer_addresses(self, service: str) -> Answer:
         try:
             answer = self._guidance.answer_addresses(service)
         except UnknownServiceError as error:
-            return _refuse(404, "unknown-service", str(error))
+            return refuse(404, "unknown-service", str(error))
         body = json.dumps(attrs.asdict(answer)).encode()
         return Answer(
             status=200, headers=(("content-type", "application/json"),), body=body
@@ -183,81 +303,83 @@
     async def _forward(self, name: str, request: Request) -> Answer:
         service = self._guidance.read_configuration().services.get(name)
         if service is None:
-            return _refuse(404, "unknown-service", f"no service is named {name!r}")
+            return refuse(404, "unknown-service", f"no service is named {name!r}")
         try:
-            work, inner = self._interpret(service, request)
+            work, inner = interpret(service, request, now=self._clock.read())
         except WireError as error:
-            return _refuse(400, "bad-request", str(error))
-        with start_action(
-            action_type="currantline:request",
+            return refuse(400, "bad-request", str(error))
+        completion = await self._carry(work, inner)
+        return present(
+            completion,
             request_id=work.request_id,
             instance=self._name,
-            service=name,
-            route=work.route,
-        ) as action:
-            completion = await self._carrier.carry(work, inner)
-            action.add_success_fields(
-                outcome=completion.outcome.value,
-                target=completion.target,
-                reason=completion.reason,
-            )
-        return self._present(work, completion)
-
-    def _interpret(self, service: Service, request: Request) -> tuple[Work, Request]:
-        inner_target = request.target.split(f"/services/{service.name}", 1)[1]
-        route = service.match_route(request.method, urlsplit(inner_target).path)
-        now = self._clock.read()
-        given = find_header(request.headers, "currantline-timeout-ms")
-        request_id = find_header(request.headers, "currantline-request-id")
-        work = Work(
-            request_id=request_id or uuid.uuid4().hex,
-            service=service.name,
-            route=route.name,
-            priority=route.priority,
-            idempotent=route.idempotent,
-            deadline=now + _read_timeout(given, service.timeout_ms),
-            arrived=now,
+            method=request.method,
+            refresh=self._guidance.is_leaving() or self._guidance.needs_refresh(name),
         )
-        return work, attrs.evolve(request, target=inner_target)
 
-    def _present(self, work: Work, completion: Completion) -> Answer:
-        headers: Headers = (
-            ("currantline-outcome", completion.outcome.value),
-            ("currantline-request-id", work.request_id),
-            ("currantline-instance", self._name),
-        )
-        if completion.target:
-            headers += (("currantline-target", completion.target),)
-        if completion.reason:
-            headers += (("currantline-reason", completion.reason),)
-        if self._guidance.is_leaving() or self._guidance.needs_refresh(work.service):
-            headers += (("currantline-refresh", "1"),)
-        if completion.answer is not None:
-            kept = tuple(
-                (name, value)
-                for name, value in completion.answer.headers
-                if name not in HOP_BY_HOP and not name.startswith("currantline-")
+    async def _carry(self, work: Work, request: Request) -> Completion:
+        completion: Completion | None = None
+        try:
+            with start_action(
+                action_type="currantline:request",
+                request_id=work.request_id,
+                instance=self._name,
+                service=work.service,
+                route=work.route,
+            ) as action:
+                completion = await self._carrier.carry(work, request)
+                action.add_success_fields(
+                    outcome=completion.outcome.value,
+                    target=completion.target,
+                    reason=completion.reason,
+                    attempts=completion.attempts,
+                )
+            return completion
+        finally:
+            self._tell(work, completion)
+
+    def _tell(self, work: Work, completion: Completion | None) -> None:
+        if self._observer is None:
+            return
+        duration_ms = self._clock.read() - work.arrived
+        done = completion or Completion(outcome=Outcome.UNKNOWN)
+        self._observer.observe_request(
+            RequestObservation(
+                outcome=completion.outcome if completion else None,
+                service=work.service,
+                priority=work.priority,
+                duration_ms=duration_ms,
+                attempts=done.attempts,
+                own_ms=duration_ms - done.waited_ms - done.target_ms,
             )
-            return attrs.evolve(completion.answer, headers=kept + headers)
-        if completion.outcome is Outcome.NOT_RUN:
-            headers += (("retry-after", str(RETRY_AFTER_S)),)
-            return Answer(status=503, headers=headers)
-        status = 504 if completion.reason == "timeout" else 502
-        return Answer(status=status, headers=headers)
-
-
-def _read_timeout(given: str | None, default_ms: float) -> float:
-    if given is None:
-        return default_ms
-    if not given.isdecimal() or not int(given):
-        raise WireError(f"currantline-timeout-ms is not a positive number: {given!r}")
-    return float(given)
-
-
-def _refuse(status: int, reason: str, text: str) -> Answer:
-    headers = (
-        ("currantline-outcome", Outcome.NOT_RUN.value),
-        ("currantline-reason", reason),
-        ("content-type", "text/plain"),
-    )
-    return Answer(status=status, headers=headers, body=f"{text}\n".encode())
+        )
+
+    def _refuse_and_close(
+        self, connection: HttpConnection, status: int, reason: str, text: str
+    ) -> None:
+        answer = refuse(status, reason, text)
+        closing = (*answer.headers, ("connection", "close"))
+        try:
+            connection.write_answer(attrs.evolve(answer, headers=closing))
+        except ProtocolError:
+            connection.abort()
+        else:
+            connection.close_after_end()
+
+
+class _Limit:
+    """Interrupts a connection after a time unless it is cancelled before."""
+
+    def __init__(
+        self, connection: HttpConnection, limit_ms: float, schedule: Schedule
+    ) -> None:
+        self._connection = connection
+        self._handle = schedule(limit_ms, self._expire)
+
+    def cancel(self) -> None:
+        """Stop the timer, also if it has expired but nothing waited."""
+        self._handle.cancel()
+        self._connection.clear_interruption()
+
+    def _expire(self) -> None:
+        self._connection.interrupt(SlowRequestError("the request took too long"))
--- a/src/currantline/forwarding/_carrier.py
+++ b/src/currantline/forwarding/_carrier.py
@@ -1,45 +1,76 @@
 """Carrying one request to a target and deciding its outcome."""
 
-import asyncio
+from collections.abc import Callable
 
 import attrs
 
 from currantline.admission import Work
 from currantline.clock import Clock
-from currantline.exceptions import NotRunError, TargetConnectError, WireError
-from currantline.forwarding._outcome import Outcome
+from currantline.exceptions import (
+    BodyTooLargeError,
+    ConnectionLimitError,
+    NotRunError,
+    ProtocolError,
+    TargetConnectError,
+    TargetTimeoutError,
+    WireError,
+)
+from currantline.forwarding._exchange import Exchange
+from currantline.forwarding._observation import (
+    AttemptObservation,
+    AttemptObserver,
+    RetryBudget,
+    TargetLoad,
+    parse_target_load,
+)
 from currantline.forwarding._placement import AttemptResult, Permit, Placement
+from currantline.forwarding._progress import AnswerTimer, Completion, Progress
 from currantline.forwarding._target import ConnectionPool, PooledConnection
-from currantline.wire import HOP_BY_HOP, Answer, Request
+from currantline.forwarding._timer import Schedule, schedule_on_loop
+from currantline.wire import Answer, Request, find_header, strip_hop_by_hop
 
-__all__ = ["Carrier", "Completion"]
-
-# An idle connection may have gone silent; a non-idempotent request cannot be
-# repeated, so it uses only a connection that worked within the last second.
-PROVEN_IDEMPOTENT_MS = 15000.0
-PROVEN_NON_IDEMPOTENT_MS = 1000.0
+__all__ = ["Carrier", "CarrierOptions", "NoRetries"]
 
 
 @attrs.frozen(kw_only=True)
-class Completion:
-    """How a request ended.
+class CarrierOptions:
+    """Limits of carrying.
 
     Parameters
     ----------
-    outcome : Outcome
-        What the caller may conclude.
-    answer : Answer or None
-        The target's answer.
-    target : str
-        Target that the request was sent to, if any.
-    reason : str
-        Why there is no answer.
+    max_sends : int
+        Most sends of one idempotent request.
+    max_placements : int
+        Most slots that one request takes, one after the other.
+    try_share : float
+        Part of the remaining time after which an idempotent request gives up
+        one target for another. Half leaves the second target as much time.
+    proven_ms : float
+        Longest time since a connection worked, for an idempotent request.
+    proven_non_idempotent_ms : float
+        The same for a non-idempotent request, which cannot be repeated if the
+        connection has gone silent.
+    max_body_bytes : int
+        Largest response body accepted.
     """
 
-    outcome: Outcome
-    answer: Answer | None = None
-    target: str = ""
-    reason: str = ""
+    max_sends: int = 3
+    max_placements: int = 5
+    try_share: float = 0.5
+    proven_ms: float = 15_000.0
+    proven_non_idempotent_ms: float = 1_000.0
+    max_body_bytes: int = 16 * 1024 * 1024
+
+
+class NoRetries:
+    """Retry budget that allows nothing."""
+
+    def record_attempt(self, now: float) -> None:
+        """Ignore an attempt."""
+
+    def spend(self, now: float) -> bool:
+        """Refuse a retry."""
+        return False
 
 
 class Carrier:
@@ -51,16 +82,34 @@
         Source of permits.
     clock : Clock
         Source of time.
-    max_body_bytes : int
-        Largest response body accepted.
+    options : CarrierOptions, optional
+        Limits.
+    find_budget : callable, optional
+        Returns the retry budget of a service; without it nothing that was sent
+        is retried.
+    observer : AttemptObserver, optional
+        Learns how each attempt ended.
+    schedule : Schedule, optional
+        Source of timers.
     """
 
     def __init__(
-        self, placement: Placement, *, clock: Clock, max_body_bytes: int
+        self,
+        placement: Placement,
+        *,
+        clock: Clock,
+        options: CarrierOptions | None = None,
+        find_budget: Callable[[str], RetryBudget] | None = None,
+        observer: AttemptObserver | None = None,
+        schedule: Schedule = schedule_on_loop,
     ) -> None:
+        self.malformed_loads = 0
         self._placement = placement
         self._clock = clock
-        self._max_body_bytes = max_body_bytes
+        self._options = options or CarrierOptions()
+        self._find_budget = find_budget or (lambda service: NoRetries())
+        self._observer = observer
+        self._schedule = schedule
         self._pools: dict[str, ConnectionPool] = {}
 
     async def carry(self, work: Work, request: Request) -> Completion:
@@ -78,91 +127,208 @@
         Completion
             Outcome and answer.
         """
+        progress = Progress(
+            work=work,
+            request=request,
+            exchange=Exchange(idempotent=work.idempotent, deadline=work.deadline),
+            budget=self._find_budget(work.service),
+        )
         try:
-            permit = await self._placement.acquire(work)
-        except NotRunError as error:
-            return Completion(outcome=Outcome.NOT_RUN, reason=error.reason)
-        started = self._clock.read()
-        result = AttemptResult.CANCELLED
-        try:
-            completion, result = await self._attempt(work, request, permit)
+            await self._run(progress)
+            return progress.complete()
         finally:
-            duration_ms = self._clock.read() - started
-            self._placement.release(permit, result, duration_ms=duration_ms)
-        return completion
+            if not progress.exchange.is_ended:
+                progress.exchange.abandon()
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all connections without an exchange."""
         for pool in self._pools.values():
             pool.close()
 
-    async def _attempt(
-        self, work: Work, request: Request, permit: Permit
-    ) -> tuple[Completion, AttemptResult]:
-        pool = self._find_pool(permit.address)
-        proven_ms = (
-            PROVEN_IDEMPOTENT_MS if work.idempotent else PROVEN_NON_IDEMPOTENT_MS
+    def keep_targets(self, addresses: set[str]) -> None:
+        """Close idle connections to targets that are not configured any more."""
+        for address in self._pools.keys() - addresses:
+            self._pools.pop(address).close()
+
+    async def _run(self, progress: Progress) -> None:
+        while True:
+            progress.exchange.queue()
+            try:
+                permit = await self._acquire(progress)
+            except NotRunError as error:
+                progress.reason = (
+                    progress.reason if progress.exchange.sends else error.reason
+                )
+                return
+            progress.exchange.assign()
+            progress.placements += 1
+            progress.result = await self._use(progress, permit)
+            progress.avoid |= {permit.target}
+            if not self._may_repeat(progress):
+                return
+
+    async def _acquire(self, progress: Progress) -> Permit:
+        started = self._clock.read()
+        try:
+            return await self._placement.acquire(
+                attrs.evolve(progress.work, avoid=progress.avoid)
+            )
+        finally:
+            progress.waited_ms += self._clock.read() - started
+
+    def _may_repeat(self, progress: Progress) -> bool:
+        now = self._clock.read()
+        if not self._has_attempts(progress) or now >= progress.work.deadline:
+            return False
+        if progress.result is AttemptResult.TIMED_OUT:
+            return progress.is_retry_paid
+        if progress.result not in REPEATABLE or progress.is_final:
+            return False
+        # Only a send after the first one costs from the budget: an attempt
+        # without a byte written puts no load on any target.
+        return not progress.exchange.sends or progress.budget.spend(now)
+
+    def _has_attempts(self, progress: Progress) -> bool:
+        sends = progress.exchange.sends
+        if progress.placements >= self._options.max_placements:
+            return False
+        return not sends or (
+            progress.work.idempotent and sends < self._options.max_sends
         )
+
+    async def _use(self, progress: Progress, permit: Permit) -> AttemptResult:
+        started = self._clock.read()
+        result = AttemptResult.CANCELLED
+        progress.begin()
+        try:
+            result = await self._try(progress, permit)
+            return result
+        finally:
+            now = self._clock.read()
+            duration_ms = now - (
+                progress.sent if progress.sent is not None else started
+            )
+            if progress.sent is not None:
+                progress.target_ms += duration_ms
+            self._placement.release(permit, result, duration_ms=now - started)
+            self._tell(progress, permit, result, duration_ms)
+
+    async def _try(self, progress: Progress, permit: Permit) -> AttemptResult:
+        pool = self._find_pool(permit)
+        options = self._options
         try:
-            connection = await pool.acquire(proven_within_ms=proven_ms)
+            connection = await pool.acquire(
+                proven_within_ms=options.proven_ms
+                if progress.work.idempotent
+                else options.proven_non_idempotent_ms,
+                deadline=progress.work.deadline,
+            )
+        except ConnectionLimitError:
+            progress.reason = progress.reason if progress.exchange.sends else "deadline"
+            return AttemptResult.UNUSED
         except TargetConnectError:
-            completion = Completion(outcome=Outcome.NOT_RUN, reason="unreachable")
-            return completion, AttemptResult.UNREACHABLE
-        remaining_ms = work.deadline - self._clock.read()
-        if remaining_ms <= 0:
-            pool.release(connection)
-            completion = Completion(outcome=Outcome.NOT_RUN, reason="deadline")
-            return completion, AttemptResult.UNUSED
+            progress.reason = (
+                "unreachable" if not progress.exchange.sends else progress.reason
+            )
+            return AttemptResult.UNREACHABLE
+        try:
+            data = connection.http.encode_request(self._prepare(progress))
+        except ProtocolError:
+            pool.discard(connection)
+            progress.reason, progress.is_final = "bad-request", True
+            return AttemptResult.UNUSED
+        now = self._clock.read()
+        if now >= progress.work.deadline:
+            pool.discard(connection)
+            progress.reason = progress.reason if progress.exchange.sends else "deadline"
+            return AttemptResult.UNUSED
         # No suspension point stands between the check of the deadline above and
         # the write, so a process that was paused does not send a late request.
-        connection.http.write_request(_prepare(request, work, remaining_ms))
-        return await self._finish(pool, connection, permit, remaining_ms)
+        progress.start_send(permit, now=now)
+        connection.http.write(data)
+        return await self._finish(progress, pool, connection)
 
     async def _finish(
-        self,
-        pool: ConnectionPool,
-        connection: PooledConnection,
-        permit: Permit,
-        remaining_ms: float,
-    ) -> tuple[Completion, AttemptResult]:
+        self, progress: Progress, pool: ConnectionPool, connection: PooledConnection
+    ) -> AttemptResult:
+        assert progress.sent is not None
+        timer = AnswerTimer(
+            progress,
+            connection.http,
+            clock=self._clock,
+            schedule=self._schedule,
+            share=self._options.try_share if self._has_attempts(progress) else 1.0,
+        )
         try:
-            async with asyncio.timeout(remaining_ms / 1000):
-                answer = await connection.http.read_answer()
-        except TimeoutError:
-            pool.discard(connection)
-            return _lose(permit, "timeout"), AttemptResult.TIMED_OUT
-        except WireError:
+            answer = await connection.http.read_answer()
+        except TargetTimeoutError:
+            pool.discard_silent(connection, sent=progress.sent)
+            progress.reason = "timeout"
+            return AttemptResult.TIMED_OUT
+        except WireError as error:
             pool.discard(connection)
-            return _lose(permit, "broken"), AttemptResult.FAILED
-        except asyncio.CancelledError:
+            progress.is_final = isinstance(error, BodyTooLargeError)
+            progress.reason = "too-large" if progress.is_final else "broken"
+            return AttemptResult.FAILED
+        except BaseException:
             pool.discard(connection)
             raise
+        finally:
+            timer.cancel()
+            connection.http.clear_interruption()
         pool.release(connection)
-        completion = Completion(
-            outcome=Outcome.ANSWERED, answer=answer, target=permit.target
+        return progress.take(answer)
+
+    def _prepare(self, progress: Progress) -> Request:
+        remaining_ms = progress.work.deadline - self._clock.read()
+        added = (
+            ("currantline-request-id", progress.work.request_id),
+            ("currantline-timeout-ms", str(max(1, int(remaining_ms)))),
         )
-        return completion, AttemptResult.ANSWERED
+        kept = strip_hop_by_hop(progress.request.headers)
+        return attrs.evolve(progress.request, headers=kept + added)
 
-    def _find_pool(self, address: str) -> ConnectionPool:
-        if address not in self._pools:
-            self._pools[address] = ConnectionPool(
-                address, clock=self._clock, max_body_bytes=self._max_body_bytes
-            )
-        return self._pools[address]
+    def _tell(
+        self,
+        progress: Progress,
+        permit: Permit,
+        result: AttemptResult,
+        duration_ms: float,
+    ) -> None:
+        load = self._read_load(progress.answer)
+        if self._observer is None or result is AttemptResult.UNUSED:
+            return
+        observation = AttemptObservation(
+            result=result,
+            sent=progress.sent,
+            duration_ms=duration_ms,
+            status=progress.answer.status if progress.answer else None,
+            load=load,
+        )
+        self._observer.observe(permit.target, observation)
 
+    def _read_load(self, answer: Answer | None) -> TargetLoad | None:
+        value = find_header(answer.headers, "target-load") if answer else None
+        if value is None:
+            return None
+        load = parse_target_load(value)
+        self.malformed_loads += load is None
+        return load
 
-def _prepare(request: Request, work: Work, remaining_ms: float) -> Request:
-    kept = tuple(
-        (name, value)
-        for name, value in request.headers
-        if name not in HOP_BY_HOP and not name.startswith("currantline-")
-    )
-    added = (
-        ("currantline-request-id", work.request_id),
-        ("currantline-timeout-ms", str(int(remaining_ms))),
-    )
-    return attrs.evolve(request, headers=kept + added)
+    def _find_pool(self, permit: Permit) -> ConnectionPool:
+        pool = self._pools.get(permit.address)
+        if pool is None:
+            pool = self._pools[permit.address] = ConnectionPool(
+                permit.address,
+                limit=permit.connections,
+                idle_ms=self._options.proven_ms,
+                clock=self._clock,
+                schedule=self._schedule,
+                max_body_bytes=self._options.max_body_bytes,
+            )
+        return pool
 
 
-def _lose(permit: Permit, reason: str) -> Completion:
-    return Completion(outcome=Outcome.UNKNOWN, target=permit.target, reason=reason)
+REPEATABLE = frozenset(
+    {AttemptResult.SHED, AttemptResult.UNREACHABLE, AttemptResult.FAILED}
+)
--- a/src/currantline/forwarding/_placement.py
+++ b/src/currantline/forwarding/_placement.py
@@ -7,7 +7,10 @@
 
 from currantline.admission import Work
 
-__all__ = ["AttemptResult", "Permit", "Placement"]
+__all__ = ["AttemptResult", "Permit", "Placement", "share_connections"]
+
+# One connection alone would make every request wait while it is replaced.
+MIN_CONNECTIONS = 2
 
 
 class AttemptResult(enum.Enum):
@@ -34,11 +37,14 @@
         Name of the target.
     address : str
         IP number and port of the target.
+    connections : int
+        Most connections of this instance to the target.
     """
 
     request_id: str
     target: str
     address: str
+    connections: int = MIN_CONNECTIONS
 
 
 class Placement(Protocol):
@@ -59,3 +65,14 @@
     ) -> None:
         """Give a permit back and say how its use ended."""
         ...
+
+
+def share_connections(connections: int, max_instances: int) -> int:
+    """Return how many connections one instance may open to a target.
+
+    Examples
+    --------
+    >>> share_connections(250, 32)
+    7
+    """
+    return max(MIN_CONNECTIONS, connections // max_instances)
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 by h11, for both sides of a connection."""
 
-from currantline.wire._connection import HttpConnection
+from currantline.wire._connection import HttpConnection, connect
 from currantline.wire._fetch import fetch
 from currantline.wire._messages import (
     HOP_BY_HOP,
@@ -8,6 +8,7 @@
     Headers,
     Request,
     find_header,
+    strip_hop_by_hop,
 )
 from currantline.wire._service import HttpService, answer_json
 
@@ -19,6 +20,8 @@
     "HttpService",
     "Request",
     "answer_json",
+    "connect",
     "fetch",
     "find_header",
+    "strip_hop_by_hop",
 ]
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,45 +1,47 @@
 """HTTP/1.1 messages over one asyncio connection, by h11."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import h11
 
-from currantline.exceptions import BodyTooLargeError, ProtocolError, WireError
+from currantline.exceptions import (
+    BodyTooLargeError,
+    ProtocolError,
+)
 from currantline.wire._messages import Answer, Headers, Request
+from currantline.wire._stream import ByteStream
 
-__all__ = ["HttpConnection"]
+__all__ = ["HttpConnection", "connect"]
 
-READ_BYTES = 65536
 MAX_HEAD_BYTES = 32768
+NO_BODY_STATUSES = frozenset({204, 304})
 
 
-class HttpConnection:
+class HttpConnection(ByteStream):
     """One side of an HTTP/1.1 connection.
 
     Parameters
     ----------
-    reader : asyncio.StreamReader
-        Incoming bytes.
-    writer : asyncio.StreamWriter
-        Outgoing bytes.
     role : type
         ``h11.CLIENT`` or ``h11.SERVER``.
     max_body_bytes : int
         Largest body accepted.
+    on_open : callable, optional
+        Called with this object once the connection is open.
     """
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
         role: Any,
         *,
         max_body_bytes: int,
+        on_open: Callable[["HttpConnection"], object] | None = None,
     ) -> None:
-        self._reader = reader
-        self._writer = writer
+        super().__init__(is_client=role is h11.CLIENT, on_open=on_open)
         self._max_body_bytes = max_body_bytes
+        self._is_head = False
         self._h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
 
     @property
@@ -48,33 +50,65 @@
         return (
             self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
-            and not self._reader.at_eof()
+            and not self._is_lost
+            and not self._is_early
+            and not (self._is_client and self.has_unread)
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes were received that belong to no message read so far."""
+        return bool(self._unread or self._h11.trailing_data[0])
+
     def start_next(self) -> None:
         """Prepare for the next exchange on this connection."""
         self._h11.start_next_cycle()
 
+    def encode_request(self, request: Request) -> bytes:
+        """Return a request as bytes for `write`.
+
+        Raises
+        ------
+        ProtocolError
+            If it cannot be sent as HTTP.
+        """
+        self._is_head = request.method == "HEAD"
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=_add_length(request.headers, request.body),
+            )
+        except h11.LocalProtocolError as error:
+            raise ProtocolError(str(error)) from error
+        return self._encode(head, request.body)
+
     def write_request(self, request: Request) -> None:
         """Hand a whole request to the transport without suspending."""
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=_encode(request.headers, request.body),
-        )
-        self._write(head, request.body)
+        self.write(self.encode_request(request))
 
     def write_answer(self, answer: Answer) -> None:
         """Hand a whole response to the transport without suspending."""
-        head = h11.Response(
-            status_code=answer.status,
-            headers=_encode(answer.headers, answer.body),
-        )
-        self._write(head, answer.body)
+        headers = list(answer.headers)
+        if answer.status not in NO_BODY_STATUSES:
+            headers = _add_length(answer.headers, answer.body)
+        try:
+            head = h11.Response(status_code=answer.status, headers=headers)
+        except h11.LocalProtocolError as error:
+            raise ProtocolError(str(error)) from error
+        self.write(self._encode(head, answer.body))
 
-    async def drain(self) -> None:
-        """Wait until the transport accepts more bytes."""
-        await self._writer.drain()
+    async def wait_for_data(self) -> bool:
+        """Wait for the first byte of a message; return False at the end.
+
+        Raises
+        ------
+        CurrantlineError
+            The error passed to `interrupt`.
+        """
+        while not self.has_unread and not self._is_lost:
+            await self._wait()
+        return self.has_unread
 
     async def read_request(self) -> Request | None:
         """Read one whole request.
@@ -94,12 +128,17 @@
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
-        body = await self._read_body()
+        headers = _decode(event.headers)
+        _check_head(event.target, headers)
+        self._check_length(headers)
+        if self._h11.they_are_waiting_for_100_continue and not self.has_unread:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.write(self._h11.send(go_on) or b"")
         return Request(
             method=event.method.decode("ascii"),
             target=event.target.decode("latin-1"),
-            headers=_decode(event.headers),
-            body=body,
+            headers=headers,
+            body=await self._read_body(),
         )
 
     async def read_answer(self) -> Answer:
@@ -113,7 +152,9 @@
         Raises
         ------
         ProtocolError
-            If the bytes are not HTTP or end within the response.
+            If the bytes are not HTTP, end within the response, or if only the
+            end of the connection would mark the end of the body, because a part
+            could not be told from the whole.
         BodyTooLargeError
             If the body exceeds the limit.
         """
@@ -122,28 +163,36 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ProtocolError("the connection closed before a response")
+        headers = _decode(event.headers)
+        _check_head(b"", headers)
+        if not self._has_framing(event.status_code, headers):
+            raise ProtocolError("the response does not say where its body ends")
         body = await self._read_body()
-        return Answer(
-            status=event.status_code, headers=_decode(event.headers), body=body
-        )
-
-    def close(self) -> None:
-        """Close the connection without waiting."""
-        self._writer.close()
-
-    def abort(self) -> None:
-        """Drop the connection at once, unsent bytes included."""
-        self._writer.transport.abort()
+        return Answer(status=event.status_code, headers=headers, body=body)
 
-    def _write(self, head: h11.Request | h11.Response, body: bytes) -> None:
+    def _encode(self, head: h11.Request | h11.Response, body: bytes) -> bytes:
         try:
             data = self._h11.send(head) or b""
             if body:
                 data += self._h11.send(h11.Data(data=body)) or b""
-            data += self._h11.send(h11.EndOfMessage()) or b""
+            return data + (self._h11.send(h11.EndOfMessage()) or b"")
         except h11.LocalProtocolError as error:
             raise ProtocolError(str(error)) from error
-        self._writer.write(data)
+
+    def _check_length(self, headers: Headers) -> None:
+        for name, value in headers:
+            if name == "content-length" and int(value) > self._max_body_bytes:
+                raise BodyTooLargeError(
+                    f"the body exceeds {self._max_body_bytes} bytes"
+                )
+
+    def _has_framing(self, status: int, headers: Headers) -> bool:
+        if status in NO_BODY_STATUSES or self._h11.their_state is h11.DONE:
+            return True
+        names = {name for name, _ in headers}
+        if names & {"content-length", "transfer-encoding"}:
+            return True
+        return self._is_head
 
     async def _read_body(self) -> bytes:
         parts: list[bytes] = []
@@ -166,20 +215,45 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise ProtocolError(str(error)) from error
+                raise ProtocolError(
+                    str(error), status=error.error_status_hint
+                ) from error
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._reader.read(READ_BYTES)
-            except OSError as error:
-                raise WireError(str(error)) from error
-            self._h11.receive_data(data)
+            await self._wait_for_bytes()
+            self._h11.receive_data(self._take_bytes())
+
 
+async def connect(address: str, *, max_body_bytes: int) -> HttpConnection:
+    """Open a connection to ``ip:port``.
 
-def _encode(headers: Headers, body: bytes) -> list[tuple[str, str]]:
+    Raises
+    ------
+    OSError
+        If the address cannot be reached.
+    """
+    host, _, port = address.rpartition(":")
+    _, connection = await asyncio.get_running_loop().create_connection(
+        lambda: HttpConnection(h11.CLIENT, max_body_bytes=max_body_bytes),
+        host,
+        int(port),
+    )
+    return connection
+
+
+def _add_length(headers: Headers, body: bytes) -> list[tuple[str, str]]:
+    if any(name == "content-length" for name, _ in headers):
+        return list(headers)
     return [*headers, ("content-length", str(len(body)))]
 
 
+def _check_head(target: bytes, headers: Headers) -> None:
+    # h11 limits a head that is incomplete, not one that arrives in one piece.
+    size = len(target) + sum(len(name) + len(value) for name, value in headers)
+    if size > MAX_HEAD_BYTES:
+        raise ProtocolError(f"the head exceeds {MAX_HEAD_BYTES} bytes", status=431)
+
+
 def _decode(headers: Any) -> Headers:
     return tuple(
         (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
--- a/src/currantline/wire/_fetch.py
+++ b/src/currantline/wire/_fetch.py
@@ -2,10 +2,8 @@
 
 import asyncio
 
-import h11
-
 from currantline.exceptions import WireError
-from currantline.wire._connection import HttpConnection
+from currantline.wire._connection import connect
 from currantline.wire._messages import Answer, Request
 
 __all__ = ["fetch"]
@@ -35,13 +33,9 @@
     WireError
         If no whole answer came in time.
     """
-    host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            connection = HttpConnection(
-                reader, writer, h11.CLIENT, max_body_bytes=MAX_BODY_BYTES
-            )
+            connection = await connect(address, max_body_bytes=MAX_BODY_BYTES)
             try:
                 connection.write_request(_add_host(request, address))
                 return await connection.read_answer()
--- a/src/currantline/wire/_messages.py
+++ b/src/currantline/wire/_messages.py
@@ -8,6 +8,7 @@
     "Headers",
     "Request",
     "find_header",
+    "strip_hop_by_hop",
 ]
 
 Headers = tuple[tuple[str, str], ...]
@@ -81,3 +82,27 @@
     'b'
     """
     return next((value for key, value in headers if key == name), None)
+
+
+def strip_hop_by_hop(headers: Headers) -> Headers:
+    """Return the headers that a hop passes on.
+
+    Headers of currantline itself and those that ``connection`` names are left
+    out too.
+
+    Examples
+    --------
+    >>> strip_hop_by_hop((("connection", "x-a"), ("x-a", "1"), ("x-b", "2")))
+    (('x-b', '2'),)
+    """
+    dropped = HOP_BY_HOP.union(
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    )
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in dropped and not name.startswith("currantline-")
+    )
--- a/src/currantline/wire/_service.py
+++ b/src/currantline/wire/_service.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from currantline.exceptions import WireError
+from currantline.exceptions import BodyTooLargeError, ProtocolError, WireError
 from currantline.wire._connection import HttpConnection
 from currantline.wire._messages import Answer, Request
 
@@ -30,6 +30,8 @@
 class HttpService:
     """Serves whole requests with one handler.
 
+    The handler is cancelled if the other side closes the connection.
+
     Parameters
     ----------
     handler : callable
@@ -41,6 +43,13 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def address(self) -> str:
+        """Address that the service listens on, ``ip:port``."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``.
 
@@ -50,7 +59,8 @@
             If the address cannot be used.
         """
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._build, host, int(port))
 
     async def stop(self) -> None:
         """Stop listening and drop all connections."""
@@ -60,24 +70,52 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        connection = HttpConnection(
-            reader, writer, h11.SERVER, max_body_bytes=MAX_BODY_BYTES
+    async def exchange(self, connection: HttpConnection, request: Request) -> None:
+        """Answer one request on a connection."""
+        connection.write_answer(await self._handler(request))
+        await connection.drain()
+
+    def _build(self) -> HttpConnection:
+        return HttpConnection(
+            h11.SERVER, max_body_bytes=MAX_BODY_BYTES, on_open=self._open
         )
+
+    def _open(self, connection: HttpConnection) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection: HttpConnection) -> None:
         try:
-            while (request := await connection.read_request()) is not None:
-                connection.write_answer(await self._handler(request))
-                await connection.drain()
-                if not connection.is_reusable:
-                    break
-                connection.start_next()
+            await self._serve_all(connection)
+        except (ProtocolError, BodyTooLargeError) as error:
+            status = error.status if isinstance(error, ProtocolError) else 413
+            _answer_fault(connection, status)
         except (WireError, OSError, asyncio.CancelledError):
             connection.abort()
         finally:
-            self._tasks.discard(task)
             connection.close()
+
+    async def _serve_all(self, connection: HttpConnection) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        while (request := await connection.read_request()) is not None:
+            if connection.is_lost:
+                return
+            connection.on_lost = task.cancel
+            await self.exchange(connection, request)
+            connection.on_lost = None
+            if not connection.is_reusable:
+                return
+            connection.start_next()
+
+
+def _answer_fault(connection: HttpConnection, status: int) -> None:
+    try:
+        connection.write_answer(
+            Answer(status=status, headers=(("connection", "close"),))
+        )
+    except ProtocolError:
+        connection.abort()
+    else:
+        connection.close_after_end()
--- /dev/null
+++ b/src/currantline/wire/_stream.py
@@ -0,0 +1,197 @@
+"""Bytes over one asyncio connection."""
+
+import asyncio
+import select
+from collections.abc import Callable
+
+from currantline.exceptions import CurrantlineError, WireError
+
+__all__ = ["ByteStream"]
+
+MAX_UNREAD_BYTES = 65536
+
+# A close with unread bytes resets the connection and may destroy an answer that
+# the other side has not read yet, so the close waits this long for its end.
+LINGER_S = 1.0
+
+
+class ByteStream(asyncio.Protocol):
+    """Received bytes, waiting, interruption and the end of one connection.
+
+    Parameters
+    ----------
+    is_client : bool
+        Whether this side opened the connection.
+    on_open : callable, optional
+        Called with this object once the connection is open.
+
+    Attributes
+    ----------
+    on_lost : callable or None
+        Called when the other side closes or the connection breaks.
+    """
+
+    def __init__(
+        self, *, is_client: bool, on_open: Callable[..., object] | None = None
+    ) -> None:
+        self.on_lost: Callable[[], object] | None = None
+        self._on_open = on_open
+        self._is_client = is_client
+        self._transport: asyncio.Transport
+        self._unread = bytearray()
+        self._is_lost = False
+        self._is_early = False
+        self._is_discarding = False
+        self._is_reading_paused = False
+        self._is_writing_paused = False
+        self._interruption: CurrantlineError | None = None
+        self._data_waiter: asyncio.Future[None] | None = None
+        self._drain_waiter: asyncio.Future[None] | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the other side closed, or the connection broke."""
+        return self._is_lost
+
+    @property
+    def peer_host(self) -> str:
+        """IP number of the other side."""
+        name = self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
+
+    def is_readable(self) -> bool:
+        """Return whether bytes or an end wait in the socket itself.
+
+        The event loop has not seen these yet, for instance after a pause of the
+        process.
+        """
+        if self._is_lost or self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def write(self, data: bytes) -> None:
+        """Hand bytes to the transport without suspending."""
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the transport accepts more bytes.
+
+        Raises
+        ------
+        WireError
+            If the connection broke.
+        """
+        while self._is_writing_paused and not self._transport.is_closing():
+            self._raise_interruption()
+            self._drain_waiter = asyncio.get_running_loop().create_future()
+            await self._drain_waiter
+        if self._transport.is_closing():
+            raise WireError("the connection broke")
+
+    def interrupt(self, error: CurrantlineError) -> None:
+        """Raise an error in the coroutine that waits, now or next."""
+        self._interruption = error
+        self._wake()
+
+    def clear_interruption(self) -> None:
+        """Forget an interruption that came after the wait had ended."""
+        self._interruption = None
+
+    def close(self) -> None:
+        """Close the connection without waiting."""
+        if not self._is_discarding:
+            self._transport.close()
+
+    def close_after_end(self) -> None:
+        """Send what is written, then close once the other side ended."""
+        if self._transport.is_closing() or self._is_lost:
+            self._transport.close()
+            return
+        self._is_discarding = True
+        self._unread.clear()
+        self._resume_reading()
+        self._transport.write_eof()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_S, self._transport.close)
+
+    def abort(self) -> None:
+        """Drop the connection at once, unsent bytes included."""
+        self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over an open transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if self._on_open is not None:
+            self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep received bytes for the reader."""
+        if self._is_discarding:
+            return
+        if self._is_client and self._transport.get_write_buffer_size():
+            self._is_early = True
+        self._unread += data
+        if len(self._unread) > MAX_UNREAD_BYTES and self._data_waiter is None:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the end; a server may still answer."""
+        self._lose()
+        return not self._is_client and not self._is_discarding
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that nothing can be read or written any more."""
+        self._lose()
+
+    def pause_writing(self) -> None:
+        """Note that the transport's buffer is full."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Note that the transport's buffer has room."""
+        self._is_writing_paused = False
+        self._wake()
+
+    def _lose(self) -> None:
+        self._is_lost = True
+        self._wake()
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def _wake(self) -> None:
+        for waiter in (self._data_waiter, self._drain_waiter):
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._raise_interruption()
+        self._data_waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._data_waiter
+        finally:
+            self._data_waiter = None
+
+    def _raise_interruption(self) -> None:
+        if self._interruption is not None:
+            error, self._interruption = self._interruption, None
+            raise error
+
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    async def _wait_for_bytes(self) -> None:
+        while not self._unread and not self._is_lost:
+            await self._wait()
+
+    def _take_bytes(self) -> bytes:
+        data = bytes(self._unread)
+        self._unread.clear()
+        self._resume_reading()
+        return data
