Give the stand-in target the faults of the failure model

The stand-in could be slow, shed everything or be silent for good, so drains, connections that go silent while new ones work, partial or repeated answers, ignored deadlines and misleading load could not be exercised. They can now be switched by POST /standin/behaviour or in a test. A closed connection cancels its request and a deadline that the request carries ends it. Work is injectable, so tests need no time.

Ruled out: a raw socket server, because it would repeat the HTTP handling of wire.

--- a/src/currantline/standin/target.py
+++ b/src/currantline/standin/target.py
@@ -1,4 +1,4 @@
-"""Stand-in for targets: slots, sheds, drain, cold start and faults.
+"""Stand-in for targets: slots, backlog, sheds, drain, cold start and faults.
 
 One process hosts many targets, one per address.
 """
@@ -8,24 +8,26 @@
 import json
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 from urllib.parse import urlsplit
 
 import attrs
 from absl import app, flags
 from eliot import log_message
 
+from currantline.clock import Clock, MonotonicClock
 from currantline.configuration import Target, parse_configuration
 from currantline.wire import (
     Answer,
+    HttpConnection,
     HttpService,
     Request,
     answer_json,
     find_header,
 )
 
-__all__ = ["StandinTarget"]
+__all__ = ["Behaviour", "StandinTarget"]
 
 SHORT_MS = 8.0
 LONG_FACTOR = 25.0
@@ -33,10 +35,14 @@
 # A target keeps a backlog of as many requests as it has slots; more are shed.
 BACKLOG_PER_SLOT = 1
 
+# A cold target is this much slower at first and warms up over as many requests.
+COLD_FACTOR = 5.0
+COLD_REQUESTS = 50
 
-@attrs.define
+
+@attrs.define(kw_only=True)
 class Behaviour:
-    """Faults that are switched on.
+    """State and faults that are switched on.
 
     Parameters
     ----------
@@ -47,13 +53,98 @@
     rejects : bool
         Whether every request is shed at once.
     is_silent : bool
-        Whether requests are read and never answered.
+        Whether no open connection is answered any more. Connections opened
+        later work.
+    truncates : bool
+        Whether answers break off in the middle.
+    repeats : bool
+        Whether every answer is sent twice.
+    is_late : bool
+        Whether deadlines and closed connections do not end the work.
+    is_cold : bool
+        Whether the target is cold again.
+    load_lag_ms : float
+        Age that a reported load may have, in milliseconds.
+    lies : bool
+        Whether the reported load is always idle and ready.
     """
 
     state: str = "ready"
     slow_factor: float = 1.0
     rejects: bool = False
     is_silent: bool = False
+    truncates: bool = False
+    repeats: bool = False
+    is_late: bool = False
+    is_cold: bool = False
+    load_lag_ms: float = 0.0
+    lies: bool = False
+
+
+async def sleep_ms(duration_ms: float) -> None:
+    """Work for a time in milliseconds."""
+    await asyncio.sleep(duration_ms / 1000)
+
+
+class TargetService(HttpService):
+    """Serves a stand-in target, faults of the connection included."""
+
+    def __init__(self, target: "StandinTarget") -> None:
+        super().__init__(target.handle)
+        self._target = target
+        self._open_connections: set[HttpConnection] = set()
+        self._busy: set[HttpConnection] = set()
+        self._silent: set[HttpConnection] = set()
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections that carried a request."""
+        return len(self._open_connections)
+
+    def silence(self) -> None:
+        """Answer nothing more on the connections that are open now."""
+        self._silent |= self._open_connections
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for connection in self._open_connections - self._busy:
+            connection.close()
+
+    async def exchange(self, connection: HttpConnection, request: Request) -> None:
+        """Answer one request with the faults that are switched on."""
+        self._forget_lost()
+        self._open_connections.add(connection)
+        self._busy.add(connection)
+        if self._target.behaviour.is_late:
+            connection.on_lost = None
+        try:
+            answer = await self._target.handle(request)
+            if connection in self._silent:
+                await asyncio.Event().wait()
+            await self._write(connection, answer)
+        finally:
+            self._busy.discard(connection)
+
+    async def _write(self, connection: HttpConnection, answer: Answer) -> None:
+        behaviour = self._target.behaviour
+        if behaviour.state == "draining":
+            closing = (*answer.headers, ("connection", "close"))
+            answer = attrs.evolve(answer, headers=closing)
+        if behaviour.truncates:
+            half = answer.body[: len(answer.body) // 2]
+            connection.write(_render(answer, len(answer.body), half))
+            connection.close()
+            return
+        connection.write_answer(answer)
+        if behaviour.repeats:
+            connection.write(_render(answer, len(answer.body), answer.body))
+        if not connection.is_lost:
+            await connection.drain()
+
+    def _forget_lost(self) -> None:
+        lost = {each for each in self._open_connections if each.is_lost}
+        self._open_connections -= lost
+        self._silent -= lost
 
 
 class StandinTarget:
@@ -65,16 +156,42 @@
         Name, address and slots.
     rng : random.Random
         Source of service times.
+    clock : Clock, optional
+        Source of time for lagging reports.
+    work : callable, optional
+        Coroutine function that takes the service time in milliseconds.
     """
 
-    def __init__(self, target: Target, rng: random.Random) -> None:
+    def __init__(
+        self,
+        target: Target,
+        rng: random.Random,
+        *,
+        clock: Clock | None = None,
+        work: Callable[[float], Awaitable[None]] = sleep_ms,
+    ) -> None:
         self.target = target
         self.behaviour = Behaviour()
         self.seen: Counter[str] = Counter()
-        self.service = HttpService(self.handle)
+        self.cancelled: Counter[str] = Counter()
+        self.service = TargetService(self)
         self._rng = rng
+        self._clock = clock or MonotonicClock()
+        self._pause = work
         self._slots = asyncio.Semaphore(target.slots)
         self._present = 0
+        self._warm_requests = COLD_REQUESTS
+        self._reported = (float("-inf"), "")
+
+    def switch(self, behaviour: Behaviour) -> None:
+        """Switch faults on and off."""
+        if behaviour.is_silent and not self.behaviour.is_silent:
+            self.service.silence()
+        if behaviour.is_cold and not self.behaviour.is_cold:
+            self._warm_requests = 0
+        if behaviour.state == "draining":
+            self.service.close_idle()
+        self.behaviour = behaviour
 
     async def handle(self, request: Request) -> Answer:
         """Answer one request."""
@@ -84,7 +201,7 @@
         if path == "/standin/seen":
             return answer_json(dict(self.seen))
         if path == "/standin/behaviour":
-            self.behaviour = Behaviour(**json.loads(request.body))
+            self.switch(Behaviour(**json.loads(request.body)))
             return answer_json({})
         return await self._work(request, path)
 
@@ -95,30 +212,54 @@
             "target:request", request_id=request_id, target=self.target.name, path=path
         )
         limit = self.target.slots * (1 + BACKLOG_PER_SLOT)
-        if self.behaviour.rejects or self._present >= limit:
+        refuses = self.behaviour.rejects or self.behaviour.state != "ready"
+        if refuses or self._present >= limit:
             return self._answer(503, b"", ("target-shed", "1"))
         self._present += 1
         try:
-            if self.behaviour.is_silent:
-                await asyncio.Event().wait()
-            async with self._slots:
-                await asyncio.sleep(self._draw(path) / 1000)
+            async with asyncio.timeout(self._read_limit(request)), self._slots:
+                await self._pause(self._draw(path))
+        except TimeoutError:
+            return self._answer(504, b"", ("target-gave-up", "1"))
+        except asyncio.CancelledError:
+            self.cancelled[request_id] += 1
+            raise
         finally:
             self._present -= 1
         return self._answer(200, f"{request_id} {path}".encode())
 
+    def _read_limit(self, request: Request) -> float | None:
+        given = find_header(request.headers, "currantline-timeout-ms")
+        return None if given is None or self.behaviour.is_late else int(given) / 1000
+
     def _draw(self, path: str) -> float:
         mean = SHORT_MS * (LONG_FACTOR if path.startswith("/long") else 1.0)
-        return self._rng.expovariate(1 / mean) * self.behaviour.slow_factor
+        warmth = min(1.0, self._warm_requests / COLD_REQUESTS)
+        self._warm_requests += 1
+        factor = COLD_FACTOR + (1.0 - COLD_FACTOR) * warmth
+        return self._rng.expovariate(1 / mean) * self.behaviour.slow_factor * factor
 
     def _answer(self, status: int, body: bytes, *headers: tuple[str, str]) -> Answer:
-        load = (
-            f"in-flight={self._present}, slots={self.target.slots},"
-            f" state={self.behaviour.state}"
-        )
-        return Answer(
-            status=status, headers=(("target-load", load), *headers), body=body
-        )
+        load = ("target-load", self._report_load())
+        return Answer(status=status, headers=(load, *headers), body=body)
+
+    def _report_load(self) -> str:
+        if self.behaviour.lies:
+            return f"in-flight=0, slots={self.target.slots}, state=ready"
+        now = self._clock.read()
+        if now - self._reported[0] >= self.behaviour.load_lag_ms:
+            load = (
+                f"in-flight={self._present}, slots={self.target.slots},"
+                f" state={self.behaviour.state}"
+            )
+            self._reported = (now, load)
+        return self._reported[1]
+
+
+def _render(answer: Answer, length: int, body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {answer.status} OK", f"content-length: {length}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
 async def serve(path: str, seed: int) -> None:
@@ -126,13 +267,10 @@
     configuration = parse_configuration(
         Path(path).read_text(encoding="utf-8"), source=path
     )
-    targets: list[Any] = []
     for service in configuration.services.values():
         for target in service.targets:
             rng = random.Random(f"{seed} {target.name}")
-            standin = StandinTarget(target, rng)
-            await standin.service.start(target.address)
-            targets.append(standin)
+            await StandinTarget(target, rng).service.start(target.address)
     await asyncio.Event().wait()
 
 
--- /dev/null
+++ b/src/currantline/standin/tests/test_target.py
@@ -0,0 +1,171 @@
+"""Tests of the stand-in for targets."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from currantline.clock import ManualClock
+from currantline.configuration import Target
+from currantline.exceptions import WireError
+from currantline.forwarding.tests.support import run
+from currantline.standin.target import Behaviour, StandinTarget
+from currantline.wire import Answer, Request, connect, fetch, find_header
+
+TIMEOUT_MS = 30_000.0
+
+
+class Gate:
+    """Work that ends when a test opens it."""
+
+    def __init__(self) -> None:
+        self.is_open = asyncio.Event()
+        self.entered = asyncio.Event()
+        self.left = asyncio.Event()
+
+    async def __call__(self, duration_ms: float) -> None:
+        """Work until the gate is open."""
+        self.entered.set()
+        try:
+            await self.is_open.wait()
+        finally:
+            self.left.set()
+
+
+async def start(clock: ManualClock | None = None) -> tuple[StandinTarget, Gate]:
+    """Return a target with one slot whose work a test ends."""
+    gate = Gate()
+    target = StandinTarget(
+        Target(name="a", address="127.0.0.1:1", data_centre="x", slots=1),
+        random.Random(1),
+        clock=clock or ManualClock(),
+        work=gate,
+    )
+    await target.service.start("127.0.0.1:0")
+    return target, gate
+
+
+def ask(target: StandinTarget, number: int, *extra: tuple[str, str]) -> Any:
+    """Send a request in a task."""
+    headers = (("currantline-request-id", f"r{number}"), *extra)
+    request = Request(method="GET", target="/x", headers=headers)
+    return asyncio.ensure_future(
+        fetch(target.service.address, request, timeout_ms=TIMEOUT_MS)
+    )
+
+
+def is_shed(answer: Answer) -> bool:
+    """Return whether an answer is a shed."""
+    return find_header(answer.headers, "target-shed") == "1"
+
+
+class TestStandinTarget:
+    """Behaviours of the stand-in."""
+
+    def test_backlog_and_sheds(self) -> None:
+        """Guards against a target that accepts more than its slots and backlog."""
+
+        async def test() -> None:
+            target, gate = await start()
+            tasks = [ask(target, number) for number in range(3)]
+            done, held = await asyncio.wait(tasks, return_when="FIRST_COMPLETED")
+            assert [is_shed(task.result()) for task in done] == [True]
+            gate.is_open.set()
+            assert not any([is_shed(await task) for task in held])
+            assert target.seen.total() == 3
+
+        run(test())
+
+    def test_drain_finishes_work(self) -> None:
+        """Guards against a drain that cuts off a request or accepts new ones."""
+
+        async def test() -> None:
+            target, gate = await start()
+            held = ask(target, 1)
+            await gate.entered.wait()
+            target.switch(Behaviour(state="draining"))
+            assert is_shed(await ask(target, 2))
+            gate.is_open.set()
+            answer = await held
+            assert answer.status == 200
+            assert find_header(answer.headers, "connection") == "close"
+
+        run(test())
+
+    def test_closed_connection_cancels(self) -> None:
+        """Guards against work that goes on for a connection that was closed."""
+
+        async def test() -> None:
+            target, gate = await start()
+            held = ask(target, 1)
+            await gate.entered.wait()
+            held.cancel()
+            await asyncio.gather(held, return_exceptions=True)
+            following = ask(target, 2)
+            await gate.left.wait()
+            gate.is_open.set()
+            await following
+            assert target.cancelled == {"r1": 1}
+
+        run(test())
+
+    def test_deadline(self) -> None:
+        """Guards against work past the deadline that the request carries."""
+
+        async def test() -> None:
+            target, _ = await start()
+            answer = await ask(target, 1, ("currantline-timeout-ms", "1"))
+            assert answer.status == 504
+
+        run(test())
+
+    def test_silence_spares_new_connections(self) -> None:
+        """Guards against silence of connections that were opened later."""
+
+        async def test() -> None:
+            target, gate = await start()
+            gate.is_open.set()
+            old = await connect(target.service.address, max_body_bytes=1000)
+            request = Request(method="GET", target="/x", headers=(("host", "a"),))
+            old.write_request(request)
+            assert (await old.read_answer()).status == 200
+            old.start_next()
+            target.switch(Behaviour(is_silent=True))
+            old.write_request(request)
+            assert (await ask(target, 1)).status == 200
+            assert not old.has_unread
+            old.abort()
+
+        run(test())
+
+    def test_truncated_answer(self) -> None:
+        """Guards against a fault that a reader could take for a whole answer."""
+
+        async def test() -> None:
+            target, gate = await start()
+            gate.is_open.set()
+            target.switch(Behaviour(truncates=True))
+            with pytest.raises(WireError):
+                await ask(target, 1)
+
+        run(test())
+
+    def test_lagging_load(self) -> None:
+        """Guards against a lag that does not show in the reported load."""
+
+        async def test() -> None:
+            clock = ManualClock()
+            target, gate = await start(clock)
+            gate.is_open.set()
+            target.switch(Behaviour(load_lag_ms=100.0))
+            await ask(target, 1)
+            target.switch(Behaviour(load_lag_ms=100.0, state="draining"))
+            late = find_header((await ask(target, 2)).headers, "target-load")
+            clock.advance(100.0)
+            now = find_header((await ask(target, 3)).headers, "target-load")
+            assert late is not None
+            assert now is not None
+            assert ("ready" in late, "draining" in now) == (True, True)
+
+        run(test())
