Bound the probes of a target in every second

ProbeBudget keeps the lease half and the share half of a target as buckets that start empty and hold one token. Only whole tokens are spent, so a bucket is kept as a shortest time between probes and no rounding adds up.

Cause of the share right: the rates alone do not keep the worst second. With every instance free to spend its share half at any time, the stateful test found five instances with full buckets that probe one target at the same moment: [5100.0, 5100.0, 5100.0, 5100.0, 5100.0] against a budget of 2 per second. The share half is now spent only under a right that few instances can hold at a time, acknowledged like the lease by a smaller quorum.

Ruled out: phases on the wall clock, because nothing promises that clocks of instances agree; a single instance for each target chosen by hashing, because two copies of a lagging list choose two instances.

Broken variants, the first two against the stateful test: - without emptying the bucket when the right changes ("bucket.since = now" in check): [100.0, 200.0, 200.0] exceeds 2 in a second, and [100.0, 200.0] exceeds half in calm; - without "now - bucket.checked > CHECK_GAP_MS": a holder that pauses, loses the lease and resumes as holder gives [4300.0, 5200.0, 5200.0]; - without noting the time of a probe ("bucket.since = now" in allow): test_rate meets an InvariantError, "a probe of t would be number 2 of this instance within 1 s".

Conclusion: within the budget in every second, and within half in calm, for as long as the rights are exclusive as the module states.

--- /dev/null
+++ b/src/currantline/load/_budget.py
@@ -0,0 +1,205 @@
+"""Budget of probes.
+
+A right to probe a target is either the lease half or the share half of section 3.5
+of the design page. A bucket that starts empty, holds at most one token and gives
+only whole tokens is the same as a shortest time between probes, which is what is
+kept here: no rounding adds up over many small refills.
+
+The bound in every second over all instances rests on what the rights promise:
+
+- for each target at most one instance holds the lease at a time, and
+- for each target at most ``count_share_holders(budget)`` instances hold the share
+  right at a time, or one more while no instance holds the lease.
+
+A bucket is emptied when its right begins, ends or changes. So an instance that sends
+a probe held its right for a whole period before, and all that send in one second held
+theirs at the time of its first probe: their number is bounded by the rights alone.
+
+The rate of the share half does not bound a second without such a right: buckets that
+filled while the evidence was fresh could all be spent in the second it is lost.
+"""
+
+import enum
+import math
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from currantline.configuration import Service
+from currantline.exceptions import InvariantError
+
+__all__ = ["ProbeBudget", "ProbeRight", "count_share_holders"]
+
+SECOND_MS = 1000.0
+# A right seen at two checks this close together was held in between: a lease
+# changes hands twice in no less than twice view_lease_ms (2,000 ms each).
+CHECK_GAP_MS = 1000.0
+
+
+class ProbeRight(enum.Enum):
+    """Right under which a target may be probed."""
+
+    NONE = "none"
+    SHARE = "share"
+    LEASE = "lease"
+
+
+def count_share_holders(budget: float) -> int:
+    """Return how many instances may hold the share right of a target at a time.
+
+    Parameters
+    ----------
+    budget : float
+        Probes per second for the target, over all instances.
+
+    Examples
+    --------
+    >>> [count_share_holders(budget) for budget in (1.0, 2.0, 4.0)]
+    [0, 1, 2]
+    """
+    return max(0, math.floor(budget) - math.ceil(budget / 2))
+
+
+@attrs.define
+class Bucket:
+    """State of one target.
+
+    Parameters
+    ----------
+    budget : float
+        Probes per second over all instances.
+    right : ProbeRight
+        Right that was held at the last check.
+    since : float
+        When the right began or was last used, in milliseconds of the clock.
+    checked : float
+        Time of the last check.
+    recent : deque of float
+        Times of the probes within the last second.
+    """
+
+    budget: float
+    right: ProbeRight = ProbeRight.NONE
+    since: float = -math.inf
+    checked: float = -math.inf
+    recent: deque[float] = attrs.field(factory=deque)
+
+
+class ProbeBudget:
+    """Probes that one instance may send.
+
+    Parameters
+    ----------
+    max_instances : int
+        Most instances that may run at the same time.
+    """
+
+    def __init__(self, max_instances: int) -> None:
+        self._max_instances = max_instances
+        self._buckets: dict[str, Bucket] = {}
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Take over the targets of a configuration and forget all others."""
+        buckets: dict[str, Bucket] = {}
+        for service in services:
+            for target in service.targets:
+                bucket = self._buckets.get(target.name)
+                bucket = bucket or Bucket(budget=service.probe_budget)
+                bucket.budget = service.probe_budget
+                buckets[target.name] = bucket
+        self._buckets = buckets
+
+    def check(
+        self, target: str, holds_lease: bool, now: float, *, holds_share: bool = False
+    ) -> bool:
+        """Return whether a probe may be sent now, without taking the token.
+
+        Call this at least every 500 ms while a right is held: a right that was
+        not checked for ``CHECK_GAP_MS`` counts as lost and begins anew.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        holds_lease : bool
+            Whether this instance holds the lease of the target at ``now``. It must
+            be true at one instance at a time only. A lease on a view is not
+            enough for that: instances with the same view and different
+            configuration versions or readiness assign targets differently.
+        now : float
+            Time in milliseconds of the clock.
+        holds_share : bool
+            Whether this instance holds the share right of the target; see the
+            module for how many may hold it. A view acknowledged by more than
+            ``1 / (count_share_holders(budget) + 2)`` of the known instances, under
+            the rules of the lease, gives such a right.
+        """
+        bucket = self._buckets.get(target)
+        if bucket is None:
+            return False
+        right = _choose_right(bucket.budget, holds_lease, holds_share)
+        if right is not bucket.right or now - bucket.checked > CHECK_GAP_MS:
+            bucket.right = right
+            bucket.since = now
+        bucket.checked = now
+        if right is ProbeRight.NONE or bucket.budget <= 0:
+            return False
+        return now - bucket.since >= self._find_period(bucket)
+
+    def allow(
+        self, target: str, holds_lease: bool, now: float, *, holds_share: bool = False
+    ) -> bool:
+        """Take a token for a probe that is sent now; see `check`.
+
+        Returns
+        -------
+        bool
+            Whether the probe may be sent.
+
+        Raises
+        ------
+        InvariantError
+            If the probe would exceed the budget.
+        """
+        if not self.check(target, holds_lease, now, holds_share=holds_share):
+            return False
+        bucket = self._buckets[target]
+        _forget_before(bucket, now - SECOND_MS)
+        # Counted apart from the bucket, so that a fault in it is found.
+        if len(bucket.recent) + 1 > math.ceil(bucket.budget / 2):
+            raise InvariantError(
+                f"a probe of {target} would be number {len(bucket.recent) + 1} of this"
+                f" instance within 1 s; half the budget is {bucket.budget / 2:g}"
+            )
+        bucket.recent.append(now)
+        bucket.since = now
+        return True
+
+    def measure_use(self, target: str, now: float) -> float:
+        """Return the share of a target's budget used here in the last second."""
+        bucket = self._buckets.get(target)
+        if bucket is None or bucket.budget <= 0:
+            return 0.0
+        _forget_before(bucket, now - SECOND_MS)
+        return len(bucket.recent) / bucket.budget
+
+    def _find_period(self, bucket: Bucket) -> float:
+        period_ms = SECOND_MS / (bucket.budget / 2)
+        if bucket.right is ProbeRight.LEASE:
+            return period_ms
+        # At least a second, so that each holder counts once in any second.
+        return max(SECOND_MS, period_ms * self._max_instances)
+
+
+def _choose_right(budget: float, holds_lease: bool, holds_share: bool) -> ProbeRight:
+    if holds_lease:
+        return ProbeRight.LEASE
+    if holds_share and count_share_holders(budget) > 0:
+        return ProbeRight.SHARE
+    return ProbeRight.NONE
+
+
+def _forget_before(bucket: Bucket, oldest: float) -> None:
+    while bucket.recent and bucket.recent[0] <= oldest:
+        bucket.recent.popleft()
