Keep evidence and a limit for each target

TargetBook gives a target new work only with evidence younger than evidence_ms that it is not draining, and between 1 and its slots then. Evidence is three maxima of times, so late, reordered and repeated news lead to the same state. Failures and sheds count whatever their speed; the circuit opens after five in a row, in at most half of the targets of a service, and half-opens for one trial with exponential backoff and jitter. A probe never closes it, since a health endpoint may mislead. What a load header claims, other than the state, does not enter the limit.

Ruled out: counting the age of a pushed notice from its receipt, because it may have waited in a buffer of a paused process; only a drain is taken from a notice that was not asked for. Ending a drain named by the list by what the target says, because its health endpoint may lag.

--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -1,5 +1,27 @@
 """What is known of each target, and the probes that find it out."""
 
+from currantline.load._book import TargetBelief, TargetBook
 from currantline.load._budget import ProbeBudget, count_share_holders
+from currantline.load._notices import TargetNotice
+from currantline.load._observation import (
+    LoadReport,
+    Observation,
+    Signal,
+    TargetState,
+    parse_load,
+)
+from currantline.load._options import LoadOptions
 
-__all__ = ["ProbeBudget", "count_share_holders"]
+__all__ = [
+    "LoadOptions",
+    "LoadReport",
+    "Observation",
+    "ProbeBudget",
+    "Signal",
+    "TargetBelief",
+    "TargetBook",
+    "TargetNotice",
+    "TargetState",
+    "count_share_holders",
+    "parse_load",
+]
--- /dev/null
+++ b/src/currantline/load/_book.py
@@ -0,0 +1,333 @@
+"""What is known of each target."""
+
+import math
+import random
+import statistics
+from collections.abc import Iterable
+
+import attrs
+
+from currantline.configuration import Service
+from currantline.load._circuit import Circuit
+from currantline.load._easing import Easing
+from currantline.load._evidence import NEVER, Evidence
+from currantline.load._notices import TargetNotice
+from currantline.load._observation import (
+    LoadReport,
+    Observation,
+    Signal,
+    TargetState,
+)
+from currantline.load._options import LoadOptions
+
+__all__ = ["TargetBelief", "TargetBook"]
+
+BAD_SIGNALS = frozenset({Signal.SHED, Signal.FAILED})
+# A target unheard of for this long may have been restarted and is cold.
+COLD_MS = 30_000.0
+# With one target there is nothing to compare its response time with.
+FEWEST_COMPARED = 2
+
+
+@attrs.frozen(kw_only=True)
+class TargetBelief:
+    """What is believed of a target.
+
+    Parameters
+    ----------
+    target, service : str
+        Names.
+    state : TargetState
+        State that the evidence supports.
+    evidence_age_ms : float or None
+        Age of the evidence that it is not draining; None for no evidence.
+    limit : int
+        Slots to use now.
+    circuit : str
+        ``closed``, ``open`` or ``half-open``.
+    response_ms : float or None
+        Median of its last response times.
+    report : LoadReport or None
+        Its last claim about itself, which does not enter the limit.
+    """
+
+    target: str
+    service: str
+    state: TargetState
+    evidence_age_ms: float | None
+    limit: int
+    circuit: str
+    response_ms: float | None
+    report: LoadReport | None
+
+
+@attrs.define(kw_only=True)
+class Entry:
+    """State of one target.
+
+    Parameters
+    ----------
+    service : str
+        Service of the target.
+    slots : int
+        Its slots.
+    """
+
+    service: str
+    slots: int
+    evidence: Evidence = attrs.field(factory=Evidence)
+    own: Evidence = attrs.field(factory=Evidence)
+    circuit: Circuit = attrs.field(factory=Circuit)
+    easing: Easing = attrs.field(factory=Easing)
+    report: LoadReport | None = None
+    heard: float = NEVER
+
+
+class TargetBook:
+    """What is known of each target.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the jitter of the circuit breakers.
+    options : LoadOptions, optional
+        Options of the slice.
+    """
+
+    def __init__(self, rng: random.Random, options: LoadOptions | None = None) -> None:
+        self._rng = rng
+        self._options = options or LoadOptions()
+        self._entries: dict[str, Entry] = {}
+        self._pools: dict[str, list[Entry]] = {}
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Take over the targets of a configuration and forget all others."""
+        entries: dict[str, Entry] = {}
+        self._pools = {}
+        for service in services:
+            pool = self._pools.setdefault(service.name, [])
+            for target in service.targets:
+                entry = self._entries.get(target.name)
+                if entry is None or entry.service != service.name:
+                    entry = Entry(service=service.name, slots=target.slots)
+                entry.slots = target.slots
+                entries[target.name] = entry
+                pool.append(entry)
+        self._entries = entries
+
+    def set_listed(
+        self, *, live: Iterable[str], leaving: Iterable[str], now: float
+    ) -> None:
+        """Take over the targets of the published list.
+
+        A target named leaving drains until the list names it live, whatever it
+        says of itself: its health endpoint may lag. A name that is in neither
+        stays as it is, because a list that lags may lack it.
+
+        Parameters
+        ----------
+        live, leaving : iterable of str
+            Names of targets in each state.
+        now : float
+            Time of reading, in milliseconds of the clock.
+        """
+        for name in live:
+            if (entry := self._entries.get(name)) is not None:
+                entry.evidence.list_as(is_leaving=False)
+                entry.own.list_as(is_leaving=False)
+        for name in leaving:
+            entry = self._entries.get(name)
+            if entry is not None and not entry.evidence.is_listed_leaving:
+                for evidence in (entry.evidence, entry.own):
+                    evidence.list_as(is_leaving=True)
+                    evidence.add(TargetState.DRAINING, sent=now, received=now)
+
+    def observe(self, target: str, observation: Observation, now: float) -> None:
+        """Add what an own request or probe told.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target; an unknown one is ignored.
+        observation : Observation
+            What was told.
+        now : float
+            Time of receipt, in milliseconds of the clock.
+        """
+        entry = self._entries.get(target)
+        if entry is None:
+            return
+        if observation.report is not None:
+            self._hear(entry, observation.report, observation.sent, now)
+        if observation.signal in BAD_SIGNALS:
+            self._add_bad(entry, observation, now)
+        elif observation.signal is Signal.ANSWERED:
+            self._add_good(entry, observation)
+
+    def limit(self, target: str, now: float) -> int:
+        """Return how many slots of a target may be used now.
+
+        Returns
+        -------
+        int
+            0 when draining, without fresh evidence or with an open circuit, else
+            1 to the slots of the target.
+        """
+        entry = self._entries.get(target)
+        if entry is None:
+            return 0
+        state = entry.evidence.state(now, self._options.evidence_ms)
+        if state in (TargetState.DRAINING, TargetState.UNKNOWN):
+            return 0
+        if entry.circuit.is_open:
+            return int(entry.circuit.is_half_open(now))
+        if state is TargetState.STARTING:
+            return 1
+        return min(entry.easing.allowed, entry.slots)
+
+    def evidence_age(self, target: str, now: float) -> float:
+        """Return the age in ms of the evidence that a target is not draining.
+
+        Returns
+        -------
+        float
+            Infinite if there is none.
+        """
+        entry = self._entries.get(target)
+        return math.inf if entry is None else entry.evidence.age_ms(now)
+
+    def needs_probe(self, target: str, now: float) -> bool:
+        """Return whether nothing was heard of a target for the probe interval.
+
+        A draining target is probed as well, to learn when it is ready again.
+        """
+        entry = self._entries.get(target)
+        if entry is None:
+            return False
+        return now - entry.heard >= self._options.probe_interval_ms
+
+    def notices(self, now: float) -> list[TargetNotice]:
+        """Return what this instance observed itself, the freshest first.
+
+        What peers told is left out, so that no notice returns to its author.
+        """
+        found = [
+            notice
+            for name, entry in self._entries.items()
+            if (notice := self._make_notice(name, entry, now)) is not None
+        ]
+        return sorted(found, key=lambda notice: notice.age_ms)
+
+    def merge_notice(
+        self, notice: TargetNotice, now: float, *, asked: float | None = None
+    ) -> None:
+        """Add what a peer observed.
+
+        Parameters
+        ----------
+        notice : TargetNotice
+            What the peer observed.
+        now : float
+            Time of receipt, in milliseconds of the clock.
+        asked : float or None
+            Time at which the request was sent that the notice came as answer to.
+            The notice cannot have been made before. A notice that came unasked
+            may have waited in a buffer for any time, so without ``asked`` only a
+            drain is taken over.
+        """
+        entry = self._entries.get(notice.target)
+        if entry is None:
+            return
+        if notice.state is TargetState.DRAINING:
+            received = now - notice.age_ms
+            entry.evidence.add(notice.state, sent=received, received=received)
+        elif asked is not None:
+            sent = min(asked, now) - notice.age_ms
+            self._take(entry, notice.state, sent=sent, received=now)
+
+    def reset(self) -> None:
+        """Discard all evidence that allows new work, as after a pause."""
+        for entry in self._entries.values():
+            entry.evidence.discard_alive()
+            entry.own.discard_alive()
+            entry.heard = NEVER
+
+    def describe(self, now: float) -> list[TargetBelief]:
+        """Return what is believed of every target, by name."""
+        return [
+            self._describe(name, entry, now)
+            for name, entry in sorted(self._entries.items())
+        ]
+
+    def _hear(self, entry: Entry, report: LoadReport, sent: float, now: float) -> None:
+        if sent >= entry.heard:
+            entry.report = report
+        entry.own.add(report.state, sent=sent, received=now)
+        self._take(entry, report.state, sent=sent, received=now)
+
+    def _take(
+        self, entry: Entry, state: TargetState, *, sent: float, received: float
+    ) -> None:
+        was_draining = entry.evidence.is_draining
+        is_cold = sent - entry.evidence.alive_sent > COLD_MS
+        entry.evidence.add(state, sent=sent, received=received)
+        entry.heard = max(entry.heard, sent)
+        has_returned = was_draining and not entry.evidence.is_draining
+        if state is TargetState.STARTING or is_cold or has_returned:
+            entry.easing.restart()
+
+    def _add_good(self, entry: Entry, observation: Observation) -> None:
+        if observation.duration_ms is not None:
+            entry.easing.add_duration(observation.duration_ms)
+        entry.circuit.record_good(observation.sent)
+        entry.easing.record_good(entry.slots, self._find_reference(entry.service))
+
+    def _add_bad(self, entry: Entry, observation: Observation, now: float) -> None:
+        was_open = entry.circuit.is_open
+        entry.circuit.record_bad(
+            observation.sent, now, self._rng, may_open=self._may_open(entry.service)
+        )
+        entry.easing.record_bad(observation.sent, now)
+        if entry.circuit.is_open and not was_open:
+            entry.easing.restart()
+
+    def _may_open(self, service: str) -> bool:
+        # A fault common to most targets, such as a route that always fails, is
+        # not cured by avoiding them: at most half the circuits are open.
+        pool = self._pools[service]
+        open_count = sum(entry.circuit.is_open for entry in pool)
+        return open_count < max(1, len(pool) // 2)
+
+    def _find_reference(self, service: str) -> float | None:
+        medians = [
+            median_ms
+            for entry in self._pools[service]
+            if (median_ms := entry.easing.median_ms) is not None
+        ]
+        if len(medians) < FEWEST_COMPARED:
+            return None
+        return statistics.median_low(medians)
+
+    def _make_notice(self, name: str, entry: Entry, now: float) -> TargetNotice | None:
+        own = entry.own
+        state = own.state(now, self._options.evidence_ms)
+        if state is TargetState.UNKNOWN:
+            return None
+        since = own.drain_received if own.is_draining else own.alive_sent
+        return TargetNotice(target=name, state=state, age_ms=max(0.0, now - since))
+
+    def _describe(self, name: str, entry: Entry, now: float) -> TargetBelief:
+        age_ms = entry.evidence.age_ms(now)
+        circuit = "closed"
+        if entry.circuit.is_open:
+            circuit = "half-open" if entry.circuit.is_half_open(now) else "open"
+        return TargetBelief(
+            target=name,
+            service=entry.service,
+            state=entry.evidence.state(now, self._options.evidence_ms),
+            evidence_age_ms=None if math.isinf(age_ms) else age_ms,
+            limit=self.limit(name, now),
+            circuit=circuit,
+            response_ms=entry.easing.median_ms,
+            report=entry.report,
+        )
--- /dev/null
+++ b/src/currantline/load/tests/test_book.py
@@ -0,0 +1,344 @@
+"""Tests of what is believed of targets."""
+
+import random
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from currantline.configuration import Service, Target
+from currantline.load import (
+    LoadReport,
+    Observation,
+    Signal,
+    TargetBook,
+    TargetNotice,
+    TargetState,
+)
+
+STATES = {state.value: state for state in TargetState}
+LEAVE_MS = 3000.0
+
+
+def make_service(count: int = 4, slots: int = 2) -> Service:
+    """Return a service with targets t0, t1 and so on."""
+    targets = tuple(
+        Target(
+            name=f"t{i}", address=f"127.0.0.1:{7000 + i}", data_centre="a", slots=slots
+        )
+        for i in range(count)
+    )
+    return Service(name="ordering", targets=targets)
+
+
+def make_book(count: int = 4, slots: int = 2) -> TargetBook:
+    """Return a book of one service."""
+    book = TargetBook(random.Random(1))
+    book.set_services([make_service(count, slots)])
+    return book
+
+
+def make_observation(
+    signal: Signal = Signal.ANSWERED,
+    *,
+    sent: float,
+    state: str = "ready",
+    duration_ms: float | None = None,
+) -> Observation:
+    """Return an observation with a load report."""
+    report = LoadReport(in_flight=0, slots=2, state=STATES[state])
+    return Observation(signal=signal, sent=sent, report=report, duration_ms=duration_ms)
+
+
+def feed(
+    book: TargetBook,
+    target: str,
+    count: int,
+    *,
+    start: float = 0.0,
+    signal: Signal = Signal.ANSWERED,
+    duration_ms: float = 8.0,
+) -> list[int]:
+    """Observe one request every 10 ms and return the limit after each."""
+    limits = []
+    for i in range(count):
+        sent = start + 10 * i
+        now = sent + min(duration_ms, 9.0)
+        observation = make_observation(signal, sent=sent, duration_ms=duration_ms)
+        book.observe(target, observation, now)
+        limits.append(book.limit(target, now))
+    return limits
+
+
+class TestDrain:
+    """Beginning and end of a drain."""
+
+    @pytest.fixture
+    def book(self) -> TargetBook:
+        """Return a book with one target that said at 100 that it drains."""
+        book = make_book(1)
+        book.observe("t0", make_observation(sent=0, state="ready"), 10)
+        book.observe("t0", make_observation(sent=50, state="draining"), 100)
+        return book
+
+    def test_late_answer(self, book: TargetBook) -> None:
+        """Guards against an answer sent before the drain was seen undoing it."""
+        book.observe("t0", make_observation(sent=99), 300)
+        assert book.limit("t0", 300) == 0
+
+    def test_later_request(self, book: TargetBook) -> None:
+        """Guards against a target that never returns from a drain."""
+        book.observe("t0", make_observation(sent=101), 110)
+        assert book.limit("t0", 110) == 1
+
+    def test_list(self, book: TargetBook) -> None:
+        """Guards against a lagging health endpoint that outranks the list."""
+        book.set_listed(live=(), leaving=["t0"], now=200)
+        book.observe("t0", make_observation(sent=300), 310)
+        assert book.limit("t0", 310) == 0
+        book.set_listed(live=["t0"], leaving=(), now=400)
+        assert book.limit("t0", 400) == 1
+
+    def test_pause(self, book: TargetBook) -> None:
+        """Guards against a resumed process that forgets drains."""
+        book.reset()
+        book.observe("t0", make_observation(sent=99), 120)
+        assert book.limit("t0", 120) == 0
+
+    def test_unasked_notice(self) -> None:
+        """Guards against a notice that waited in a buffer and looks fresh."""
+        book = make_book(1)
+        notice = TargetNotice(target="t0", state=TargetState.READY, age_ms=0)
+        book.merge_notice(notice, 9000)
+        assert book.limit("t0", 9000) == 0
+        book.merge_notice(notice, 9000, asked=6000)
+        assert book.limit("t0", 9000) == 0
+        book.merge_notice(notice, 9000, asked=7000)
+        assert book.limit("t0", 9000) == 1
+
+    def test_old_drain_notice(self) -> None:
+        """Guards against a peer that repeats a drain that has ended."""
+        book = make_book(1)
+        book.observe("t0", make_observation(sent=5000), 5010)
+        drain = TargetNotice(target="t0", state=TargetState.DRAINING, age_ms=2000)
+        book.merge_notice(drain, 5020)
+        assert book.limit("t0", 5020) == 1
+        book.merge_notice(attrs.evolve(drain, age_ms=10), 5020)
+        assert book.limit("t0", 5020) == 0
+        assert book.notices(5020)[0].state is TargetState.READY
+
+
+class TestLimit:
+    """Slots that may be used."""
+
+    def test_slow_start(self) -> None:
+        """Guards against full load on a cold target, and against a lasting limit."""
+        limits = feed(make_book(slots=3), "t0", 20)
+        assert limits[:7] == [1] * 7
+        assert limits[-1] == 3
+
+    def test_fast_failures(self) -> None:
+        """Guards against a target that rejects at once and looks idle."""
+        for signal in (Signal.SHED, Signal.FAILED):
+            book = make_book()
+            feed(book, "t0", 20)
+            limits = feed(book, "t0", 5, start=200, signal=signal, duration_ms=0.1)
+            assert limits[0] == 1
+            assert limits[-1] == 0
+
+    def test_probe_does_not_close(self) -> None:
+        """Guards against a healthy endpoint that outranks failed requests."""
+        book = make_book()
+        feed(book, "t0", 5, signal=Signal.FAILED)
+        book.observe("t0", make_observation(Signal.PROBED, sent=60), 61)
+        assert book.limit("t0", 61) == 0
+        book.observe("t0", make_observation(Signal.PROBED, sent=1000), 1001)
+        assert book.describe(1001)[0].circuit == "half-open"
+
+    def test_backoff(self) -> None:
+        """Guards against trials at a constant rate, and on answers sent earlier."""
+        book = make_book()
+        feed(book, "t0", 5, signal=Signal.FAILED)
+        waits = []
+        now = 50.0
+        for _ in range(4):
+            opened = now
+            while not book.limit("t0", now):
+                now += 10
+                book.observe("t0", make_observation(Signal.PROBED, sent=now), now)
+            waits.append(now - opened)
+            book.observe("t0", make_observation(sent=0), now)
+            assert book.describe(now)[0].circuit == "half-open"
+            book.observe("t0", make_observation(Signal.FAILED, sent=now), now)
+        assert 250 <= waits[0] <= 510
+        assert waits[3] >= 2000
+        while not book.limit("t0", now):
+            now += 10
+            book.observe("t0", make_observation(Signal.PROBED, sent=now), now)
+        assert feed(book, "t0", 20, start=now)[-1] == 2
+
+    def test_common_fault(self) -> None:
+        """Guards against a service that loses all targets to one bad route."""
+        book = make_book(4)
+        limits = [feed(book, f"t{i}", 8, signal=Signal.FAILED)[-1] for i in range(4)]
+        assert limits == [0, 0, 1, 1]
+
+    def test_slow_target(self) -> None:
+        """Guards against a slow target at full load, and against no return."""
+        book = make_book()
+        for name in ("t1", "t2", "t3"):
+            feed(book, name, 20)
+        assert feed(book, "t0", 40, duration_ms=80)[-1] == 1
+        assert feed(book, "t0", 40, start=400)[-1] == 2
+
+    def test_hysteresis(self) -> None:
+        """Guards against a limit that changes with every small shift of load."""
+        book = make_book()
+        for name in ("t1", "t2", "t3"):
+            feed(book, name, 20)
+        feed(book, "t0", 20)
+        factors = (2.2, 2.8, 2.5, 2.9, 2.1) * 20
+        limits = [
+            feed(book, "t0", 1, start=200 + 10 * i, duration_ms=8 * factor)[0]
+            for i, factor in enumerate(factors)
+        ]
+        assert set(limits) == {2}
+
+    def test_shared_target(self) -> None:
+        """Guards against steady sheds from raising the limit again and again."""
+        book = make_book()
+        sheds = 0
+        for i in range(1000):
+            full = book.limit("t0", 10.0 * i) == 2
+            sheds += full
+            signal = Signal.SHED if full else Signal.ANSWERED
+            feed(book, "t0", 1, start=10.0 * i, signal=signal)
+        assert 0 < sheds <= 10
+
+    def test_false_report(self) -> None:
+        """Guards against a load header that changes the limit by a false claim."""
+        book = make_book()
+        feed(book, "t0", 20)
+        report = LoadReport(in_flight=999, slots=0, state=TargetState.READY)
+        lie = Observation(signal=Signal.ANSWERED, sent=300, report=report)
+        book.observe("t0", lie, 301)
+        assert book.limit("t0", 301) == 2
+
+
+@settings(derandomize=True, max_examples=200, stateful_step_count=30, deadline=None)
+class DrainMachine(RuleBasedStateMachine):
+    """One target and two instances; news come late, reordered and repeatedly."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 2.0
+        self.state = "ready"
+        self.drains_since: float | None = None
+        self.books = (make_book(1), make_book(1))
+        # A short drain is over; its news and a notice are still on their way.
+        self.answers = [
+            make_observation(sent=0.0),
+            make_observation(sent=0.0, state="draining"),
+            make_observation(sent=1.0),
+        ]
+        notice = TargetNotice(target="t0", state=TargetState.READY, age_ms=1.0)
+        self.notices = [(2.0, 2.0, notice)]
+        # What each instance has been told, with the true times.
+        self.drain_heard = [-1.0, -1.0]
+        self.ready_sent = [-1.0, -1.0]
+
+    @rule(ms=st.sampled_from([1.0, 100.0, 1100.0, 2600.0]))
+    def wait(self, ms: float) -> None:
+        """Let time pass."""
+        self.now += ms
+
+    @rule(state=st.sampled_from(["draining", "draining", "ready", "starting"]))
+    def change(self, state: str) -> None:
+        """Change the state of the target."""
+        if state != "draining":
+            self.drains_since = None
+        elif self.state != "draining":
+            self.drains_since = self.now
+        self.state = state
+
+    @rule(signal=st.sampled_from([Signal.ANSWERED, Signal.SHED, Signal.PROBED]))
+    def ask(self, signal: Signal) -> None:
+        """Send a request whose answer is on its way."""
+        self.answers.append(make_observation(signal, sent=self.now, state=self.state))
+
+    @rule(data=st.data(), side=st.integers(0, 1), ms=st.sampled_from([0.0, 3100.0]))
+    def deliver(self, data: st.DataObject, side: int, ms: float) -> None:
+        """Deliver the last answers in any order, possibly late or once more."""
+        self.now += ms
+        for answer in data.draw(st.permutations(self.answers[-4:])):
+            self.books[side].observe("t0", answer, self.now)
+            assert answer.report is not None
+            self._note(side, answer.report.state, answer.sent)
+            self.no_work_after_grace()
+            self.no_late_return()
+
+    @rule(side=st.integers(0, 1), ms=st.sampled_from([0.0, 300.0, 2000.0]))
+    def tell(self, side: int, ms: float) -> None:
+        """Ask an instance, which makes its notices some time later."""
+        asked = self.now
+        self.now += ms
+        made = self.books[side].notices(self.now)
+        self.notices += [(asked, self.now, notice) for notice in made]
+
+    @rule(data=st.data(), ms=st.sampled_from([0.0, 3100.0]), solicited=st.booleans())
+    def merge(self, data: st.DataObject, ms: float, solicited: bool) -> None:
+        """Deliver any notice to an instance, possibly late or once more."""
+        if not self.notices:
+            return
+        self.now += ms
+        side = data.draw(st.integers(0, 1))
+        asked, made, notice = data.draw(st.sampled_from(self.notices))
+        self.books[side].merge_notice(
+            notice, self.now, asked=asked if solicited else None
+        )
+        self._note(side, notice.state, made - notice.age_ms, made - notice.age_ms)
+
+    @rule(side=st.integers(0, 1))
+    def pause(self, side: int) -> None:
+        """Resume a paused process."""
+        self.now += 1500
+        self.books[side].reset()
+
+    @rule(side=st.integers(0, 1))
+    def list_again(self, side: int) -> None:
+        """Read a lagging list that names the target leaving and then live."""
+        self.books[side].set_listed(live=[], leaving=["t0"], now=self.now)
+        assert self.books[side].limit("t0", self.now) == 0
+        self.books[side].set_listed(live=["t0"], leaving=[], now=self.now)
+        self.drain_heard[side] = -1.0
+
+    def _note(
+        self, side: int, state: TargetState, sent: float, heard: float | None = None
+    ) -> None:
+        heard = self.now if heard is None else heard
+        if state is TargetState.DRAINING:
+            self.drain_heard[side] = max(self.drain_heard[side], heard)
+        elif state is TargetState.READY:
+            self.ready_sent[side] = max(self.ready_sent[side], sent)
+
+    @invariant()
+    def no_work_after_grace(self) -> None:
+        """Guards against new work 3 s after a target began to drain."""
+        began = self.drains_since
+        if began is not None and self.now > began + LEAVE_MS:
+            assert [book.limit("t0", self.now) for book in self.books] == [0, 0]
+
+    @invariant()
+    def no_late_return(self) -> None:
+        """Guards against news older than a known drain undoing it."""
+        for book, heard, ready in zip(
+            self.books, self.drain_heard, self.ready_sent, strict=True
+        ):
+            if heard >= 0 and ready <= heard:
+                assert book.limit("t0", self.now) == 0
+
+
+class TestDrainMachine(DrainMachine.TestCase):  # type: ignore[misc, valid-type]
+    """Guarantee 5 under late, reordered and repeated news."""
