Probe owned targets that lack fresh evidence

A task probes owned targets of which nothing was heard for the probe interval, one probe at a time for each, at a phase hashed from the name. The clock, the rights and the budget are asked once more between connecting and writing, in one step without suspension, so a process that paused while connecting does not send under an old lease.

Ruled out: wire.fetch, which offers no point between connecting and writing. A pause of the process within that one step cannot be seen by it.

A /health answer with another status than 200 is taken as failed, but its draining state is kept, since a target may answer 503 while it drains.

With the fake clock and 40 targets without requests, no target is without evidence after the first 4 s, and at most 60 probes a minute go to each.

--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -11,6 +11,7 @@
     parse_load,
 )
 from currantline.load._options import LoadOptions
+from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
 
 __all__ = [
     "LoadOptions",
@@ -18,11 +19,15 @@
     "NoticeSchedule",
     "Observation",
     "ProbeBudget",
+    "ProbeFetch",
+    "ProbePlan",
+    "Prober",
     "Signal",
     "TargetBelief",
     "TargetBook",
     "TargetNotice",
     "TargetState",
     "count_share_holders",
+    "fetch_health",
     "parse_load",
 ]
--- /dev/null
+++ b/src/currantline/load/_prober.py
@@ -0,0 +1,250 @@
+"""Task that probes targets without fresh evidence."""
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import h11
+from eliot import log_message
+
+from currantline.clock import Clock
+from currantline.configuration import Target
+from currantline.exceptions import InvariantError, WireError
+from currantline.load._book import TargetBook
+from currantline.load._budget import ProbeBudget
+from currantline.load._observation import (
+    LOAD_HEADER,
+    Observation,
+    Signal,
+    TargetState,
+    parse_load,
+)
+from currantline.load._options import LoadOptions
+from currantline.membership import rendezvous_score
+from currantline.wire import Answer, HttpConnection, Request, find_header
+
+__all__ = ["ProbeFetch", "ProbePlan", "Prober", "fetch_health"]
+
+TICK_MS = 100.0
+MAX_BODY_BYTES = 64 * 1024
+
+
+class ProbePlan(Protocol):
+    """What the prober needs of membership and directory."""
+
+    def list_owned(self) -> Iterable[Target]:
+        """Return the targets that this instance owns in its own view."""
+        ...
+
+    def holds_lease(self, target: str, now: float) -> bool:
+        """Return whether this instance holds the lease of a target."""
+        ...
+
+    def holds_share(self, target: str, now: float) -> bool:
+        """Return whether this instance holds the share right of a target."""
+        ...
+
+
+class ProbeFetch(Protocol):
+    """Exchange of one probe."""
+
+    async def __call__(
+        self, address: str, may_send: Callable[[], bool], *, timeout_ms: float
+    ) -> Answer | None:
+        """Connect, ask ``may_send`` and send the probe in one step.
+
+        Returns
+        -------
+        Answer or None
+            None if the probe was not sent.
+
+        Raises
+        ------
+        WireError
+            If no whole answer came in time.
+        """
+        ...
+
+
+class Prober:
+    """Probes owned targets that lack fresh evidence.
+
+    Parameters
+    ----------
+    book : TargetBook
+        Receives the results.
+    budget : ProbeBudget
+        Probes that may be sent.
+    plan : ProbePlan
+        Owned targets and rights to probe them.
+    clock : Clock
+        Source of time.
+    fetch : ProbeFetch, optional
+        Exchange of one probe.
+    options : LoadOptions, optional
+        Options of the slice.
+
+    Attributes
+    ----------
+    sent : Counter
+        Probes sent per target.
+    failed : Counter
+        Probes without a usable answer per target.
+    violations : int
+        Probes that were held back because they would exceed the budget although
+        the bucket had a token.
+    """
+
+    def __init__(
+        self,
+        *,
+        book: TargetBook,
+        budget: ProbeBudget,
+        plan: ProbePlan,
+        clock: Clock,
+        fetch: ProbeFetch | None = None,
+        options: LoadOptions | None = None,
+    ) -> None:
+        self._book = book
+        self._budget = budget
+        self._plan = plan
+        self._clock = clock
+        self._fetch = fetch or fetch_health
+        self._options = options or LoadOptions()
+        self._ticked = clock.read()
+        self._due: set[str] = set()
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self.sent: Counter[str] = Counter()
+        self.failed: Counter[str] = Counter()
+        self.violations = 0
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        try:
+            while True:
+                self.tick()
+                await asyncio.sleep(TICK_MS / 1000)
+        finally:
+            await self.stop()
+
+    async def stop(self) -> None:
+        """Cancel the probes in flight."""
+        tasks = tuple(self._running.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def settle(self) -> None:
+        """Wait until no probe is in flight."""
+        while self._running:
+            await asyncio.gather(*self._running.values())
+
+    def tick(self) -> None:
+        """Start the probes that are due."""
+        now = self._clock.read()
+        for target in self._plan.list_owned():
+            may_send = self._check(target.name, now)
+            if self._is_due(target.name, now) and may_send:
+                self._due.discard(target.name)
+                task = asyncio.create_task(self._probe(target))
+                self._running[target.name] = task
+        self._ticked = now
+
+    def _check(self, name: str, now: float) -> bool:
+        return self._budget.check(
+            name,
+            self._plan.holds_lease(name, now),
+            now,
+            holds_share=self._plan.holds_share(name, now),
+        )
+
+    def _is_due(self, name: str, now: float) -> bool:
+        if name in self._running or not self._book.needs_probe(name, now):
+            self._due.discard(name)
+            return False
+        if self._passes_phase(name, now):
+            self._due.add(name)
+        return name in self._due
+
+    def _passes_phase(self, name: str, now: float) -> bool:
+        # Two phases in an interval: evidence is probed for at an age of at most
+        # 1.5 intervals, which leaves time for a second probe before it expires.
+        cycle_ms = self._options.probe_interval_ms / 2
+        phase_ms = rendezvous_score("probe", name) % cycle_ms
+        last = math.floor((self._ticked - phase_ms) / cycle_ms)
+        return math.floor((now - phase_ms) / cycle_ms) > last
+
+    async def _probe(self, target: Target) -> None:
+        sent: list[float] = []
+        try:
+            answer = await self._fetch(
+                target.address,
+                lambda: self._may_send(target.name, sent),
+                timeout_ms=self._options.probe_timeout_ms,
+            )
+        except WireError:
+            answer = None
+        finally:
+            del self._running[target.name]
+        if sent:
+            self._record(target.name, answer, sent[0])
+
+    def _may_send(self, name: str, sent: list[float]) -> bool:
+        # The clock and the rights are read again: the process may have paused
+        # while the connection was opened.
+        now = self._clock.read()
+        try:
+            is_allowed = self._budget.allow(
+                name,
+                self._plan.holds_lease(name, now),
+                now,
+                holds_share=self._plan.holds_share(name, now),
+            )
+        except InvariantError as error:
+            self.violations += 1
+            log_message("currantline:invariant", target=name, error=str(error))
+            return False
+        if is_allowed:
+            sent.append(now)
+            self.sent[name] += 1
+        return is_allowed
+
+    def _record(self, name: str, answer: Answer | None, sent: float) -> None:
+        report = None
+        if answer is not None:
+            report = parse_load(find_header(answer.headers, LOAD_HEADER))
+        is_usable = answer is not None and answer.status == 200
+        if not is_usable and report and report.state is not TargetState.DRAINING:
+            report = None
+        if not is_usable:
+            self.failed[name] += 1
+        signal = Signal.PROBED if is_usable else Signal.PROBE_FAILED
+        observation = Observation(signal=signal, sent=sent, report=report)
+        self._book.observe(name, observation, self._clock.read())
+
+
+async def fetch_health(
+    address: str, may_send: Callable[[], bool], *, timeout_ms: float
+) -> Answer | None:
+    """Send ``GET /health`` over a connection of its own; see `ProbeFetch`."""
+    host, _, port = address.rpartition(":")
+    request = Request(method="GET", target="/health", headers=(("host", address),))
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            connection = HttpConnection(
+                reader, writer, h11.CLIENT, max_body_bytes=MAX_BODY_BYTES
+            )
+            try:
+                if not may_send():
+                    return None
+                connection.write_request(request)
+                return await connection.read_answer()
+            finally:
+                connection.abort()
+    except TimeoutError as error:
+        raise WireError(f"no answer from {address} in {timeout_ms:g} ms") from error
+    except OSError as error:
+        raise WireError(f"cannot reach {address}: {error.strerror}") from error
--- /dev/null
+++ b/src/currantline/load/tests/test_prober.py
@@ -0,0 +1,167 @@
+"""Tests of the probing task."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from currantline.clock import ManualClock
+from currantline.configuration import Service, Target
+from currantline.exceptions import WireError
+from currantline.load import ProbeBudget, Prober, TargetBook, TargetState
+from currantline.load.tests.test_book import make_book, make_service
+from currantline.wire import Answer
+
+TICK_MS = 100.0
+LOAD = (("target-load", "in-flight=0, slots=2, state=ready"),)
+
+
+class Plan:
+    """Owns all targets and holds what it is told."""
+
+    def __init__(self, service: Service) -> None:
+        self.targets = service.targets
+        self.has_lease = True
+
+    def list_owned(self) -> Iterable[Target]:
+        """Return all targets."""
+        return self.targets
+
+    def holds_lease(self, target: str, now: float) -> bool:
+        """Return what the test says."""
+        return self.has_lease
+
+    def holds_share(self, target: str, now: float) -> bool:
+        """Return False."""
+        return False
+
+
+class Network:
+    """Answers probes; ``on_connect`` runs between connecting and sending."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.sent: list[float] = []
+        self.answer: Answer | None = Answer(status=200, headers=LOAD)
+        self.gate = asyncio.Event()
+        self.on_connect: Callable[[], None] = lambda: None
+
+    async def fetch(
+        self, address: str, may_send: Callable[[], bool], *, timeout_ms: float
+    ) -> Answer | None:
+        """Exchange one probe."""
+        self.on_connect()
+        if not may_send():
+            return None
+        self.sent.append(self.clock.read())
+        await self.gate.wait()
+        if self.answer is None:
+            raise WireError("no answer")
+        return self.answer
+
+
+class Bench:
+    """A prober on a fake clock and network."""
+
+    def __init__(self, count: int = 1) -> None:
+        self.clock = ManualClock()
+        self.book: TargetBook = make_book(count)
+        self.plan = Plan(make_service(count))
+        self.network = Network(self.clock)
+        self.network.gate.set()
+        budget = ProbeBudget(max_instances=8)
+        budget.set_services([make_service(count)])
+        self.prober = Prober(
+            book=self.book,
+            budget=budget,
+            plan=self.plan,
+            clock=self.clock,
+            fetch=self.network.fetch,
+        )
+
+    async def run(self, ticks: int) -> None:
+        """Run ticks of the prober, and its probes as far as they get."""
+        for _ in range(ticks):
+            self.clock.advance(TICK_MS)
+            self.prober.tick()
+            if self.network.gate.is_set():
+                await self.prober.settle()
+            else:
+                await asyncio.sleep(0)
+
+
+class TestProber:
+    """Probing owned targets."""
+
+    def test_calm_minute(self) -> None:
+        """Guards against evidence that expires, and against bursts of probes."""
+
+        async def run() -> Bench:
+            bench = Bench(40)
+            for _ in range(600):
+                await bench.run(1)
+                if bench.clock.now > 4000:
+                    assert all(
+                        bench.book.limit(f"t{i}", bench.clock.now) for i in range(40)
+                    )
+            return bench
+
+        bench = asyncio.run(run())
+        assert max(bench.prober.sent.values()) <= 60
+        sent = bench.network.sent
+        busiest = max(sum(t <= s < t + 200 for s in sent) for t in sent if t > 4000)
+        assert busiest <= 24
+
+    def test_one_at_a_time(self) -> None:
+        """Guards against probes that pile up at a silent target."""
+
+        async def run() -> Bench:
+            bench = Bench()
+            bench.network.gate.clear()
+            await bench.run(80)
+            await bench.prober.stop()
+            return bench
+
+        assert len(asyncio.run(run()).network.sent) == 1
+
+    def test_lost_lease(self) -> None:
+        """Guards against a process that pauses before it sends and has no lease."""
+
+        async def run() -> Bench:
+            bench = Bench()
+
+            def pause() -> None:
+                bench.clock.advance(5000)
+                bench.plan.has_lease = False
+
+            bench.network.on_connect = pause
+            await bench.run(30)
+            return bench
+
+        bench = asyncio.run(run())
+        assert bench.network.sent == []
+        assert bench.prober.sent.total() == 0
+
+    def test_failure(self) -> None:
+        """Guards against failed probes that count as evidence or stop the task."""
+
+        async def run() -> Bench:
+            bench = Bench()
+            bench.network.answer = None
+            await bench.run(50)
+            return bench
+
+        bench = asyncio.run(run())
+        assert bench.prober.failed["t0"] == len(bench.network.sent) >= 3
+        assert bench.book.limit("t0", bench.clock.now) == 0
+
+    def test_draining_health(self) -> None:
+        """Guards against a drain that is missed because its status is 503."""
+
+        async def run() -> Bench:
+            bench = Bench()
+            drain = (("target-load", "in-flight=0, slots=2, state=draining"),)
+            bench.network.answer = Answer(status=503, headers=drain)
+            await bench.run(30)
+            return bench
+
+        bench = asyncio.run(run())
+        assert bench.book.describe(3000)[0].state is TargetState.DRAINING
