Serve health, readiness, metrics, status and audit to operators

OperatorService answers GET on five paths from callables that the composition root supplies.

Conclusion: ready to be wired; no instance serves it yet.

--- /dev/null
+++ b/src/currantline/operator/_service.py
@@ -0,0 +1,196 @@
+"""HTTP side for operators."""
+
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import attrs
+from prometheus_client import CONTENT_TYPE_LATEST
+
+from currantline.load import TargetBelief
+from currantline.operator._metrics import Metrics
+from currantline.wire import Answer, HttpService, Request, answer_json
+
+__all__ = ["OperatorService", "OperatorSources", "Readiness"]
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+UNAVAILABLE = 503
+MAX_AFTER = 2**63 - 1
+MS_DIGITS = 1
+
+
+@attrs.frozen(kw_only=True)
+class Readiness:
+    """Whether the instance takes requests.
+
+    Parameters
+    ----------
+    is_ready : bool
+        Whether it does.
+    reason : str
+        Why it does not; empty if it does.
+    """
+
+    is_ready: bool
+    reason: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSources:
+    """What the operators' side reads; each returns values that JSON can hold.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    read_readiness : callable
+        Returns whether the instance is ready, and why not.
+    read_version, read_sequence : callable
+        Return the configuration version in force and the highest record seen.
+    read_queues : callable
+        Returns a summary of the queue of each service.
+    read_targets : callable
+        Returns what is believed of each target.
+    read_view : callable
+        Returns the rows of the view, one mapping for each instance.
+    read_lease : callable
+        Returns what is known of the lease.
+    read_audit : callable
+        Takes a number and returns the audit events after it.
+    refresh : callable
+        Brings gauges up to date before metrics are read.
+    """
+
+    instance: str
+    read_readiness: Callable[[], Readiness]
+    read_version: Callable[[], int]
+    read_sequence: Callable[[], int]
+    read_queues: Callable[[], Mapping[str, Any]]
+    read_targets: Callable[[], Iterable[TargetBelief]]
+    read_view: Callable[[], Iterable[Mapping[str, Any]]]
+    read_lease: Callable[[], Mapping[str, Any]]
+    read_audit: Callable[[int], Iterable[Mapping[str, Any]]]
+    refresh: Callable[[], None] = lambda: None
+
+
+class OperatorService:
+    """Serves health, readiness, metrics, status and audit events.
+
+    Parameters
+    ----------
+    sources : OperatorSources
+        Where the data comes from.
+    metrics : Metrics
+        Metrics to serve.
+    """
+
+    def __init__(self, sources: OperatorSources, metrics: Metrics) -> None:
+        self._sources = sources
+        self._metrics = metrics
+        self._service = HttpService(self.handle)
+        self._handlers: dict[str, Callable[[str], Answer]] = {
+            "/health": self._answer_health,
+            "/ready": self._answer_ready,
+            "/metrics": self._answer_metrics,
+            "/status": self._answer_status,
+            "/audit": self._answer_audit,
+        }
+
+    async def start(self, address: str) -> None:
+        """Listen on ``ip:port``.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be used.
+        """
+        await self._service.start(address)
+
+    def stop(self) -> Awaitable[None]:
+        """Stop listening and drop all connections."""
+        return self._service.stop()
+
+    async def handle(self, request: Request) -> Answer:
+        """Answer one request."""
+        parts = urlsplit(request.target)
+        handler = self._handlers.get(parts.path)
+        if handler is None:
+            paths = ", ".join(self._handlers)
+            return _refuse(f"no such path; there are {paths}", NOT_FOUND)
+        if request.method != "GET":
+            return _refuse("only GET is allowed", METHOD_NOT_ALLOWED)
+        return handler(parts.query)
+
+    def _answer_health(self, _: str) -> Answer:
+        return answer_json({"instance": self._sources.instance, "alive": True})
+
+    def _answer_ready(self, _: str) -> Answer:
+        readiness = self._sources.read_readiness()
+        return answer_json(
+            {"ready": readiness.is_ready, "reason": readiness.reason},
+            status=OK if readiness.is_ready else UNAVAILABLE,
+        )
+
+    def _answer_metrics(self, _: str) -> Answer:
+        self._sources.refresh()
+        return Answer(
+            status=OK,
+            headers=(("content-type", CONTENT_TYPE_LATEST),),
+            body=self._metrics.render(),
+        )
+
+    def _answer_status(self, _: str) -> Answer:
+        sources = self._sources
+        readiness = sources.read_readiness()
+        return answer_json(
+            {
+                "instance": sources.instance,
+                "ready": readiness.is_ready,
+                "reason": readiness.reason,
+                "version": sources.read_version(),
+                "sequence": sources.read_sequence(),
+                "queues": dict(sources.read_queues()),
+                "targets": [_render_belief(b) for b in sources.read_targets()],
+                "view": [dict(row) for row in sources.read_view()],
+                "lease": dict(sources.read_lease()),
+            }
+        )
+
+    def _answer_audit(self, query: str) -> Answer:
+        text = parse_qs(query).get("after", ["0"])[-1]
+        if not (text.isascii() and text.isdigit()) or int(text) > MAX_AFTER:
+            return _refuse("after must be a number of an event", BAD_REQUEST)
+        events = [dict(event) for event in self._sources.read_audit(int(text))]
+        return answer_json({"events": events})
+
+
+def _refuse(reason: str, status: int) -> Answer:
+    return answer_json({"error": reason}, status=status)
+
+
+def _render_belief(belief: TargetBelief) -> dict[str, Any]:
+    report = belief.report
+    claim = None
+    if report is not None:
+        claim = {
+            "in_flight": report.in_flight,
+            "slots": report.slots,
+            "state": report.state.value,
+        }
+    return {
+        "target": belief.target,
+        "service": belief.service,
+        "state": belief.state.value,
+        "evidence_age_ms": _round(belief.evidence_age_ms),
+        "limit": belief.limit,
+        "circuit": belief.circuit,
+        "response_ms": _round(belief.response_ms),
+        "claim": claim,
+    }
+
+
+def _round(value_ms: float | None) -> float | None:
+    return None if value_ms is None else round(value_ms, MS_DIGITS)
