Ignore late answers from a start in slow start

An answer that said "starting" and came after later ones that said "ready" began the slow start of its target anew, as did a peer's old notice.

The new test said 1 instead of 2 before the change. Ruled out: ignoring all starting answers once a target was ready, because it may restart.

Conclusion: only the newest answer decides.

--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -269,11 +269,13 @@
         self, entry: Entry, state: TargetState, *, sent: float, received: float
     ) -> None:
         was_draining = entry.evidence.is_draining
-        is_cold = sent - entry.evidence.alive_sent > COLD_MS
+        newer_ms = sent - entry.evidence.alive_sent
         entry.evidence.add(state, sent=sent, received=received)
         entry.heard = max(entry.heard, sent)
         has_returned = was_draining and not entry.evidence.is_draining
-        if state is TargetState.STARTING or is_cold or has_returned:
+        # A late answer from before the target was ready is no new start.
+        is_starting = state is TargetState.STARTING and newer_ms >= 0
+        if is_starting or has_returned or newer_ms > COLD_MS:
             entry.easing.restart()
 
     def _add_good(self, entry: Entry, observation: Observation) -> None:
--- a/src/currantline/load/tests/test_book.py
+++ b/src/currantline/load/tests/test_book.py
@@ -139,6 +139,15 @@
         assert limits[:7] == [1] * 7
         assert limits[-1] == 3
 
+    def test_late_start(self) -> None:
+        """Guards against a late answer from a start that begins it again."""
+        book = make_book()
+        feed(book, "t0", 20)
+        book.observe("t0", make_observation(sent=0, state="starting"), 200)
+        assert book.limit("t0", 200) == 2
+        book.observe("t0", make_observation(sent=201, state="starting"), 210)
+        assert book.limit("t0", 210) == 1
+
     def test_fast_failures(self) -> None:
         """Guards against a target that rejects at once and looks idle."""
         for signal in (Signal.SHED, Signal.FAILED):
