--- /dev/null
+++ b/src/currantline/load/__init__.py
@@ -0,0 +1,33 @@
+"""What is known of each target, and the probes that find it out."""
+
+from currantline.load._book import TargetBelief, TargetBook
+from currantline.load._budget import ProbeBudget, count_share_holders
+from currantline.load._notices import NoticeSchedule, TargetNotice
+from currantline.load._observation import (
+    LoadReport,
+    Observation,
+    Signal,
+    TargetState,
+    parse_load,
+)
+from currantline.load._options import LoadOptions
+from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
+
+__all__ = [
+    "LoadOptions",
+    "LoadReport",
+    "NoticeSchedule",
+    "Observation",
+    "ProbeBudget",
+    "ProbeFetch",
+    "ProbePlan",
+    "Prober",
+    "Signal",
+    "TargetBelief",
+    "TargetBook",
+    "TargetNotice",
+    "TargetState",
+    "count_share_holders",
+    "fetch_health",
+    "parse_load",
+]
