Watch the configuration service by long poll

A reader asks for the records after the last that is known and waits up to 3 s for one; a silent connection therefore costs at most 4 s of the 7 s in which a patch has to be in force. It reads only while it is told to. A service that is down, answers nonsense, brings no progress or does not wait is read with a backoff of 100 ms to 2 s and jitter.

The protocol does not tell the last sequence of the service, so a stale service looks like one without news. Before the first read, after each failure and after every ten reads, the reader therefore asks for the last known record, which costs one read without waiting.

Ruled out: to reset the backoff after a check, because a release that cannot judge the next record would then read ten times a second.

Shown to fail first, each line broken in a scratch copy: - backoff reset by a check: test_backoff[stalled], pause below 100 ms where 100 to 200 ms are due; - missing last record not noticed: test_backoff[stale], "assert 0 == 9"; - early empty answers or answers without progress taken as good: test_backoff[stalled], "assert 5 == 9"; - read not cancelled: test_told_to_stop did not end and was stopped after 20 s.

Conclusion: a fault of the service costs a bounded number of reads and never changes what is in force.

--- a/src/currantline/configuration/__init__.py
+++ b/src/currantline/configuration/__init__.py
@@ -30,6 +30,14 @@
     parse_configuration,
     render_configuration,
 )
+from currantline.configuration._reader import (
+    HttpRecordService,
+    ReaderCounts,
+    ReaderOptions,
+    RecordReader,
+    RecordService,
+    select_readers,
+)
 from currantline.configuration._record import (
     Accepted,
     ConfigurationState,
@@ -51,11 +59,16 @@
     "Group",
     "History",
     "HistoryCounts",
+    "HttpRecordService",
     "Judged",
     "Priority",
+    "ReaderCounts",
+    "ReaderOptions",
     "Reason",
     "Record",
     "RecordKind",
+    "RecordReader",
+    "RecordService",
     "Refused",
     "RemoveMember",
     "RemoveService",
@@ -80,4 +93,5 @@
     "render_change",
     "render_configuration",
     "render_record",
+    "select_readers",
 ]
--- /dev/null
+++ b/src/currantline/configuration/_reader.py
@@ -0,0 +1,284 @@
+"""The task that watches the platform's configuration service."""
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Protocol
+
+import attrs
+from eliot import log_message
+
+from currantline.clock import Clock
+from currantline.configuration._record import Record, read_record
+from currantline.exceptions import PlatformError, RecordError, WireError
+from currantline.membership import View, rank
+from currantline.wire import Request, fetch
+
+__all__ = [
+    "HttpRecordService",
+    "ReaderCounts",
+    "ReaderOptions",
+    "RecordReader",
+    "RecordService",
+    "select_readers",
+]
+
+
+class RecordService(Protocol):
+    """Where records are published."""
+
+    async def read_records(self, after: int, wait_ms: float) -> Sequence[Any]:
+        """Return the records after a sequence, waiting for one if there is none.
+
+        Raises
+        ------
+        PlatformError
+            If the service gives no usable answer.
+        """
+        ...
+
+
+@attrs.frozen(kw_only=True)
+class HttpRecordService:
+    """The platform's configuration service over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    margin_ms : float
+        Time in ms for an answer beyond the time that the service may wait.
+    """
+
+    address: str
+    margin_ms: float = 1000.0
+
+    async def read_records(self, after: int, wait_ms: float) -> Sequence[Any]:
+        """Return the records after a sequence, waiting for one if there is none.
+
+        Raises
+        ------
+        PlatformError
+            If the service gives no usable answer.
+        """
+        path = f"/v1/records?after={after}&wait_ms={wait_ms:.0f}"
+        request = Request(method="GET", target=path)
+        timeout_ms = wait_ms + self.margin_ms
+        try:
+            answer = await fetch(self.address, request, timeout_ms=timeout_ms)
+        except WireError as error:
+            raise PlatformError(str(error)) from error
+        if answer.status != 200:
+            raise PlatformError(f"{path} answered {answer.status}")
+        try:
+            records = json.loads(answer.body)["records"]
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
+            raise PlatformError(f"{path} answered no records") from error
+        if not isinstance(records, list):
+            raise PlatformError(f"{path} answered no list of records")
+        return records
+
+
+@attrs.frozen(kw_only=True)
+class ReaderOptions:
+    """Options of a reader.
+
+    Parameters
+    ----------
+    wait_ms : float
+        Longest time in ms that the service may hold a read back. A connection
+        that goes silent costs this time and the margin, together below the 7 s
+        in which a patch has to be in force.
+    first_backoff_ms, last_backoff_ms : float
+        Shortest and longest pause in ms after a failure, before jitter.
+    check_interval : int
+        Reads from one check for a shorter log to the next.
+    """
+
+    wait_ms: float = 3000.0
+    first_backoff_ms: float = 100.0
+    last_backoff_ms: float = 2000.0
+    check_interval: int = 10
+
+
+@attrs.define(kw_only=True)
+class ReaderCounts:
+    """Reads by outcome.
+
+    Parameters
+    ----------
+    reads : int
+        Reads begun.
+    failed : int
+        Reads without a usable answer.
+    stale : int
+        Reads whose answer was older than what is known.
+    stalled : int
+        Reads whose answer brought records but no progress, or no records before
+        the time to wait.
+    """
+
+    reads: int = 0
+    failed: int = 0
+    stale: int = 0
+    stalled: int = 0
+
+
+def select_readers(view: View, data_centre: str, count: int) -> tuple[str, ...]:
+    """Return the instances of a data centre that read the configuration service.
+
+    Parameters
+    ----------
+    view : View
+        Live instances.
+    data_centre : str
+        The data centre.
+    count : int
+        Readers in each data centre.
+    """
+    names = [e.name for e in view.instances if e.data_centre == data_centre]
+    return tuple(rank("configuration", names)[:count])
+
+
+def compute_backoff(failures: int, options: ReaderOptions, rng: random.Random) -> float:
+    """Return the pause in ms after a number of failures in a row.
+
+    Jitter of half the pause keeps readers from returning all at once when the
+    service does.
+    """
+    # The exponent is bounded, as the power is taken before the limit applies.
+    pause = options.first_backoff_ms * 2.0 ** min(failures - 1, 30)
+    return min(pause, options.last_backoff_ms) * rng.uniform(0.5, 1.0)
+
+
+async def _sleep(duration_ms: float) -> None:
+    await asyncio.sleep(duration_ms / 1000)
+
+
+class RecordReader:
+    """Watches the configuration service while it is told to.
+
+    Parameters
+    ----------
+    service : RecordService
+        Where records are published.
+    read_sequence : callable
+        Returns the last sequence that is known.
+    receive : callable
+        Takes new records in order of their sequence.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of jitter.
+    options : ReaderOptions
+        Times.
+    sleep : callable
+        Waits for a number of ms.
+
+    Attributes
+    ----------
+    counts : ReaderCounts
+        Reads by outcome.
+    """
+
+    def __init__(
+        self,
+        service: RecordService,
+        *,
+        read_sequence: Callable[[], int],
+        receive: Callable[[list[Record]], None],
+        clock: Clock,
+        rng: random.Random,
+        options: ReaderOptions | None = None,
+        sleep: Callable[[float], Awaitable[None]] = _sleep,
+    ) -> None:
+        self.counts = ReaderCounts()
+        self._service = service
+        self._read_sequence = read_sequence
+        self._receive = receive
+        self._clock = clock
+        self._rng = rng
+        self._options = options or ReaderOptions()
+        self._sleep = sleep
+        self._task: asyncio.Task[None] | None = None
+
+    def set_reading(self, is_reader: bool) -> None:
+        """Start or stop reading; a read that waits is given up."""
+        if is_reader and (self._task is None or self._task.done()):
+            self._task = asyncio.create_task(self._watch())
+        elif not is_reader and self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def stop(self) -> None:
+        """Stop reading and wait until the read under way has ended."""
+        task = self._task
+        self.set_reading(False)
+        if task is not None:
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _watch(self) -> None:
+        failures = 0
+        reads_until_check = 0
+        while True:
+            is_check = reads_until_check == 0
+            try:
+                is_good = await (self._check() if is_check else self._read())
+            except PlatformError as error:
+                self.counts.failed += 1
+                log_message("currantline:reader", error=str(error))
+                is_good = False
+            if is_good:
+                # A check shows nothing about reads that bring no progress.
+                failures = failures if is_check else 0
+                interval = self._options.check_interval
+                reads_until_check = interval if is_check else reads_until_check - 1
+                continue
+            failures += 1
+            # The service may have been replaced by one that lags.
+            reads_until_check = 0
+            await self._sleep(compute_backoff(failures, self._options, self._rng))
+
+    async def _check(self) -> bool:
+        """Return whether the service has the last record that is known."""
+        known = self._read_sequence()
+        if known == 0:
+            return True
+        self.counts.reads += 1
+        answer = await self._service.read_records(known - 1, 0.0)
+        records = _select_records(answer, known - 1)
+        if not records or records[0].sequence != known:
+            self.counts.stale += 1
+            return False
+        return True
+
+    async def _read(self) -> bool:
+        """Read once and return whether the answer may be followed by another."""
+        known = self._read_sequence()
+        began = self._clock.read()
+        self.counts.reads += 1
+        answer = await self._service.read_records(known, self._options.wait_ms)
+        if not answer:
+            # A service that answers at once without records would be read in a loop.
+            is_early = self._clock.read() - began < self._options.wait_ms / 2
+            self.counts.stalled += is_early
+            return not is_early
+        records = _select_records(answer, known)
+        if not records:
+            self.counts.stale += 1
+            return False
+        self._receive(records)
+        has_moved = self._read_sequence() > known
+        self.counts.stalled += not has_moved
+        return has_moved
+
+
+def _select_records(answer: Sequence[Any], after: int) -> list[Record]:
+    """Return the records of an answer after a sequence, in order."""
+    try:
+        records = [read_record(document) for document in answer]
+    except RecordError as error:
+        raise PlatformError(str(error)) from error
+    newer = [record for record in records if record.sequence > after]
+    return sorted(newer, key=lambda record: record.sequence)
--- /dev/null
+++ b/src/currantline/configuration/tests/test_reader.py
@@ -0,0 +1,168 @@
+"""Tests of watching the configuration service."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+
+from currantline.clock import ManualClock
+from currantline.configuration import (
+    History,
+    ReaderOptions,
+    Record,
+    RecordReader,
+    select_readers,
+)
+from currantline.exceptions import PlatformError
+from currantline.membership import InstanceEntry, View
+
+LOG: list[Any] = [
+    {"sequence": 1, "kind": "snapshot", "body": {"version": 1}},
+    {"sequence": 2, "kind": "patch", "base_version": 1, "body": []},
+]
+
+
+class ScriptedService:
+    """Gives scripted answers, then holds every read back."""
+
+    def __init__(self, clock: ManualClock, answers: Sequence[Any]) -> None:
+        self.clock = clock
+        self.answers = list(answers)
+        self.reads: list[tuple[int, float]] = []
+        self.is_idle = asyncio.Event()
+
+    async def read_records(self, after: int, wait_ms: float) -> Sequence[Any]:
+        """Return the next answer; None is a read that waits and brings nothing."""
+        self.reads.append((after, wait_ms))
+        if not self.answers:
+            self.is_idle.set()
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if answer is None:
+            self.clock.advance(wait_ms)
+            return []
+        if isinstance(answer, Exception):
+            raise answer
+        found: Sequence[Any] = answer
+        return found
+
+
+class Scene:
+    """A reader with a scripted service and a history."""
+
+    def __init__(self, *answers: Any, known: int = 0) -> None:
+        clock = ManualClock()
+        self.history = History()
+        self.pauses: list[float] = []
+        self.service = ScriptedService(clock, answers)
+        self.reader = RecordReader(
+            self.service,
+            read_sequence=lambda: self.history.state.sequence,
+            receive=self.receive,
+            clock=clock,
+            rng=random.Random(1),
+            options=ReaderOptions(check_interval=3),
+            sleep=self.sleep,
+        )
+        for document in LOG[:known]:
+            self.history.apply(Record(**document), 0.0)
+
+    def receive(self, records: list[Record]) -> None:
+        """Apply records."""
+        for record in records:
+            self.history.apply(record, 0.0)
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Note a pause."""
+        self.pauses.append(duration_ms)
+
+    async def play(self) -> None:
+        """Read until the script has ended."""
+        self.reader.set_reading(True)
+        await self.service.is_idle.wait()
+        await self.reader.stop()
+
+
+class TestRecordReader:
+    """Reading records."""
+
+    def test_reads(self) -> None:
+        """Guards against records that are read twice or not at all."""
+
+        async def play() -> Scene:
+            scene = Scene(LOG[:1], None, LOG[1:])
+            await scene.play()
+            return scene
+
+        scene = asyncio.run(play())
+        assert scene.history.state.sequence == 2
+        assert scene.pauses == []
+        reads = [(0, 3000.0), (1, 3000.0), (1, 3000.0), (1, 0.0)]
+        assert scene.service.reads == reads
+
+    @pytest.mark.parametrize(
+        ("answers", "count"),
+        [
+            ([PlatformError("down")] * 9, "failed"),
+            ([[{"sequence": "1"}]] * 9, "failed"),
+            ([[]] * 9, "stale"),
+            ([LOG[:1]] * 9, "stale"),
+            ([LOG[1:], []] * 9, "stalled"),
+            ([LOG[1:], [{**LOG[1], "sequence": 4}]] * 9, "stalled"),
+        ],
+    )
+    def test_backoff(self, answers: list[Any], count: str) -> None:
+        """Guards against a service that is read in a loop while it is of no use."""
+
+        async def play() -> Scene:
+            scene = Scene(*answers, known=2)
+            await scene.play()
+            return scene
+
+        scene = asyncio.run(play())
+        state = scene.history.state
+        assert (state.sequence, state.version) == (2, 1)
+        assert getattr(scene.reader.counts, count) == 9
+        bounds = [100.0, 200.0, 400.0, 800.0, 1600.0, 2000.0, 2000.0, 2000.0, 2000.0]
+        for pause, bound in zip(scene.pauses, bounds, strict=True):
+            assert bound / 2 <= pause <= bound
+
+    def test_told_to_stop(self) -> None:
+        """Guards against an instance that reads though it is no reader."""
+
+        async def play() -> Scene:
+            scene = Scene()
+            scene.reader.set_reading(False)
+            scene.reader.set_reading(True)
+            await scene.service.is_idle.wait()
+            await scene.reader.stop()
+            scene.reader.set_reading(False)
+            assert len(asyncio.all_tasks()) == 1
+            return scene
+
+        assert len(asyncio.run(play()).service.reads) == 1
+
+
+class TestSelectReaders:
+    """Choice of readers."""
+
+    def test_replacement(self) -> None:
+        """Guards against other readers than the lost one changing."""
+        entries = [
+            InstanceEntry(
+                name=f"i{number}",
+                data_centre="north" if number % 2 else "south",
+                caller_address="127.0.0.1:1",
+                peer_address="127.0.0.1:2",
+            )
+            for number in range(10)
+        ]
+        first = select_readers(View.build(entries), "north", 2)
+        assert len(first) == 2
+        assert set(first) <= {"i1", "i3", "i5", "i7", "i9"}
+        left = View.build(e for e in entries if e.name != first[0])
+        second = select_readers(left, "north", 2)
+        assert len(second) == 2
+        assert first[1] in second
