Record verdicts in a bounded audit trail

An event carries who published what, the versions before and after and the verdict. Merging the trails of several instances makes one event of a record that all judged alike, with the instances that reported it.

Ruled out: to merge by sequence alone, because a disagreement between instances would then be hidden; events of one instance only have no sequence and are never merged.

Conclusion: an operator sees each change once, and any disagreement.

--- /dev/null
+++ b/src/currantline/audit/_event.py
@@ -0,0 +1,86 @@
+"""One change or attempt at a change."""
+
+import enum
+
+import attrs
+
+from currantline.configuration import Accepted, Judged, RecordKind, Refused
+
+__all__ = ["AuditEvent", "EventKind", "build_record_event"]
+
+
+class EventKind(enum.Enum):
+    """What happened."""
+
+    SNAPSHOT = "snapshot"
+    PATCH = "patch"
+    STATE = "state"
+    MALFORMED = "malformed"
+    OTHER = "other"
+
+
+@attrs.frozen(kw_only=True)
+class AuditEvent:
+    """One change or attempt at a change.
+
+    Parameters
+    ----------
+    kind : EventKind
+        What happened.
+    when_ms : float
+        Wall-clock time in ms.
+    author : str
+        Who published the record.
+    from_version, to_version : int
+        Version in force before and after.
+    verdict : str
+        ``accepted`` or ``refused``.
+    reason : str
+        Value of a `Reason`, empty if accepted.
+    detail : str
+        One line for people.
+    sequence : int
+        Sequence of the record, 0 if the event concerns one instance only.
+    number : int
+        Position in the trail of one instance, set by the trail.
+    """
+
+    kind: EventKind
+    when_ms: float
+    author: str = ""
+    from_version: int = 0
+    to_version: int = 0
+    verdict: str = ""
+    reason: str = ""
+    detail: str = ""
+    sequence: int = 0
+    number: int = 0
+
+
+def build_record_event(judged: Judged, *, when_ms: float) -> AuditEvent:
+    """Return the event of a verdict.
+
+    Parameters
+    ----------
+    judged : Judged
+        A record and its verdict.
+    when_ms : float
+        Wall-clock time in ms.
+    """
+    record, verdict = judged.record, judged.verdict
+    kinds = [kind.value for kind in RecordKind]
+    refused = verdict if isinstance(verdict, Refused) else None
+    to_version = judged.from_version
+    if isinstance(verdict, Accepted):
+        to_version = verdict.state.version
+    return AuditEvent(
+        kind=EventKind(record.kind if record.kind in kinds else "malformed"),
+        when_ms=when_ms,
+        author=record.author if isinstance(record.author, str) else "",
+        from_version=judged.from_version,
+        to_version=to_version,
+        verdict="refused" if refused else "accepted",
+        reason=refused.reason.value if refused else "",
+        detail=refused.detail if refused else "",
+        sequence=record.sequence,
+    )
--- /dev/null
+++ b/src/currantline/audit/_trail.py
@@ -0,0 +1,99 @@
+"""Events of one instance, and those of several instances as one trail."""
+
+from collections import deque
+from collections.abc import Hashable, Iterable, Mapping
+
+import attrs
+from eliot import log_message
+
+from currantline.audit._event import AuditEvent
+
+__all__ = ["AuditTrail", "MergedEvent", "merge_trails"]
+
+# At 3,500 changes a day this is more than three hours.
+TRAIL_EVENTS = 512
+
+
+class AuditTrail:
+    """Recent events of one instance, each of which is also logged.
+
+    Parameters
+    ----------
+    capacity : int
+        Most events kept in memory.
+    """
+
+    def __init__(self, *, capacity: int = TRAIL_EVENTS) -> None:
+        self._events: deque[AuditEvent] = deque(maxlen=capacity)
+        self._last = 0
+
+    def append(self, event: AuditEvent) -> AuditEvent:
+        """Keep an event, with a number, and log it.
+
+        Returns
+        -------
+        AuditEvent
+            The event with its number.
+        """
+        self._last += 1
+        numbered = attrs.evolve(event, number=self._last)
+        self._events.append(numbered)
+        fields = attrs.asdict(numbered)
+        log_message("currantline:audit", **{**fields, "kind": event.kind.value})
+        return numbered
+
+    def events_after(self, number: int) -> list[AuditEvent]:
+        """Return the events that are kept with a number above the given one."""
+        return [event for event in self._events if event.number > number]
+
+
+@attrs.frozen(kw_only=True)
+class MergedEvent:
+    """An event and the instances that reported it.
+
+    Parameters
+    ----------
+    event : AuditEvent
+        The earliest report.
+    instances : tuple of str
+        Names of the instances.
+    """
+
+    event: AuditEvent
+    instances: tuple[str, ...]
+
+
+def merge_trails(trails: Mapping[str, Iterable[AuditEvent]]) -> list[MergedEvent]:
+    """Merge the trails of several instances into one without repeats.
+
+    A record that many instances judged alike is one event. Verdicts that differ
+    stay apart, so that a disagreement shows.
+
+    Parameters
+    ----------
+    trails : mapping of str to iterable of AuditEvent
+        Events by the name of the instance.
+
+    Returns
+    -------
+    list of MergedEvent
+        Events by their time.
+    """
+    found: dict[Hashable, list[tuple[AuditEvent, str]]] = {}
+    for name in sorted(trails):
+        for event in trails[name]:
+            found.setdefault(_identify(name, event), []).append((event, name))
+    merged = [
+        MergedEvent(
+            event=min((event for event, _ in reports), key=lambda e: e.when_ms),
+            instances=tuple(sorted({name for _, name in reports})),
+        )
+        for reports in found.values()
+    ]
+    return sorted(merged, key=lambda m: (m.event.when_ms, m.event.sequence))
+
+
+def _identify(name: str, event: AuditEvent) -> Hashable:
+    if event.sequence == 0:
+        return name, event.number, event.when_ms
+    return attrs.evolve(event, when_ms=0.0, number=0)
