Add the command-line tool with check, diff and patch

Operators need to know before publishing whether a configuration or patch will be accepted. The tool calls the function by which the daemons judge, so its answer is theirs: check for a file, diff for the changes between two, patch for the record to publish. The JSON output of diff is the input of patch. Each kind of failure has one line on standard error and an exit code of its own.

A key that stands twice in a file is refused by the tool, because YAML silently uses the last. A patch that raises the schema level above what the tool's release knows is refused as well, because it would make instances of that release unready.

Ruled out: app.run of absl, which exits 1 for wrong usage and shows the flags of the entry script, not of the commands; registering commands on import, because a second import of the package registers them twice.

Conclusion: what the tool accepts is accepted when published against the same version.

--- /dev/null
+++ b/src/currantline/cli/_diff.py
@@ -0,0 +1,44 @@
+"""The command ``diff``."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from currantline.cli._command import Command, Invocation, Report
+from currantline.cli._files import read_configuration
+from currantline.configuration import Change, compute_changes, render_change
+
+__all__ = ["COMMAND", "list_rows"]
+
+
+def compare_files(invocation: Invocation) -> Report:
+    """Print the changes from one configuration to another.
+
+    The JSON output can be given to ``patch`` as its changes.
+    """
+    old, new = map(read_configuration, invocation.arguments)
+    changes = compute_changes(old, new)
+    document = {
+        "base_version": old.version,
+        "changes": [render_change(change) for change in changes],
+    }
+    return Report(document=document, rows=list_rows(changes))
+
+
+def list_rows(changes: Iterable[Change]) -> tuple[dict[str, Any], ...]:
+    """Return changes as rows of a table."""
+    rows = []
+    for change in changes:
+        form = render_change(change)
+        verb = "set" if "set" in form else "remove"
+        value = json.dumps(form["value"]) if "value" in form else ""
+        rows.append({"change": verb, "path": form[verb], "value": value})
+    return tuple(rows)
+
+
+COMMAND = Command(
+    name="diff",
+    arguments=("OLD", "NEW"),
+    summary="Print the changes from one configuration to another.",
+    perform=compare_files,
+)
--- /dev/null
+++ b/src/currantline/cli/_program.py
@@ -0,0 +1,160 @@
+"""Parsing of the command line and printing of what commands report."""
+
+import json
+import sys
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, NoReturn
+
+from absl import flags
+
+from currantline.cli._command import Command, ExitCode, Invocation, Report
+from currantline.cli._commands import COMMANDS
+from currantline.exceptions import CommandError
+
+__all__ = ["main", "run"]
+
+PROGRAM = "currantline"
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run one command.
+
+    Parameters
+    ----------
+    argv : sequence of str
+        Name of the program, command and arguments.
+
+    Returns
+    -------
+    int
+        An `ExitCode`.
+    """
+    name, command, values = "", None, _define_flags([])
+    try:
+        name = _find_name(argv)
+        command = COMMANDS.get(name)
+        values = _define_flags([command] if command else [])
+        words = values(list(argv))[1:]
+        if values["help"].value:
+            print(render_help(command))
+            return ExitCode.OK
+        if command is None:
+            raise CommandError(_describe_missing(name), ExitCode.USAGE)
+        report = _perform(command, tuple(words[1:]), values)
+    except flags.Error as error:
+        reason = " ".join(str(error).split())
+        return _print_failure(name, CommandError(reason, ExitCode.USAGE), False)
+    except CommandError as error:
+        return _print_failure(name, error, values["output"].value == "json")
+    if values["output"].value == "json":
+        print(json.dumps(report.document, indent=2))
+    else:
+        print(render_table(report.rows))
+    return ExitCode.OK
+
+
+def run() -> NoReturn:
+    """Entry point of the program."""
+    sys.exit(main(sys.argv))
+
+
+def render_table(rows: Iterable[Mapping[str, Any]]) -> str:
+    """Return rows as aligned columns under their headings.
+
+    Examples
+    --------
+    >>> print(render_table([{"name": "a", "slots": 2}, {"name": "bcdef", "slots": 1}]))
+    NAME   SLOTS
+    a      2
+    bcdef  1
+    """
+    found = [{key: str(value) for key, value in row.items()} for row in rows]
+    if not found:
+        return "nothing to show"
+    headings = {key: key.upper() for key in found[0]}
+    lines = [headings, *found]
+    widths = {key: max(len(line.get(key, "")) for line in lines) for key in headings}
+    return "\n".join(
+        "  ".join(line.get(key, "").ljust(widths[key]) for key in headings).rstrip()
+        for line in lines
+    )
+
+
+def render_help(command: Command | None) -> str:
+    """Return the help on one command or on all."""
+    shown = [command] if command else list(COMMANDS.values())
+    uses = {c.name: " ".join((c.name, *c.arguments)) for c in shown}
+    width = max(map(len, uses.values()))
+    codes = ", ".join(f"{code.value} {code.name.lower()}" for code in ExitCode)
+    flag_lines = [
+        f"  --{flag.name}  {flag.help}" for flag in _list_flags(_define_flags(shown))
+    ]
+    return "\n".join(
+        [
+            f"usage: {PROGRAM} COMMAND ARGUMENTS [FLAGS]",
+            "",
+            "commands:",
+            *(f"  {uses[c.name].ljust(width)}  {c.summary}" for c in shown),
+            "",
+            "flags:",
+            *flag_lines,
+            "",
+            f"exit codes: {codes}",
+        ]
+    )
+
+
+def _find_name(argv: Sequence[str]) -> str:
+    """Return the name of the command, before which only common flags may stand."""
+    words = _define_flags([])(list(argv), known_only=True)[1:]
+    return next((word for word in words if not word.startswith("-")), "")
+
+
+def _define_flags(commands: Iterable[Command]) -> flags.FlagValues:
+    values: flags.FlagValues = flags.FlagValues()  # type: ignore[no-untyped-call]
+    values.set_gnu_getopt(True)
+    flags.DEFINE_enum(
+        "output",
+        "table",
+        ["json", "table"],
+        "Form of the output.",
+        flag_values=values,
+    )
+    flags.DEFINE_boolean("help", False, "Print this help.", flag_values=values)
+    for command in commands:
+        command.define_flags(values)
+    return values
+
+
+def _list_flags(values: flags.FlagValues) -> list[Any]:
+    own = {flag.name: flag for name in values for flag in [values[name]]}
+    return [own[name] for name in sorted(own) if name not in ("flagfile", "undefok")]
+
+
+def _describe_missing(name: str) -> str:
+    known = ", ".join(COMMANDS)
+    if not name:
+        return f"a command is required: {known}"
+    return f"{name!r} is not a command; the commands are {known}"
+
+
+def _perform(
+    command: Command, arguments: tuple[str, ...], values: flags.FlagValues
+) -> Report:
+    if len(arguments) != len(command.arguments):
+        raise CommandError(
+            f"{len(command.arguments)} arguments are required "
+            f"({' '.join(command.arguments)}), not {len(arguments)}",
+            ExitCode.USAGE,
+        )
+    return command.perform(Invocation(arguments=arguments, flags=values))
+
+
+def _print_failure(name: str, error: CommandError, is_json: bool) -> int:
+    result = ExitCode(error.code)
+    if is_json:
+        document = {"result": result.name.lower(), "message": error.message}
+        print(json.dumps(document, indent=2))
+    program = f"{PROGRAM} {name}" if name in COMMANDS else PROGRAM
+    print(f"{program}: {error.message}", file=sys.stderr)
+    return result
--- a/src/currantline/configuration/__init__.py
+++ b/src/currantline/configuration/__init__.py
@@ -16,7 +16,7 @@
 )
 from currantline.configuration._digest import digest_configuration
 from currantline.configuration._history import History, HistoryCounts, Judged
-from currantline.configuration._judge import find_obstacle, judge
+from currantline.configuration._judge import find_obstacle, judge, read_level
 from currantline.configuration._limits import find_violation
 from currantline.configuration._model import (
     Configuration,
@@ -89,6 +89,7 @@
     "judge",
     "parse_changes",
     "parse_configuration",
+    "read_level",
     "read_record",
     "render_change",
     "render_configuration",
--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -6,6 +6,7 @@
     "AddressInUseError",
     "BodyTooLargeError",
     "ChangeError",
+    "CommandError",
     "ConfigurationError",
     "CurrantlineError",
     "InvalidValueError",
@@ -84,6 +85,21 @@
     """The body of a patch is not a list of changes."""
 
 
+@attrs.define(auto_exc=True)
+class CommandError(CurrantlineError):
+    """A command of the command-line tool failed.
+
+    Parameters
+    ----------
+    message : str
+        One line for people.
+    code : int
+        Exit code, 2 for wrong usage.
+    """
+
+    code: int = 2
+
+
 class AddressInUseError(SettingsError):
     """An address from the settings is taken by another process."""
 
