Judge a patch by the services that it changes

A patch was judged by checking and digesting the whole configuration. At the design size that holds up the event loop for 0.13 s per patch, and with it every request of the instance. The digest is now made of the digests of the services; those of services that a patch leaves alone are kept with the state, and only changed services are checked again.

Ruled out: to digest only when gossip asks, because gossip always does; to cache by the value of a service, because hashing the value costs a large part of what is saved.

Shown to fail first, each line broken in a scratch copy: - digests kept by name, or beyond a change of level: test_kept_digests, digests differ; - services not checked again after a change of max_instances, or of the service itself: test_refused.

Conclusion: the cost of a patch follows the patch, but for one pass over the names of all targets.

--- a/src/currantline/configuration/_judge.py
+++ b/src/currantline/configuration/_judge.py
@@ -153,7 +153,7 @@
     excess = _find_excess(changes, level, schema)
     if excess:
         return _refuse_field(excess, level)
-    built = _build(lambda: apply_changes(before, changes))
+    built = _build(lambda: apply_changes(before, changes), before)
     if isinstance(built, Refused):
         return built
     # A mistyped level would make every instance unready.
@@ -162,16 +162,20 @@
             Reason.INVALID, "schema_level: the level never falls and rises by one"
         )
     after = attrs.evolve(built, version=before.version + 1)
-    return Accepted(state=ConfigurationState.build(record.sequence, after, schema))
+    return Accepted(
+        state=ConfigurationState.build(record.sequence, after, schema, state)
+    )
 
 
-def _build(build: Callable[[], Configuration]) -> Configuration | Refused:
+def _build(
+    build: Callable[[], Configuration], before: Configuration | None = None
+) -> Configuration | Refused:
     try:
         configuration = build()
     except ConfigurationError as error:
         where = f"{error.path}: " if error.path else ""
         return _refuse(Reason.INVALID, f"{where}{error.message}")
-    return find_violation(configuration) or configuration
+    return find_violation(configuration, before) or configuration
 
 
 def _find_excess(changes: Iterable[Change], level: int, schema: Schema) -> str:
--- a/src/currantline/configuration/_limits.py
+++ b/src/currantline/configuration/_limits.py
@@ -29,22 +29,40 @@
 MIN_CONNECTIONS = 2
 
 
-def find_violation(configuration: Configuration) -> Refused | None:
+def find_violation(
+    configuration: Configuration, before: Configuration | None = None
+) -> Refused | None:
     """Return why a configuration may not come into force, or None.
 
     Parameters
     ----------
     configuration : Configuration
         A configuration with fields of the right types.
+    before : Configuration, optional
+        The configuration in force; services that are the same object in both
+        are not looked at again.
     """
-    for detail in _list_faults(configuration):
+    services = _list_changed(configuration, before)
+    for detail in _list_faults(configuration, services):
         return Refused(reason=Reason.INVALID, detail=detail)
-    for detail in _list_excesses(configuration):
+    for detail in _list_excesses(configuration, services):
         return Refused(reason=Reason.LIMIT_EXCEEDED, detail=detail)
     return None
 
 
-def _list_faults(configuration: Configuration) -> Iterator[str]:
+def _list_changed(
+    configuration: Configuration, before: Configuration | None
+) -> list[Service]:
+    services = configuration.services.values()
+    # The connections that each target needs depend on max_instances.
+    if before is None or before.max_instances != configuration.max_instances:
+        return list(services)
+    return [s for s in services if before.services.get(s.name) is not s]
+
+
+def _list_faults(
+    configuration: Configuration, services: Iterable[Service]
+) -> Iterator[str]:
     if configuration.version < 1:
         yield "version: the first version is 1"
     if configuration.schema_level < 1:
@@ -53,7 +71,7 @@
         check_unique_targets(configuration)
     except ConfigurationError as error:
         yield f"{error.path}: {error.message}"
-    for service in configuration.services.values():
+    for service in services:
         routes = [route.name for route in service.routes]
         targets = [target.name for target in service.targets]
         yield from _check_names(f"services.{service.name}", [service.name])
@@ -69,10 +87,11 @@
             yield f"{path}: {name!r} is not a name"
 
 
-def _list_excesses(configuration: Configuration) -> Iterator[str]:
-    services = configuration.services.values()
-    targets = sum(len(service.targets) for service in services)
-    yield from _compare("services", len(services), MAX_SERVICES)
+def _list_excesses(
+    configuration: Configuration, services: Iterable[Service]
+) -> Iterator[str]:
+    targets = sum(len(s.targets) for s in configuration.services.values())
+    yield from _compare("services", len(configuration.services), MAX_SERVICES)
     yield from _compare("targets", targets, MAX_TARGETS)
     yield from _compare("max_instances", configuration.max_instances, MAX_INSTANCES)
     needed = MIN_CONNECTIONS * configuration.max_instances
--- a/src/currantline/configuration/_record.py
+++ b/src/currantline/configuration/_record.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from currantline.configuration._digest import digest_configuration
+from currantline.configuration._digest import combine_digests, digest_service
 from currantline.configuration._model import Configuration
 from currantline.configuration._schema import RELEASE_SCHEMA, Schema
 from currantline.exceptions import RecordError
@@ -92,11 +92,14 @@
     digest : int
         Digest of the configuration in force; 0 for none, and for one of a schema
         level that this release does not know.
+    service_digests : mapping of str to int
+        Digest of each service, kept for the services that a patch leaves alone.
     """
 
     sequence: int = 0
     configuration: Configuration | None = None
     digest: int = 0
+    service_digests: Mapping[str, int] = attrs.field(factory=dict, eq=False, repr=False)
 
     @classmethod
     def build(
@@ -104,11 +107,34 @@
         sequence: int,
         configuration: Configuration,
         schema: Schema = RELEASE_SCHEMA,
+        before: "ConfigurationState | None" = None,
     ) -> "ConfigurationState":
-        """Return the state with the digest of its configuration."""
-        is_known = configuration.schema_level <= schema.known_level
-        digest = digest_configuration(configuration, schema) if is_known else 0
-        return cls(sequence=sequence, configuration=configuration, digest=digest)
+        """Return the state with the digest of its configuration.
+
+        Parameters
+        ----------
+        sequence : int
+            Last record judged.
+        configuration : Configuration
+            Configuration in force.
+        schema : Schema
+            Fields that this release knows.
+        before : ConfigurationState, optional
+            State before, whose digests hold for services that are the same object.
+        """
+        level = configuration.schema_level
+        if level > schema.known_level:
+            return cls(sequence=sequence, configuration=configuration)
+        digests = _find_kept(configuration, before)
+        for name, service in configuration.services.items():
+            if name not in digests:
+                digests[name] = digest_service(service, level, schema)
+        return cls(
+            sequence=sequence,
+            configuration=configuration,
+            digest=combine_digests(configuration, digests, schema),
+            service_digests=digests,
+        )
 
     @property
     def version(self) -> int:
@@ -175,6 +201,19 @@
     return attrs.asdict(record, recurse=False)
 
 
+def _find_kept(
+    configuration: Configuration, before: ConfigurationState | None
+) -> dict[str, int]:
+    old = before.configuration if before else None
+    if before is None or old is None or old.schema_level != configuration.schema_level:
+        return {}
+    return {
+        name: before.service_digests[name]
+        for name, service in configuration.services.items()
+        if old.services.get(name) is service
+    }
+
+
 def encode_body(body: Any) -> str | None:
     """Return the JSON text of a body, or None if it has none."""
     try:
--- a/src/currantline/configuration/tests/test_judge.py
+++ b/src/currantline/configuration/tests/test_judge.py
@@ -118,6 +118,25 @@
         assert service.timeout_ms == 250.0
         assert service.routes == CONFIGURATION.services["ordering"].routes
 
+    def test_kept_digests(self) -> None:
+        """Guards against a digest that misses a changed, new or removed service."""
+        # retry_ratio enters the digest when the level rises.
+        state = ConfigurationState.build(1, CONFIGURATION, NEWER)
+        value = {"targets": [{"name": "c", **TARGET}]}
+        for changes in (
+            [{"set": "services/new", "value": value}],
+            [change_field("timeout_ms", 9)],
+            [{"set": "schema_level", "value": 2}],
+            [change_field("retry_ratio", 0.7)],
+            [{"remove": "services/new"}, {"set": "max_instances", "value": 9}],
+        ):
+            verdict = judge(state, patch(*changes, base=state.version), NEWER)
+            assert isinstance(verdict, Accepted)
+            state = verdict.state
+            assert state.configuration is not None
+            assert state.digest == digest_configuration(state.configuration, NEWER)
+        assert len(state.service_digests) == 1
+
     @pytest.mark.parametrize(
         ("record", "reason"),
         [
@@ -139,6 +158,7 @@
                 "invalid",
             ),
             (patch({"set": "max_instances", "value": 126}), "limit-exceeded"),
+            (patch(change_field("retry_ratio", 1.5)), "limit-exceeded"),
             (patch({"set": "note", "value": "x" * 1_000_000}), "limit-exceeded"),
             (
                 patch(change_field("timeout_ms", 9), schema_level=2),
