Test reading records over the platform's protocol

The reader was tested with a fake of its own protocol only, so a wrong path or an answer that escapes as an untyped error would not have shown. The test passes the real request to the stand-in of the platform without sockets, and feeds answers that break the protocol.

Ruled out: a socket on loopback, because the stand-in does not tell a port that the system chose.

Conclusion: a broken answer costs one read.

--- a/src/currantline/configuration/tests/test_reader.py
+++ b/src/currantline/configuration/tests/test_reader.py
@@ -10,13 +10,17 @@
 from currantline.clock import ManualClock
 from currantline.configuration import (
     History,
+    HttpRecordService,
     ReaderOptions,
     Record,
     RecordReader,
+    _reader,
     select_readers,
 )
-from currantline.exceptions import PlatformError
+from currantline.exceptions import PlatformError, WireError
 from currantline.membership import InstanceEntry, View
+from currantline.standin.platform import Platform
+from currantline.wire import Answer, Request
 
 LOG: list[Any] = [
     {"sequence": 1, "kind": "snapshot", "body": {"version": 1}},
@@ -145,6 +149,41 @@
         assert len(asyncio.run(play()).service.reads) == 1
 
 
+class TestHttpRecordService:
+    """Reading over the platform's protocol."""
+
+    def test_platform(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a protocol fault that passes for an answer, or an escape."""
+        platform = Platform()
+        requests: list[str] = []
+        failures: list[Answer | Exception] = []
+
+        async def answer(address: str, request: Request, *, timeout_ms: float) -> Any:
+            requests.append(f"{address} {request.target} {timeout_ms:g}")
+            found = failures.pop() if failures else await platform.handle(request)
+            if isinstance(found, Exception):
+                raise found
+            return found
+
+        monkeypatch.setattr(_reader, "fetch", answer)
+        service = HttpRecordService(address="127.0.0.1:9", margin_ms=500.0)
+        for document in LOG:
+            platform.publish(document)
+        assert asyncio.run(service.read_records(1, 250.0)) == LOG[1:]
+        assert requests == ["127.0.0.1:9 /v1/records?after=1&wait_ms=250 750"]
+        failures += [
+            WireError("silent"),
+            Answer(status=503, headers=(), body=b'{"records": []}'),
+            Answer(status=200, headers=(), body=b"{"),
+            Answer(status=200, headers=(), body=b"[]"),
+            Answer(status=200, headers=(), body=b'{"records": 1}'),
+            Answer(status=200, headers=(), body=b"[" * 100_000),
+        ]
+        while failures:
+            with pytest.raises(PlatformError):
+                asyncio.run(service.read_records(1, 250.0))
+
+
 class TestSelectReaders:
     """Choice of readers."""
 
