Bound the depth, author and refusal text of a record

Encoding a deeply nested body fails at a depth that depends on the stack that is left, so two instances could refuse one record for different reasons. The text of a refusal quoted the refused value, up to 1 MB of it, and 512 such events in an audit trail exceed the 64 MB of control work.

A body nested deeper than 20 levels is malformed, authors have at most 100 characters and a refusal at most 300.

Ruled out: a limit in the reader, because records also come from peers.

Shown to fail first, each line broken in a scratch copy: depth not compared, test_refused[record22] gets "invalid"; refusal not cut, test_refused[record24], "assert 1026 <= 300".

Conclusion: what an instance keeps of a refused record is bounded.

--- a/src/currantline/audit/_event.py
+++ b/src/currantline/audit/_event.py
@@ -8,6 +8,9 @@
 
 __all__ = ["AuditEvent", "EventKind", "build_record_event"]
 
+# A malformed record may carry anything as its author.
+MAX_AUTHOR_LENGTH = 100
+
 
 class EventKind(enum.Enum):
     """What happened."""
@@ -76,7 +79,7 @@
     return AuditEvent(
         kind=EventKind(record.kind if record.kind in kinds else "malformed"),
         when_ms=when_ms,
-        author=record.author if isinstance(record.author, str) else "",
+        author=_shorten(record.author),
         from_version=judged.from_version,
         to_version=to_version,
         verdict="refused" if refused else "accepted",
@@ -84,3 +87,7 @@
         detail=refused.detail if refused else "",
         sequence=record.sequence,
     )
+
+
+def _shorten(author: object) -> str:
+    return author[:MAX_AUTHOR_LENGTH] if isinstance(author, str) else ""
--- a/src/currantline/audit/tests/test_trail.py
+++ b/src/currantline/audit/tests/test_trail.py
@@ -43,6 +43,7 @@
         records = [
             Record(sequence=1, kind="snapshot", author="ann", body={"version": 4}),
             Record(sequence=2, kind=["odd"], author=7),
+            Record(sequence=3, kind="patch", author="x" * 200),
         ]
         events = []
         for record in records:
@@ -52,9 +53,9 @@
             judged = Judged(record=record, verdict=verdict, from_version=before)
             events.append(build_record_event(judged, when_ms=9.0))
         versions = [(event.from_version, event.to_version) for event in events]
-        assert versions == [(0, 4), (4, 4)]
-        assert [event.author for event in events] == ["ann", ""]
-        assert [event.reason for event in events] == ["", "malformed"]
+        assert versions == [(0, 4), (4, 4), (4, 4)]
+        assert [event.author for event in events] == ["ann", "", "x" * 100]
+        assert [event.reason for event in events] == ["", "malformed", "malformed"]
 
 
 class TestMergeTrails:
--- a/src/currantline/configuration/_judge.py
+++ b/src/currantline/configuration/_judge.py
@@ -25,12 +25,19 @@
     RecordKind,
     Refused,
     encode_body,
+    measure_depth,
 )
 from currantline.configuration._schema import RELEASE_SCHEMA, Schema
 from currantline.exceptions import ChangeError, ConfigurationError
 
 __all__ = ["find_obstacle", "judge", "read_level"]
 
+# Verdicts must not depend on the stack that is left when a body is walked.
+MAX_DEPTH = 20
+# Refusals are kept in memory and logged.
+MAX_DETAIL_LENGTH = 300
+MAX_AUTHOR_LENGTH = 100
+
 
 def judge(
     state: ConfigurationState, record: Record, schema: Schema = RELEASE_SCHEMA
@@ -92,8 +99,15 @@
         return _refuse(Reason.MALFORMED, "base_version is not a whole number")
     if type(record.schema_level) is not int:
         return _refuse(Reason.MALFORMED, "schema_level is not a whole number")
-    if not isinstance(record.author, str):
-        return _refuse(Reason.MALFORMED, "author is not a text")
+    if not isinstance(record.author, str) or len(record.author) > MAX_AUTHOR_LENGTH:
+        return _refuse(
+            Reason.MALFORMED,
+            f"author is not a text of at most {MAX_AUTHOR_LENGTH} characters",
+        )
+    if measure_depth(record.body) > MAX_DEPTH:
+        return _refuse(
+            Reason.MALFORMED, f"the body is nested deeper than {MAX_DEPTH} levels"
+        )
     text = encode_body(record.body)
     if text is None:
         return _refuse(Reason.MALFORMED, "the body is not JSON")
@@ -209,4 +223,4 @@
 
 
 def _refuse(reason: Reason, detail: str) -> Refused:
-    return Refused(reason=reason, detail=detail)
+    return Refused(reason=reason, detail=detail[:MAX_DETAIL_LENGTH])
--- a/src/currantline/configuration/_record.py
+++ b/src/currantline/configuration/_record.py
@@ -20,6 +20,7 @@
     "RecordKind",
     "Refused",
     "encode_body",
+    "measure_depth",
     "read_record",
     "render_record",
 ]
@@ -201,6 +202,26 @@
     return attrs.asdict(record, recurse=False)
 
 
+def measure_depth(body: Any) -> int:
+    """Return how deep lists and mappings are nested in a body.
+
+    Examples
+    --------
+    >>> measure_depth([{"set": "max_instances", "value": [1]}])
+    3
+    """
+    depth = 0
+    level = [body]
+    while level := [item for item in level if isinstance(item, list | dict)]:
+        depth += 1
+        level = [
+            inner
+            for item in level
+            for inner in (item.values() if isinstance(item, dict) else item)
+        ]
+    return depth
+
+
 def _find_kept(
     configuration: Configuration, before: ConfigurationState | None
 ) -> dict[str, int]:
--- a/src/currantline/configuration/tests/test_judge.py
+++ b/src/currantline/configuration/tests/test_judge.py
@@ -93,6 +93,11 @@
     return {"set": f"services/ordering/{field}", "value": value}
 
 
+def nest(depth: int) -> Any:
+    """Return lists in lists."""
+    return [] if depth == 1 else [nest(depth - 1)]
+
+
 class TestJudge:
     """Verdicts on records."""
 
@@ -172,6 +177,10 @@
             (patch(), "malformed"),
             (patch(change_field("timeout_ms", float("nan"))), "malformed"),
             (patch(change_field("timeout_ms", 9), author=7), "malformed"),
+            (patch(change_field("timeout_ms", 9), author="x" * 101), "malformed"),
+            (patch(change_field("timeout_ms", nest(20))), "malformed"),
+            (patch(change_field("timeout_ms", nest(18))), "invalid"),
+            (Record(sequence=2, kind="x" * 1000, body={}), "malformed"),
             (Record(sequence=2, kind="state", body={}), "malformed"),
             (
                 Record(sequence=2, kind="snapshot", body={"version": 4}),
@@ -188,6 +197,7 @@
         verdict = judge(STATE, record)
         assert isinstance(verdict, Refused)
         assert verdict.reason is Reason(reason), verdict.detail
+        assert len(verdict.detail) <= 300
 
     def test_all_or_nothing(self) -> None:
         """Guards against the first change of a refused patch taking effect."""
