--- a/src/currantline/configuration/__init__.py
+++ b/src/currantline/configuration/__init__.py
@@ -16,7 +16,7 @@
 )
 from currantline.configuration._digest import digest_configuration
 from currantline.configuration._history import History, HistoryCounts, Judged
-from currantline.configuration._judge import find_obstacle, judge
+from currantline.configuration._judge import find_obstacle, judge, read_level
 from currantline.configuration._limits import find_violation
 from currantline.configuration._model import (
     Configuration,
@@ -30,6 +30,14 @@
     parse_configuration,
     render_configuration,
 )
+from currantline.configuration._reader import (
+    HttpRecordService,
+    ReaderCounts,
+    ReaderOptions,
+    RecordReader,
+    RecordService,
+    select_readers,
+)
 from currantline.configuration._record import (
     Accepted,
     ConfigurationState,
@@ -51,11 +59,16 @@
     "Group",
     "History",
     "HistoryCounts",
+    "HttpRecordService",
     "Judged",
     "Priority",
+    "ReaderCounts",
+    "ReaderOptions",
     "Reason",
     "Record",
     "RecordKind",
+    "RecordReader",
+    "RecordService",
     "Refused",
     "RemoveMember",
     "RemoveService",
@@ -76,8 +89,10 @@
     "judge",
     "parse_changes",
     "parse_configuration",
+    "read_level",
     "read_record",
     "render_change",
     "render_configuration",
     "render_record",
+    "select_readers",
 ]
--- a/src/currantline/configuration/tests/test_judge.py
+++ b/src/currantline/configuration/tests/test_judge.py
@@ -93,6 +93,11 @@
     return {"set": f"services/ordering/{field}", "value": value}
 
 
+def nest(depth: int) -> Any:
+    """Return lists in lists."""
+    return [] if depth == 1 else [nest(depth - 1)]
+
+
 class TestJudge:
     """Verdicts on records."""
 
@@ -118,6 +123,25 @@
         assert service.timeout_ms == 250.0
         assert service.routes == CONFIGURATION.services["ordering"].routes
 
+    def test_kept_digests(self) -> None:
+        """Guards against a digest that misses a changed, new or removed service."""
+        # retry_ratio enters the digest when the level rises.
+        state = ConfigurationState.build(1, CONFIGURATION, NEWER)
+        value = {"targets": [{"name": "c", **TARGET}]}
+        for changes in (
+            [{"set": "services/new", "value": value}],
+            [change_field("timeout_ms", 9)],
+            [{"set": "schema_level", "value": 2}],
+            [change_field("retry_ratio", 0.7)],
+            [{"remove": "services/new"}, {"set": "max_instances", "value": 9}],
+        ):
+            verdict = judge(state, patch(*changes, base=state.version), NEWER)
+            assert isinstance(verdict, Accepted)
+            state = verdict.state
+            assert state.configuration is not None
+            assert state.digest == digest_configuration(state.configuration, NEWER)
+        assert len(state.service_digests) == 1
+
     @pytest.mark.parametrize(
         ("record", "reason"),
         [
@@ -139,6 +163,7 @@
                 "invalid",
             ),
             (patch({"set": "max_instances", "value": 126}), "limit-exceeded"),
+            (patch(change_field("retry_ratio", 1.5)), "limit-exceeded"),
             (patch({"set": "note", "value": "x" * 1_000_000}), "limit-exceeded"),
             (
                 patch(change_field("timeout_ms", 9), schema_level=2),
@@ -152,6 +177,10 @@
             (patch(), "malformed"),
             (patch(change_field("timeout_ms", float("nan"))), "malformed"),
             (patch(change_field("timeout_ms", 9), author=7), "malformed"),
+            (patch(change_field("timeout_ms", 9), author="x" * 101), "malformed"),
+            (patch(change_field("timeout_ms", nest(20))), "malformed"),
+            (patch(change_field("timeout_ms", nest(18))), "invalid"),
+            (Record(sequence=2, kind="x" * 1000, body={}), "malformed"),
             (Record(sequence=2, kind="state", body={}), "malformed"),
             (
                 Record(sequence=2, kind="snapshot", body={"version": 4}),
@@ -168,6 +197,7 @@
         verdict = judge(STATE, record)
         assert isinstance(verdict, Refused)
         assert verdict.reason is Reason(reason), verdict.detail
+        assert len(verdict.detail) <= 300
 
     def test_all_or_nothing(self) -> None:
         """Guards against the first change of a refused patch taking effect."""
