Measure the dispatcher against baselines

Parameters of slot sharing need figures that anyone can repeat.

Ruled out: a backlog limit at the targets of the baselines, because sheds would take the slowest requests out of their percentiles.

--- /dev/null
+++ b/src/currantline/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurement of decision cores against baselines."""
--- /dev/null
+++ b/src/currantline/bench/_workload.py
@@ -0,0 +1,133 @@
+"""Deployments and the requests that they receive."""
+
+import random
+from collections.abc import Callable, Iterator
+
+import attrs
+
+__all__ = ["COOP", "FEDERATION", "Deployment", "Job", "make_jobs"]
+
+SHORT_MEAN_MS = 8.0
+LONG_FACTOR = 25.0
+LONG_SHARE = 0.03
+CALLERS = 64
+
+
+@attrs.frozen(kw_only=True)
+class Deployment:
+    """Size and distances of one deployment.
+
+    Parameters
+    ----------
+    name : str
+        Name in the output.
+    instances : int
+        Instances of currantline.
+    targets : int
+        Targets of the service.
+    slots : int
+        Slots of each target.
+    caller_ms : float
+        Distance of callers one way, in milliseconds.
+    timeout_ms : float
+        Time from arrival to deadline, in milliseconds.
+    """
+
+    name: str
+    instances: int
+    targets: int
+    slots: int
+    caller_ms: float
+    timeout_ms: float
+
+    @property
+    def capacity(self) -> int:
+        """Slots of all targets."""
+        return self.targets * self.slots
+
+
+COOP = Deployment(
+    name="co-op", instances=18, targets=10, slots=2, caller_ms=1.0, timeout_ms=2000.0
+)
+FEDERATION = Deployment(
+    name="federation",
+    instances=19,
+    targets=13,
+    slots=6,
+    caller_ms=8.0,
+    timeout_ms=3000.0,
+)
+
+
+@attrs.define(kw_only=True)
+class Job:
+    """One request.
+
+    Parameters
+    ----------
+    index : int
+        Number of the request.
+    arrived : float
+        Time at which it reaches an instance, in milliseconds.
+    run_ms : float
+        Time that it occupies a slot.
+    is_long : bool
+        Whether it is of the long route.
+    caller : int
+        Caller that sends it.
+    deadline : float
+        Time after which its answer is of no use.
+    """
+
+    index: int
+    arrived: float
+    run_ms: float
+    is_long: bool
+    caller: int
+    deadline: float
+
+
+def make_jobs(
+    deployment: Deployment,
+    load: Callable[[float], float],
+    *,
+    duration_ms: float,
+    seed: int,
+    with_long: bool = True,
+) -> Iterator[Job]:
+    """Yield the requests of one run in order of arrival.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where they arrive.
+    load : callable
+        Work offered at a time, as a share of capacity.
+    duration_ms : float
+        Length of the run.
+    seed : int
+        Seed of all draws.
+    with_long : bool
+        Whether long requests are kept. Short ones are the same either way.
+    """
+    rng = random.Random(seed)
+    mean_ms = SHORT_MEAN_MS * (1 - LONG_SHARE + LONG_SHARE * LONG_FACTOR)
+    per_ms = deployment.capacity / mean_ms
+    now = 0.0
+    index = 0
+    while now < duration_ms:
+        now += rng.expovariate(per_ms * load(now))
+        is_long = rng.random() < LONG_SHARE
+        run_ms = rng.expovariate(1 / SHORT_MEAN_MS)
+        caller = rng.randrange(CALLERS)
+        if is_long and not with_long:
+            continue
+        yield Job(
+            index=index,
+            arrived=now,
+            run_ms=run_ms * (LONG_FACTOR if is_long else 1.0),
+            is_long=is_long,
+            caller=caller,
+            deadline=now + deployment.timeout_ms,
+        )
+        index += 1
--- /dev/null
+++ b/src/currantline/bench/measure.py
@@ -0,0 +1,279 @@
+"""Print how the dispatcher compares with baselines.
+
+Run as ``python -m currantline.bench.measure``. Response times are measured at
+the instance, from arrival to answer; the distance of callers is the same for
+every policy and is added in columns of its own.
+"""
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+
+import attrs
+from absl import app, flags
+
+from currantline.bench._baselines import (
+    IndependentChoice,
+    SingleQueue,
+    least,
+    power_of_two,
+    uniform,
+)
+from currantline.bench._fleet import Fleet
+from currantline.bench._simulation import Policy, Results, Simulation
+from currantline.bench._workload import COOP, FEDERATION, Deployment, make_jobs
+from currantline.dispatch import DispatchOptions
+
+__all__ = ["Run", "measure"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("seed", 1, "Seed of all draws.", lower_bound=0)
+flags.DEFINE_integer("workers", 4, "Processes that simulate.", lower_bound=1)
+flags.DEFINE_integer("slots_per_owner", 20, "Slots per owner.", lower_bound=1)
+flags.DEFINE_float("lease_ms", None, "Lease of a loan, if not the default.")
+flags.DEFINE_integer("fairness_interval", None, "Interval, if not the default.")
+
+LOADS = (0.6, 0.8, 0.95)
+OVERLOAD = 2.0
+WARM_UP_MS = 3000.0
+# Short enough for the whole command, long enough for 10,000 short requests.
+DURATION_MS = {"co-op": 23_000.0, "federation": 11_000.0}
+STEP_AT_MS = 5000.0
+STEP_MS = 1000.0
+STEP_FROM = 0.45
+CHOICES = {"random": uniform, "power of two": power_of_two, "least in-flight": least}
+POLICIES = ("bound", *CHOICES, "no lending", "ours")
+
+
+@attrs.frozen(kw_only=True)
+class Run:
+    """One simulated run.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where.
+    policy : str
+        One of `POLICIES`.
+    load : float
+        Offered work as a share of capacity.
+    with_long : bool
+        Whether long work is present.
+    is_step : bool
+        Whether the load doubles to ``load`` within a second.
+    seed : int
+        Seed of all draws.
+    slots_per_owner : int
+        Slots that one owner looks after.
+    options : DispatchOptions
+        Options of the dispatchers.
+    """
+
+    deployment: Deployment
+    policy: str
+    load: float
+    with_long: bool = True
+    is_step: bool = False
+    seed: int = 1
+    slots_per_owner: int = 20
+    options: DispatchOptions = attrs.field(factory=DispatchOptions)
+
+    @property
+    def duration_ms(self) -> float:
+        """Simulated time."""
+        return DURATION_MS[self.deployment.name]
+
+    @property
+    def warm_up_ms(self) -> float:
+        """Time from which results count."""
+        return STEP_AT_MS if self.is_step else WARM_UP_MS
+
+    def load_at(self, now: float) -> float:
+        """Return the offered load at a time."""
+        if not self.is_step:
+            return self.load
+        share = min(1.0, max(0.0, (now - STEP_AT_MS) / STEP_MS))
+        return STEP_FROM + (self.load - STEP_FROM) * share
+
+
+@attrs.frozen(kw_only=True)
+class Figures:
+    """What one run measured; times in ms, useful work as a share of capacity."""
+
+    short_p99: float
+    long_p99: float
+    useful: float
+    not_run: int
+    unknown: int
+    messages_per_s: float
+
+
+def measure(run: Run) -> Figures:
+    """Simulate one run.
+
+    Parameters
+    ----------
+    run : Run
+        What to simulate.
+
+    Returns
+    -------
+    Figures
+        What was measured after the warm-up.
+    """
+    simulation = Simulation(run.deployment, warm_up_ms=run.warm_up_ms)
+    jobs = make_jobs(
+        run.deployment,
+        run.load_at,
+        duration_ms=run.duration_ms,
+        seed=run.seed,
+        with_long=run.with_long,
+    )
+    policy = _build_policy(run, simulation)
+    results = simulation.run(policy, jobs, until_ms=run.duration_ms)
+    return _summarise(run, results)
+
+
+def _build_policy(run: Run, simulation: Simulation) -> Policy:
+    rng = random.Random(run.seed + 1000)
+    if run.policy == "bound":
+        return SingleQueue(simulation)
+    if run.policy in CHOICES:
+        return IndependentChoice(simulation, CHOICES[run.policy], rng)
+    lends = run.policy == "ours"
+    # Without lending, instances that own nothing place their requests at once.
+    options = run.options if lends else DispatchOptions(owner_patience_ms=0.0)
+    return Fleet(
+        simulation,
+        rng,
+        options=options,
+        slots_per_owner=run.slots_per_owner,
+        with_messages=lends,
+    )
+
+
+def _summarise(run: Run, results: Results) -> Figures:
+    counted_ms = run.duration_ms - run.warm_up_ms
+    return Figures(
+        short_p99=_percentile(results.short_ms, 0.99),
+        long_p99=_percentile(results.long_ms, 0.99),
+        useful=results.useful_ms / (counted_ms * run.deployment.capacity),
+        not_run=results.not_run,
+        unknown=results.unknown,
+        messages_per_s=results.messages / run.duration_ms * 1000,
+    )
+
+
+def _percentile(values: list[float], share: float) -> float:
+    if not values:
+        return math.nan
+    return sorted(values)[int(share * len(values))]
+
+
+def _list_runs(deployment: Deployment, make: Callable[..., Run]) -> list[Run]:
+    runs = [
+        make(deployment=deployment, policy=policy, load=load)
+        for load in LOADS
+        for policy in POLICIES
+    ]
+    runs += [
+        make(deployment=deployment, policy="ours", load=load, with_long=False)
+        for load in LOADS
+    ]
+    runs.append(make(deployment=deployment, policy="ours", load=OVERLOAD))
+    runs += [
+        make(deployment=deployment, policy=policy, load=2 * STEP_FROM, is_step=True)
+        for policy in ("bound", "least in-flight", "ours")
+    ]
+    return runs
+
+
+def _describe(run: Run) -> str:
+    load = f"{STEP_FROM}->{run.load}" if run.is_step else f"{run.load}"
+    policy = run.policy if run.with_long else f"{run.policy}, no long"
+    return f"{run.deployment.name:<11}{load:>10}  {policy:<16}"
+
+
+def _print_table(figures: dict[Run, Figures]) -> None:
+    print(
+        "deployment       load  policy          "
+        "  short p99   long p99   useful  not-run  unknown  messages/s"
+    )
+    for run, row in figures.items():
+        print(
+            f"{_describe(run)}{row.short_p99:>11.1f}{row.long_p99:>11.1f}"
+            f"{row.useful:>9.3f}{row.not_run:>9}{row.unknown:>9}"
+            f"{row.messages_per_s:>12.0f}"
+        )
+
+
+def _print_ratios(
+    deployment: Deployment, figures: dict[Run, Figures], make: Callable[..., Run]
+) -> None:
+    distance_ms = 2 * deployment.caller_ms
+    print(f"\n{deployment.name}: ratios of short p99 (with the callers' distance)")
+    for load in LOADS:
+        p99 = {
+            policy: figures[make(deployment=deployment, policy=policy, load=load)]
+            for policy in POLICIES
+        }
+        ours = p99["ours"].short_p99
+        bound = p99["bound"].short_p99
+        rival = p99["least in-flight"].short_p99
+        without = figures[
+            make(deployment=deployment, policy="ours", load=load, with_long=False)
+        ].short_p99
+        print(
+            f"  load {load}: ours/bound {ours / bound:.2f} "
+            f"({(ours + distance_ms) / (bound + distance_ms):.2f})  "
+            f"least/ours {rival / ours:.2f} "
+            f"({(rival + distance_ms) / (ours + distance_ms):.2f})  "
+            f"with/without long {ours / without:.2f}"
+        )
+    overload = figures[make(deployment=deployment, policy="ours", load=OVERLOAD)]
+    print(
+        f"  demand of twice capacity: useful {overload.useful:.3f}, "
+        f"not-run {overload.not_run}, unknown {overload.unknown}"
+    )
+
+
+def _make_options() -> DispatchOptions:
+    options = DispatchOptions()
+    if FLAGS.lease_ms is not None:
+        options = attrs.evolve(options, lease_ms=FLAGS.lease_ms)
+    if FLAGS.fairness_interval is not None:
+        options = attrs.evolve(options, fairness_interval=FLAGS.fairness_interval)
+    return options
+
+
+def _measure_all(runs: Iterable[Run], workers: int) -> dict[Run, Figures]:
+    # The longest runs go first, so that no process is left with one at the end.
+    ordered = sorted(runs, key=lambda run: (run.policy != "ours", -run.load))
+    with ProcessPoolExecutor(workers) as executor:
+        measured = dict(zip(ordered, executor.map(measure, ordered), strict=True))
+    return {run: measured[run] for run in runs}
+
+
+def main(argv: list[str]) -> None:
+    """Measure all runs and print tables and ratios."""
+    options = _make_options()
+
+    def make(**values: object) -> Run:
+        return Run(
+            seed=FLAGS.seed,
+            slots_per_owner=FLAGS.slots_per_owner,
+            options=options,
+            **values,  # type: ignore[arg-type]
+        )
+
+    deployments = (COOP, FEDERATION)
+    runs = [run for place in deployments for run in _list_runs(place, make)]
+    figures = _measure_all(runs, FLAGS.workers)
+    _print_table(figures)
+    for deployment in deployments:
+        _print_ratios(deployment, figures, make)
+
+
+if __name__ == "__main__":
+    app.run(main)
