Hand out permits from the dispatcher

Forwarding waits for permits; the dispatcher returns effects. A task turns one into the other, wakes up when something is due and discards loans after a pause of the process.

Requests get a number of their own inside, because callers choose the request identifier and two callers may choose the same.

Conclusion: a slot is neither lost nor used twice when a caller leaves while it waits or just after its request was given a slot.

--- a/src/currantline/dispatch/__init__.py
+++ b/src/currantline/dispatch/__init__.py
@@ -17,10 +17,12 @@
 from currantline.dispatch._options import DispatchOptions
 from currantline.dispatch._pool import PoolCounts
 from currantline.dispatch._retry import RetryBudget
+from currantline.dispatch._task import DispatchTask
 
 __all__ = [
     "Demand",
     "DispatchOptions",
+    "DispatchTask",
     "Dispatcher",
     "Effect",
     "Lend",
--- /dev/null
+++ b/src/currantline/dispatch/_task.py
@@ -0,0 +1,180 @@
+"""Permits for forwarding, from a dispatcher and the clock."""
+
+import asyncio
+import contextlib
+import itertools
+import math
+from collections.abc import Callable, Mapping
+
+import attrs
+from eliot import log_message
+
+from currantline.admission import Work
+from currantline.clock import Clock
+from currantline.configuration import Configuration
+from currantline.directory import Ownership
+from currantline.dispatch._dispatcher import Dispatcher, ServiceCounts
+from currantline.dispatch._messages import Effect, Message, Send, Start
+from currantline.exceptions import NotRunError
+from currantline.forwarding import AttemptResult, Permit
+
+__all__ = ["DispatchTask"]
+
+# Longest time between two looks at the clock. A larger gap is a pause.
+HEARTBEAT_MS = 250.0
+
+
+class DispatchTask:
+    """Carries out what a dispatcher decides; a source of permits.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decides.
+    clock : Clock
+        Source of time.
+    send : callable
+        Takes an instance and a message, and returns at once. Messages may be lost.
+    pause_ms : float
+        Gap between two looks at the clock from which loans are discarded.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        *,
+        clock: Clock,
+        send: Callable[[str, Message], None],
+        pause_ms: float = 1000.0,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._send = send
+        self._pause_ms = pause_ms
+        self._addresses: dict[str, str] = {}
+        self._futures: dict[str, asyncio.Future[str]] = {}
+        # Callers choose request identifiers, and two of them may choose the same.
+        self._numbers = itertools.count()
+        self._permits: dict[int, tuple[Permit, str]] = {}
+        self._looked = clock.read()
+        self._due = math.inf
+        self._changed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to wake up when something is due."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop waking up and refuse what waits."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        for future in list(self._futures.values()):
+            if not future.done():
+                future.set_exception(
+                    NotRunError("the instance is stopping", reason="stopping")
+                )
+
+    async def acquire(self, work: Work) -> Permit:
+        """Wait for a slot.
+
+        Raises
+        ------
+        NotRunError
+            If the request is refused.
+        """
+        key = f"{next(self._numbers)}"
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._futures[key] = future
+        now = self._look()
+        inner = attrs.evolve(work, request_id=key)
+        self._carry_out(self._dispatcher.submit(inner, now))
+        try:
+            target = await future
+        except (asyncio.CancelledError, NotRunError):
+            self._carry_out(self._dispatcher.cancel(key, self._look()))
+            raise
+        finally:
+            del self._futures[key]
+        permit = Permit(
+            request_id=work.request_id,
+            target=target,
+            address=self._addresses[target],
+        )
+        # Equal permits may exist at the same time, so identity tells them apart.
+        self._permits[id(permit)] = (permit, key)
+        return permit
+
+    def release(
+        self, permit: Permit, result: AttemptResult, *, duration_ms: float
+    ) -> None:
+        """Give a permit back and say how its use ended."""
+        _, key = self._permits.pop(id(permit))
+        self._carry_out(self._dispatcher.finish(key, result, self._look()))
+
+    def receive(self, sender: str, message: Message) -> None:
+        """Take a message from another instance."""
+        self._carry_out(self._dispatcher.receive(sender, message, self._look()))
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take over the services of a configuration."""
+        for service in configuration.services.values():
+            self._dispatcher.set_service(service)
+            for target in service.targets:
+                self._addresses[target.name] = target.address
+
+    def set_ownership(self, service: str, ownership: Ownership) -> None:
+        """Take over the owners of a service."""
+        now = self._look()
+        self._carry_out(self._dispatcher.set_ownership(service, ownership, now))
+
+    def set_limit(self, target: str, slots: int) -> None:
+        """Set how many slots of a target may be used now."""
+        self._carry_out(self._dispatcher.set_limit(target, slots, self._look()))
+
+    def counts(self) -> Mapping[str, ServiceCounts]:
+        """Return the state of each service for metrics."""
+        return self._dispatcher.counts(self._clock.read())
+
+    def wake(self) -> None:
+        """Do what is due now."""
+        self._carry_out(self._dispatcher.tick(self._look()))
+
+    def _look(self) -> float:
+        """Read the clock and discard outdated state after a pause."""
+        now = self._clock.read()
+        gap_ms = now - self._looked
+        self._looked = now
+        if gap_ms > self._pause_ms:
+            log_message("currantline:dispatch:pause", gap_ms=gap_ms)
+            self._carry_out(self._dispatcher.reset(now))
+        return now
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect.instance, effect.message)
+                continue
+            future = self._futures.get(effect.request_id)
+            if future is None or future.done():
+                continue
+            if isinstance(effect, Start):
+                future.set_result(effect.target)
+            else:
+                reason = effect.reason
+                future.set_exception(NotRunError(f"refused: {reason}", reason=reason))
+        due = self._dispatcher.next_due(self._looked)
+        if due < self._due:
+            self._changed.set()
+        self._due = due
+
+    async def _run(self) -> None:
+        while True:
+            self._changed.clear()
+            wait_ms = min(HEARTBEAT_MS, max(0.0, self._due - self._clock.read()))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._changed.wait()
+            self.wake()
--- /dev/null
+++ b/src/currantline/dispatch/tests/test_task.py
@@ -0,0 +1,137 @@
+"""Tests of the task around a dispatcher."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+
+import pytest
+
+from currantline.admission import Work
+from currantline.clock import ManualClock
+from currantline.configuration import Configuration, Service, Target
+from currantline.directory import Ownership
+from currantline.dispatch import Dispatcher, DispatchTask, Message
+from currantline.exceptions import NotRunError
+from currantline.forwarding import AttemptResult, Permit
+
+TARGET = Target(name="t", address="127.0.0.1:7000", data_centre="n", slots=1)
+SERVICE = Service(name="s", targets=(TARGET,))
+
+
+def make_task(clock: ManualClock, *, owner: str = "a") -> DispatchTask:
+    """Return a task of instance ``a`` with one target of one slot."""
+    sent: list[tuple[str, Message]] = []
+    task = DispatchTask(
+        Dispatcher("a", random.Random(1)),
+        clock=clock,
+        send=lambda instance, message: sent.append((instance, message)),
+    )
+    task.set_configuration(Configuration(version=1, services={"s": SERVICE}))
+    task.set_ownership("s", Ownership(owners=(owner,), targets={"t": owner}))
+    task.set_limit("t", 1)
+    return task
+
+
+def make_work(now: float = 0.0) -> Work:
+    """Return a request; all have the same identifier."""
+    return Work(
+        request_id="same", service="s", route="r", deadline=now + 500.0, arrived=now
+    )
+
+
+def run(steps: Coroutine[None, None, None]) -> None:
+    """Run a coroutine to its end."""
+    asyncio.run(steps)
+
+
+async def acquire_later(task: DispatchTask) -> "asyncio.Task[Permit]":
+    """Begin to wait for a permit."""
+    waiter = asyncio.create_task(task.acquire(make_work()))
+    await asyncio.sleep(0)
+    return waiter
+
+
+class TestDispatchTask:
+    """Permits."""
+
+    def test_slot_passes_on(self) -> None:
+        """Guards against a waiting request that misses the slot freed for it."""
+
+        async def steps() -> None:
+            task = make_task(ManualClock())
+            first = await task.acquire(make_work())
+            assert first.address == TARGET.address
+            waiter = await acquire_later(task)
+            assert not waiter.done()
+            task.release(first, AttemptResult.ANSWERED, duration_ms=1.0)
+            second = await waiter
+            assert second == first
+            task.release(second, AttemptResult.ANSWERED, duration_ms=1.0)
+            assert task.counts()["s"].running == 0
+
+        run(steps())
+
+    @pytest.mark.parametrize("has_slot", [False, True])
+    def test_cancelled_waiter(self, has_slot: bool) -> None:
+        """Guards against a slot lost when a caller leaves at any moment."""
+
+        async def steps() -> None:
+            task = make_task(ManualClock())
+            first = await task.acquire(make_work())
+            waiter = await acquire_later(task)
+            if has_slot:
+                task.release(first, AttemptResult.ANSWERED, duration_ms=1.0)
+            waiter.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await waiter
+            if not has_slot:
+                task.release(first, AttemptResult.ANSWERED, duration_ms=1.0)
+            counts = task.counts()["s"]
+            assert (counts.running, counts.short_waiting) == (0, 0)
+            assert counts.free_slots == 1
+
+        run(steps())
+
+    def test_refusal_at_deadline(self) -> None:
+        """Guards against a request that waits for ever."""
+
+        async def steps() -> None:
+            clock = ManualClock()
+            task = make_task(clock)
+            await task.acquire(make_work())
+            waiter = await acquire_later(task)
+            clock.advance(500.0)
+            task.wake()
+            with pytest.raises(NotRunError) as caught:
+                await waiter
+            assert caught.value.reason == "deadline"
+
+        run(steps())
+
+    def test_wakes_by_itself(self) -> None:
+        """Guards against a local choice that waits for the next event."""
+
+        async def steps() -> None:
+            clock = ManualClock()
+            task = make_task(clock, owner="gone")
+            task.start()
+            waiter = await acquire_later(task)
+            clock.advance(60.0)
+            permit = await waiter
+            assert permit.target == "t"
+            await task.stop()
+
+        run(steps())
+
+    def test_stop(self) -> None:
+        """Guards against waiting requests that outlive the instance unanswered."""
+
+        async def steps() -> None:
+            task = make_task(ManualClock())
+            await task.acquire(make_work())
+            waiter = await acquire_later(task)
+            await task.stop()
+            with pytest.raises(NotRunError):
+                await waiter
+
+        run(steps())
