Give other than short work one start of 64 instead of 8

At load 0.95 long work waits most of the time, so one start in eight went to it, against a share of 3% of arrivals. It then held every slot open to it, and short work queued for the rest.

The test of the fairness start has more short requests, because 50 no longer outlast an interval.

--- a/src/currantline/admission/_queue.py
+++ b/src/currantline/admission/_queue.py
@@ -33,7 +33,7 @@
     """
 
     limit: int = 1000
-    fairness_interval: int = 8
+    fairness_interval: int = 64
     run_factor: float = 3.0
     run_share: float = 0.75
     pace_starts: int = 20
--- a/src/currantline/admission/tests/test_queue.py
+++ b/src/currantline/admission/tests/test_queue.py
@@ -101,7 +101,7 @@
         queue = make_queue()
         later = make_work("later", priority=Priority.DEFERRABLE)
         queue.push(later, 0.0)
-        for count in range(50):
+        for count in range(100):
             queue.push(make_work(f"short-{count}"), 0.0)
         interval = QueueOptions().fairness_interval
         popped = [queue.pop(True, 0.0) for _ in range(interval)]
--- a/src/currantline/dispatch/_options.py
+++ b/src/currantline/dispatch/_options.py
@@ -27,7 +27,8 @@
     owner_patience_ms : float
         Wait without word from an owner after which the local choice is used.
     fairness_interval : int
-        See `QueueOptions`.
+        See `QueueOptions`. At 8, long work took every slot open to it at load
+        0.95 and the p99 of short work was 5 times the bound.
     long_factor : float
         See `LengthEstimator`.
     """
@@ -39,5 +40,5 @@
     ask_all_ms: float = 4.0
     lend_margin_ms: float = 3.0
     owner_patience_ms: float = 50.0
-    fairness_interval: int = 8
+    fairness_interval: int = 64
     long_factor: float = 8.0
