--- a/src/currantline/bench/__init__.py
+++ b/src/currantline/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Seeded measurements of decision cores on a fake clock."""
+"""Seeded measurements of decision cores against baselines."""
