Tell published records from those of peers

catch_up adopts a record of kind state, so a caller that passed it what the configuration service published would let a published state replace the configuration without a verdict. follow takes published records, for which that kind is malformed; both return each record with its verdict and the version before, as the audit trail needs them.

Ruled out: to drop the kind in the reader, because a record that is left out stops the log at its sequence.

Shown to fail first, each line broken in a scratch copy: follow passing on to catch_up, test_published_state; a state rendered with all fields, test_older_peer, "assert 'retry_ratio' not in".

Conclusion: only instances hand over states.

--- a/src/currantline/configuration/_history.py
+++ b/src/currantline/configuration/_history.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -166,17 +166,29 @@
             Records that were judged or, for a state, adopted.
         """
         judged = []
-        verdict: Accepted | Refused | None
         for record in records:
-            from_version = self.state.version
-            if record.kind == RecordKind.STATE.value:
-                verdict = self._adopt(record, now)
-            else:
-                verdict = self.apply(record, now)
-            if verdict is not None:
-                judged.append(
-                    Judged(record=record, verdict=verdict, from_version=from_version)
-                )
+            is_state = record.kind == RecordKind.STATE.value
+            judged += self._judge(self._adopt if is_state else self.apply, record, now)
+        return judged
+
+    def follow(self, records: Iterable[Record], now: float) -> list[Judged]:
+        """Apply what the configuration service published.
+
+        Parameters
+        ----------
+        records : iterable of Record
+            Records in order of their sequence.
+        now : float
+            Current time in ms.
+
+        Returns
+        -------
+        list of Judged
+            Records that were judged.
+        """
+        judged = []
+        for record in records:
+            judged += self._judge(self.apply, record, now)
         return judged
 
     def records_after(self, sequence: int) -> list[Record]:
@@ -203,6 +215,18 @@
             self._rendered = self._render_state()
         return [self._rendered]
 
+    def _judge(
+        self,
+        apply: Callable[[Record, float], Accepted | Refused | None],
+        record: Record,
+        now: float,
+    ) -> list[Judged]:
+        from_version = self.state.version
+        verdict = apply(record, now)
+        if verdict is None:
+            return []
+        return [Judged(record=record, verdict=verdict, from_version=from_version)]
+
     def _find_obstacle(self, record: Record) -> str:
         self.obstacle = find_obstacle(self.state, record, self._schema)
         if self.obstacle:
--- a/src/currantline/configuration/tests/test_history.py
+++ b/src/currantline/configuration/tests/test_history.py
@@ -153,6 +153,26 @@
         assert [history.state.sequence for history in histories] == [4, 3, 0]
         assert all("schema level 2" in history.obstacle for history in histories[1:])
 
+    def test_older_peer(self) -> None:
+        """Guards against a state with fields that an older release does not know."""
+        levels = {**RELEASE_SCHEMA.levels, "service.retry_ratio": 2}
+        newer = History(schema=Schema(known_level=2, levels=levels))
+        body = {"version": 1, "services": {"ordering": {"targets": []}}}
+        newer.apply(Record(sequence=1, kind="snapshot", body=body), 0.0)
+        (state,) = newer.records_after(0)
+        assert "queue_limit" in state.body["services"]["ordering"]
+        assert "retry_ratio" not in state.body["services"]["ordering"]
+
+    def test_published_state(self) -> None:
+        """Guards against a published state that is adopted without a verdict."""
+        history = History()
+        published = Record(sequence=1, kind="state", body={"version": 9})
+        (judged,) = history.follow([published], 0.0)
+        assert isinstance(judged.verdict, Refused)
+        (judged,) = history.follow([published, write_snapshot(2, 3)], 0.0)
+        assert isinstance(judged.verdict, Accepted)
+        assert (judged.from_version, history.state.version) == (0, 3)
+
 
 class FleetMachine(RuleBasedStateMachine):
     """Instances that read one log late, twice, out of order or from each other."""
