Report the end of each probe and test it over TCP

Metrics need one call for each probe that was sent, also for a cancelled one, which the counters per target alone do not give. The exchange itself was covered by a stand-in only; it now runs against a raw server on loopback: the request line, a probe held back after connecting, a refused connection.

Ruled out: differences of the counters at each scrape, which lose the outcome of probes in flight.

Conclusion: every probe that was sent is counted once.

--- a/src/currantline/load/_prober.py
+++ b/src/currantline/load/_prober.py
@@ -89,6 +89,9 @@
         Exchange of one probe.
     options : LoadOptions, optional
         Options of the slice.
+    report_end : callable, optional
+        Called with the target and whether its answer was usable, once for every
+        probe that was sent, also a cancelled one.
 
     Attributes
     ----------
@@ -110,7 +113,9 @@
         clock: Clock,
         fetch: ProbeFetch | None = None,
         options: LoadOptions | None = None,
+        report_end: Callable[[str, bool], None] = lambda target, is_usable: None,
     ) -> None:
+        self._report_end = report_end
         self._book = book
         self._budget = budget
         self._plan = plan
@@ -182,18 +187,19 @@
 
     async def _probe(self, target: Target) -> None:
         sent: list[float] = []
+        answer = None
         try:
             answer = await self._fetch(
                 target.address,
                 lambda: self._may_send(target.name, sent),
                 timeout_ms=self._options.probe_timeout_ms,
             )
-        except WireError:
-            answer = None
+        except WireError as error:
+            log_message("currantline:probe", target=target.name, error=str(error))
         finally:
             del self._running[target.name]
-        if sent:
-            self._record(target.name, answer, sent[0])
+            if sent:
+                self._record(target.name, answer, sent[0])
 
     def _may_send(self, name: str, sent: list[float]) -> bool:
         # The clock and the rights are read again: the process may have paused
@@ -224,6 +230,7 @@
             report = None
         if not is_usable:
             self.failed[name] += 1
+        self._report_end(name, is_usable)
         signal = Signal.PROBED if is_usable else Signal.PROBE_FAILED
         observation = Observation(signal=signal, sent=sent, report=report)
         self._book.observe(name, observation, self._clock.read())
--- a/src/currantline/load/tests/test_prober.py
+++ b/src/currantline/load/tests/test_prober.py
@@ -3,12 +3,21 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+import pytest
+
 from currantline.clock import ManualClock
 from currantline.configuration import Service, Target
 from currantline.exceptions import WireError
-from currantline.load import ProbeBudget, Prober, TargetBook, TargetState
+from currantline.load import (
+    ProbeBudget,
+    Prober,
+    TargetBook,
+    TargetState,
+    fetch_health,
+    parse_load,
+)
 from currantline.load.tests.test_book import make_book, make_service
-from currantline.wire import Answer
+from currantline.wire import Answer, find_header
 
 TICK_MS = 100.0
 LOAD = (("target-load", "in-flight=0, slots=2, state=ready"),)
@@ -66,6 +75,7 @@
         self.book: TargetBook = make_book(count)
         self.plan = Plan(make_service(count))
         self.network = Network(self.clock)
+        self.ended: list[bool] = []
         self.network.gate.set()
         budget = ProbeBudget(max_instances=8)
         budget.set_services([make_service(count)])
@@ -75,6 +85,7 @@
             plan=self.plan,
             clock=self.clock,
             fetch=self.network.fetch,
+            report_end=lambda target, is_usable: self.ended.append(is_usable),
         )
 
     async def run(self, ticks: int) -> None:
@@ -120,7 +131,9 @@
             await bench.prober.stop()
             return bench
 
-        assert len(asyncio.run(run()).network.sent) == 1
+        bench = asyncio.run(run())
+        assert len(bench.network.sent) == 1
+        assert bench.ended == [False]
 
     def test_lost_lease(self) -> None:
         """Guards against a process that pauses before it sends and has no lease."""
@@ -165,3 +178,59 @@
 
         bench = asyncio.run(run())
         assert bench.book.describe(3000)[0].state is TargetState.DRAINING
+
+
+class Listener:
+    """Raw server on loopback that answers each request in the same way."""
+
+    def __init__(self) -> None:
+        self.received: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Read one request head, answer it and close."""
+        self.received.append(await reader.read(4096))
+        if self.received[-1]:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                b"Target-Load: in-flight=1, slots=2, state=starting\r\n\r\n"
+            )
+            await writer.drain()
+        writer.close()
+
+    async def exchange(self, *, may_send: bool) -> Answer | None:
+        """Send one probe to this server."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        try:
+            return await fetch_health(
+                f"{host}:{port}", lambda: may_send, timeout_ms=5000.0
+            )
+        finally:
+            server.close()
+
+
+class TestFetchHealth:
+    """One probe over TCP."""
+
+    def test_exchange(self) -> None:
+        """Guards against a probe that targets do not understand."""
+        listener = Listener()
+        answer = asyncio.run(listener.exchange(may_send=True))
+        assert listener.received[0].startswith(b"GET /health HTTP/1.1\r\n")
+        assert answer is not None
+        report = parse_load(find_header(answer.headers, "target-load"))
+        assert report is not None
+        assert report.state is TargetState.STARTING
+
+    def test_held_back(self) -> None:
+        """Guards against bytes sent after the right to send was lost."""
+        listener = Listener()
+        assert asyncio.run(listener.exchange(may_send=False)) is None
+        assert b"".join(listener.received) == b""
+
+    def test_unreachable(self) -> None:
+        """Guards against an error outside the tree that ends the prober."""
+        with pytest.raises(WireError):
+            asyncio.run(fetch_health("127.0.0.1:1", lambda: True, timeout_ms=5000.0))
