Test the share right without a majority

Without a lease holder one more instance may hold the share right. The stateful test now splits the fleet so, and counts a second as calm when no probe in it used the share half, which is stricter than before.

--- a/src/currantline/load/tests/test_budget.py
+++ b/src/currantline/load/tests/test_budget.py
@@ -60,6 +60,7 @@
         self.budgets = [make_budget() for _ in range(INSTANCES)]
         self.lease: int | None = 0
         self.share: int | None = None
+        self.second_share: int | None = None
         self.paused: int | None = None
         self.sent: list[tuple[float, bool]] = []
 
@@ -75,22 +76,28 @@
                 if i == self.paused:
                     continue
                 holds_lease = self.lease == i
-                if budget.allow(
-                    "t", holds_lease, self.now, holds_share=self.share == i
-                ):
-                    self.sent.append((self.now, self.share is not None))
+                holds_share = i in (self.share, self.second_share)
+                if budget.allow("t", holds_lease, self.now, holds_share=holds_share):
+                    self.sent.append((self.now, holds_share and not holds_lease))
 
     @rule(to=st.integers(0, INSTANCES - 1), gap_ms=st.sampled_from([0.0, LEASE_GAP_MS]))
     def hand_over(self, to: int, gap_ms: float) -> None:
         """Move the lease."""
         self.now += gap_ms
         self.lease = to
+        self.second_share = None
 
     @rule(to=st.one_of(st.none(), st.integers(0, INSTANCES - 1)))
     def split(self, to: int | None) -> None:
         """Give the share right to an instance, or heal the partition."""
         self.share = to
 
+    @rule(to=st.integers(0, INSTANCES - 1))
+    def lose_majority(self, to: int) -> None:
+        """Split the fleet without a majority; two parts hold the share right."""
+        self.lease = None
+        self.second_share = to
+
     @rule(i=st.integers(0, INSTANCES - 1))
     def restart(self, i: int) -> None:
         """Replace an instance by a new process."""
