--- a/src/currantline/load/_prober.py
+++ b/src/currantline/load/_prober.py
@@ -28,6 +28,10 @@
 __all__ = ["ProbeFetch", "ProbePlan", "Prober", "fetch_health"]
 
 TICK_MS = 100.0
+# A probe that the budget holds back at its phase by some ms is sent soon after; one
+# that is held back for longer waits for its next phase, or all targets would be
+# probed at once a period after a lease was gained.
+DUE_MS = 150.0
 MAX_BODY_BYTES = 64 * 1024
 
 
@@ -85,6 +89,9 @@
         Exchange of one probe.
     options : LoadOptions, optional
         Options of the slice.
+    report_end : callable, optional
+        Called with the target and whether its answer was usable, once for every
+        probe that was sent, also a cancelled one.
 
     Attributes
     ----------
@@ -106,7 +113,9 @@
         clock: Clock,
         fetch: ProbeFetch | None = None,
         options: LoadOptions | None = None,
+        report_end: Callable[[str, bool], None] = lambda target, is_usable: None,
     ) -> None:
+        self._report_end = report_end
         self._book = book
         self._budget = budget
         self._plan = plan
@@ -114,7 +123,7 @@
         self._fetch = fetch or fetch_health
         self._options = options or LoadOptions()
         self._ticked = clock.read()
-        self._due: set[str] = set()
+        self._due: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self.sent: Counter[str] = Counter()
         self.failed: Counter[str] = Counter()
@@ -147,7 +156,7 @@
         for target in self._plan.list_owned():
             may_send = self._check(target.name, now)
             if self._is_due(target.name, now) and may_send:
-                self._due.discard(target.name)
+                self._due.pop(target.name, None)
                 task = asyncio.create_task(self._probe(target))
                 self._running[target.name] = task
         self._ticked = now
@@ -162,11 +171,11 @@
 
     def _is_due(self, name: str, now: float) -> bool:
         if name in self._running or not self._book.needs_probe(name, now):
-            self._due.discard(name)
+            self._due.pop(name, None)
             return False
         if self._passes_phase(name, now):
-            self._due.add(name)
-        return name in self._due
+            self._due[name] = now
+        return now - self._due.get(name, -math.inf) <= DUE_MS
 
     def _passes_phase(self, name: str, now: float) -> bool:
         # Two phases in an interval: evidence is probed for at an age of at most
@@ -178,18 +187,19 @@
 
     async def _probe(self, target: Target) -> None:
         sent: list[float] = []
+        answer = None
         try:
             answer = await self._fetch(
                 target.address,
                 lambda: self._may_send(target.name, sent),
                 timeout_ms=self._options.probe_timeout_ms,
             )
-        except WireError:
-            answer = None
+        except WireError as error:
+            log_message("currantline:probe", target=target.name, error=str(error))
         finally:
             del self._running[target.name]
-        if sent:
-            self._record(target.name, answer, sent[0])
+            if sent:
+                self._record(target.name, answer, sent[0])
 
     def _may_send(self, name: str, sent: list[float]) -> bool:
         # The clock and the rights are read again: the process may have paused
@@ -220,6 +230,7 @@
             report = None
         if not is_usable:
             self.failed[name] += 1
+        self._report_end(name, is_usable)
         signal = Signal.PROBED if is_usable else Signal.PROBE_FAILED
         observation = Observation(signal=signal, sent=sent, report=report)
         self._book.observe(name, observation, self._clock.read())
