Leave keys and common states out of gossip

The keys of rows were the largest part.

A question now sends its rows in the order of their keys, with a digest of the keys instead of the keys. A receiver that knows the same instances fills them in; another one asks for them, which takes one more call while views differ. An answer names rows by their position in the question. State positions are left out while all rows share one state, the usual case.

--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -1,5 +1,6 @@
 """Which instances are live, and who looks after what."""
 
+from currantline.membership._contact import Contact
 from currantline.membership._entry import InstanceEntry, Status, View
 from currantline.membership._gossip import (
     Gossip,
@@ -20,7 +21,7 @@
 )
 from currantline.membership._readiness import Decision, Readiness
 from currantline.membership._rendezvous import rank, rendezvous_score
-from currantline.membership._table import Contact, GossipTable
+from currantline.membership._table import GossipTable
 from currantline.membership._task import Exchange, MembershipTask, ViewChanged
 
 __all__ = [
--- a/src/currantline/membership/_gossip.py
+++ b/src/currantline/membership/_gossip.py
@@ -1,11 +1,20 @@
 """Values that instances exchange by gossip."""
 
+from collections.abc import Iterable
+
 import attrs
 import xxhash
 
 from currantline.membership._entry import InstanceEntry, Status
 
-__all__ = ["Gossip", "GossipRow", "GossipState", "IntroducedRow", "row_key"]
+__all__ = [
+    "Gossip",
+    "GossipRow",
+    "GossipState",
+    "IntroducedRow",
+    "hash_keys",
+    "row_key",
+]
 
 
 def row_key(name: str, incarnation: int) -> int:
@@ -13,6 +22,12 @@
     return xxhash.xxh3_64_intdigest(f"{name}\0{incarnation}".encode()) & 0xFFFF_FFFF
 
 
+def hash_keys(keys: Iterable[int]) -> int:
+    """Return the 64-bit digest of a set of keys."""
+    data = b"".join(key.to_bytes(4, "little") for key in sorted(keys))
+    return xxhash.xxh3_64_intdigest(data)
+
+
 @attrs.frozen(kw_only=True)
 class GossipState:
     """Part of a row that many rows have in common.
@@ -68,7 +83,8 @@
     Parameters
     ----------
     key : int
-        Name and incarnation of the instance, by `row_key`.
+        In a question the name and incarnation, by `row_key`; in an answer the
+        position of the row in the question.
     heartbeat : int
         Counter of the instance.
     age_ms : float
@@ -115,6 +131,13 @@
         Keys of the question that the sender of the answer does not know.
     lease_digest : int
         Digest that the sender wants acknowledged; the proofs are for it.
+    set_digest : int
+        Digest of the keys of a question, whose rows are in the order of their keys.
+    omits_keys : bool
+        Whether the keys of a question stay away on the wire, because a receiver with
+        the same set of instances can fill them in.
+    needs_keys : bool
+        Whether the question must be asked again with its keys. Only in answers.
     proofs : tuple of float or None
         For each row of the question, the highest possible age in milliseconds of the
         latest proven acknowledgement of the digest. Only in answers.
@@ -125,4 +148,7 @@
     introduced: tuple[IntroducedRow, ...] = ()
     unknown: tuple[int, ...] = ()
     lease_digest: int = 0
+    set_digest: int = 0
+    omits_keys: bool = False
+    needs_keys: bool = False
     proofs: tuple[float | None, ...] = ()
--- /dev/null
+++ b/src/currantline/membership/_row.py
@@ -0,0 +1,58 @@
+"""Row of the gossip table."""
+
+import attrs
+
+from currantline.membership._contact import Contact
+from currantline.membership._entry import InstanceEntry
+from currantline.membership._gossip import (
+    GossipRow,
+    GossipState,
+    IntroducedRow,
+    row_key,
+)
+
+__all__ = ["Row"]
+
+
+@attrs.frozen(kw_only=True)
+class Row:
+    """What is known of one instance.
+
+    Parameters
+    ----------
+    entry : InstanceEntry
+        The instance.
+    moved : float
+        Latest time in milliseconds at which its counter can have moved.
+    """
+
+    entry: InstanceEntry
+    moved: float
+    key: int = attrs.field(init=False)
+
+    @key.default
+    def _hash(self) -> int:
+        return row_key(self.entry.name, self.entry.incarnation)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Incarnation and counter; of two rows the higher one holds."""
+        return (self.entry.incarnation, self.entry.heartbeat)
+
+    @property
+    def contact(self) -> Contact:
+        """Name and address of the instance."""
+        return Contact(name=self.entry.name, peer_address=self.entry.peer_address)
+
+    def shorten(self, key: int, now: float) -> GossipRow:
+        """Return the row for a receiver that knows the instance."""
+        return GossipRow(
+            key=key,
+            heartbeat=self.entry.heartbeat,
+            age_ms=now - self.moved,
+            state=GossipState.read(self.entry),
+        )
+
+    def introduce(self, now: float) -> IntroducedRow:
+        """Return the row for a receiver that does not know the instance."""
+        return IntroducedRow(entry=self.entry, age_ms=now - self.moved)
--- a/src/currantline/membership/_table.py
+++ b/src/currantline/membership/_table.py
@@ -5,49 +5,20 @@
 
 import attrs
 
-from currantline.exceptions import InvariantError
+from currantline.exceptions import InvariantError, WireError
+from currantline.membership._contact import Contact, choose_contact
 from currantline.membership._entry import InstanceEntry, Status, View
 from currantline.membership._gossip import (
     Gossip,
     GossipRow,
-    GossipState,
     IntroducedRow,
+    hash_keys,
     row_key,
 )
 from currantline.membership._options import MembershipOptions
+from currantline.membership._row import Row
 
-__all__ = ["Contact", "GossipTable"]
-
-
-@attrs.frozen(kw_only=True)
-class Contact:
-    """Instance to exchange gossip with.
-
-    Parameters
-    ----------
-    name : str
-        Name of the instance.
-    peer_address : str
-        IP number and port for other instances.
-    """
-
-    name: str
-    peer_address: str
-
-
-@attrs.frozen(kw_only=True)
-class _Row:
-    entry: InstanceEntry
-    # Latest time at which the counter can have moved, on the own clock.
-    moved: float
-
-    @property
-    def order(self) -> tuple[int, int]:
-        return (self.entry.incarnation, self.entry.heartbeat)
-
-    @property
-    def key(self) -> int:
-        return row_key(self.entry.name, self.entry.incarnation)
+__all__ = ["GossipTable"]
 
 
 class GossipTable:
@@ -72,8 +43,8 @@
     ) -> None:
         self._own = entry
         self._options = options or MembershipOptions()
-        self._rows: dict[str, _Row] = {}
-        self._rival: _Row | None = None
+        self._rows: dict[str, Row] = {}
+        self._rival: Row | None = None
         self._seeds = {seed.name: seed for seed in seeds}
         self._listed: dict[str, Contact] = {}
         # Incarnation that the published list named leaving; None if not yet known.
@@ -174,49 +145,80 @@
             Time in milliseconds at which their ages were counted, or later.
         """
         for row in rows:
-            self._merge_row(_Row(entry=row.entry, moved=now - max(row.age_ms, 0)), now)
+            self._merge_row(Row(entry=row.entry, moved=now - max(row.age_ms, 0)), now)
 
     def digest(self, now: float) -> Gossip:
         """Return the question of an exchange: all rows that are not dead."""
-        rows = [self._own_row(now), *self._select_live(now)]
+        rows = sorted(self._select_all(now), key=lambda row: row.key)
         return Gossip(
             sender=self._own.name,
-            rows=tuple(self._shorten(row, now) for row in rows),
+            rows=tuple(row.shorten(row.key, now) for row in rows),
+            set_digest=hash_keys(row.key for row in rows),
+            omits_keys=True,
         )
 
+    def resolve(self, question: Gossip, now: float) -> Gossip | None:
+        """Return a question with its keys, or None if the sender must give them.
+
+        Parameters
+        ----------
+        question : Gossip
+            What the peer sent.
+        now : float
+            Current time in milliseconds.
+        """
+        if not question.omits_keys:
+            return question
+        keys = sorted(row.key for row in self._select_all(now))
+        is_same = question.set_digest == hash_keys(keys)
+        if not is_same or len(keys) != len(question.rows):
+            return None
+        pairs = zip(question.rows, keys, strict=True)
+        rows = tuple(attrs.evolve(row, key=key) for row, key in pairs)
+        return attrs.evolve(question, rows=rows, omits_keys=False)
+
     def answer(self, question: Gossip, now: float) -> Gossip:
         """Merge a question and return what its sender lacks.
 
         Parameters
         ----------
         question : Gossip
-            What the peer sent.
+            What the peer sent, resolved.
         now : float
             Current time in milliseconds, read after the question arrived.
         """
         self.merge(question.introduced, now)
         unknown = self._merge_short(question.rows, now)
-        told = {row.key: row.heartbeat for row in question.rows}
-        known = [self._own_row(now), *self._select_live(now)]
+        places = {row.key: place for place, row in enumerate(question.rows)}
+        known = self._select_all(now)
         # A sender whose clock stepped back before its start learns here that its
         # incarnation is not above the one that the others remember.
         ghost = self._rows.get(question.sender)
         if ghost is not None and self._is_dead(ghost, now):
             known.append(ghost)
-        newer = [r for r in known if r.entry.heartbeat > told.get(r.key, 1 << 64)]
-        missing = [row for row in known if row.key not in told]
+        newer = [
+            row.shorten(places[row.key], now)
+            for row in known
+            if row.key in places
+            and row.entry.heartbeat > question.rows[places[row.key]].heartbeat
+        ]
+        missing = [row for row in known if row.key not in places]
         return Gossip(
             sender=self._own.name,
-            rows=tuple(self._shorten(row, now) for row in newer),
-            introduced=tuple(self._introduce(row, now) for row in missing),
+            rows=tuple(newer),
+            introduced=tuple(row.introduce(now) for row in missing),
             unknown=unknown,
         )
 
-    def accept(self, answer: Gossip, sent_at: float, now: float) -> Gossip | None:
+    def accept(
+        self, question: Gossip, answer: Gossip, sent_at: float, now: float
+    ) -> Gossip | None:
         """Merge an answer and return the question that completes the exchange.
 
         Parameters
         ----------
+        question : Gossip
+            The question, with its keys.
         answer : Gossip
             What the peer answered.
         sent_at : float
@@ -228,16 +230,29 @@
         Returns
         -------
         Gossip or None
-            Rows to introduce to the peer, if it lacks any.
+            The question with its keys, or rows to introduce to the peer.
+
+        Raises
+        ------
+        WireError
+            If the answer refers to a row that the question does not have.
         """
-        self._merge_short(answer.rows, sent_at)
+        if answer.needs_keys:
+            return attrs.evolve(question, omits_keys=False)
+        if any(row.key >= len(question.rows) for row in answer.rows):
+            raise WireError(f"answer of {answer.sender} refers to a missing row")
+        self._merge_short(
+            [attrs.evolve(r, key=question.rows[r.key].key) for r in answer.rows],
+            sent_at,
+        )
         self.merge(answer.introduced, sent_at)
         wanted = set(answer.unknown)
-        rows = [self._own_row(now), *self._select_live(now)]
-        introduced = [self._introduce(row, now) for row in rows if row.key in wanted]
-        if not introduced:
+        rows = [row for row in self._select_all(now) if row.key in wanted]
+        if not rows:
             return None
-        return attrs.evolve(self.digest(now), introduced=tuple(introduced))
+        introduced = tuple(row.introduce(now) for row in rows)
+        follow_up = attrs.evolve(self.digest(now), omits_keys=False)
+        return attrs.evolve(follow_up, introduced=introduced)
 
     def view(self, now: float) -> View:
         """Return the live instances."""
@@ -283,8 +298,8 @@
         Contact or None
             None if no other instance is known.
         """
-        live = {row.entry.name: _contact(row) for row in self._select_live(now)}
-        known = {name: _contact(row) for name, row in self._rows.items()}
+        live = {row.entry.name: row.contact for row in self._select_live(now)}
+        known = {name: row.contact for name, row in self._rows.items()}
         others = {**self._seeds, **known, **self._listed}
         suspects = self.suspects(now)
         outside = {
@@ -292,11 +307,11 @@
             for name, contact in others.items()
             if (name not in live or name in suspects) and name != self._own.name
         }
-        is_outside = rng.random() < self._options.outsider_share
-        pool = (outside or live) if is_outside else (live or outside)
-        return pool[rng.choice(sorted(pool))] if pool else None
+        return choose_contact(
+            live, outside, outsider_share=self._options.outsider_share, rng=rng
+        )
 
-    def _merge_row(self, row: _Row, now: float) -> None:
+    def _merge_row(self, row: Row, now: float) -> None:
         if row.entry.name == self._own.name:
             self._meet_rival(row, now)
             return
@@ -319,7 +334,7 @@
             if row is not None:
                 entry = short.state.apply(row.entry, short.heartbeat)
                 moved = now - max(short.age_ms, 0)
-                self._merge_row(_Row(entry=entry, moved=moved), now)
+                self._merge_row(Row(entry=entry, moved=moved), now)
             elif short.key == own_key:
                 if short.heartbeat > self._own.heartbeat:
                     self._outbid(self._own.incarnation)
@@ -327,7 +342,7 @@
                 unknown.append(short.key)
         return tuple(unknown)
 
-    def _meet_rival(self, row: _Row, now: float) -> None:
+    def _meet_rival(self, row: Row, now: float) -> None:
         if row.entry.incarnation <= self._own.incarnation:
             return
         if self._is_dead(row, now):
@@ -360,29 +375,17 @@
             limit = self._listed_leaving[entry.name] = entry.incarnation
         return entry.incarnation <= limit
 
-    def _is_dead(self, row: _Row, now: float) -> bool:
+    def _is_dead(self, row: Row, now: float) -> bool:
         return now - row.moved >= self._options.dead_ms
 
-    def _select_live(self, now: float) -> list[_Row]:
+    def _select_live(self, now: float) -> list[Row]:
         return [row for row in self._rows.values() if not self._is_dead(row, now)]
 
-    def _own_row(self, now: float) -> _Row:
-        return _Row(entry=self._own, moved=now)
-
-    def _shorten(self, row: _Row, now: float) -> GossipRow:
-        return GossipRow(
-            key=row.key,
-            heartbeat=row.entry.heartbeat,
-            age_ms=now - row.moved,
-            state=GossipState.read(row.entry),
-        )
-
-    def _introduce(self, row: _Row, now: float) -> IntroducedRow:
-        return IntroducedRow(entry=row.entry, age_ms=now - row.moved)
-
+    def _select_all(self, now: float) -> list[Row]:
+        return [self._own_row(now), *self._select_live(now)]
 
-def _contact(row: _Row) -> Contact:
-    return Contact(name=row.entry.name, peer_address=row.entry.peer_address)
+    def _own_row(self, now: float) -> Row:
+        return Row(entry=self._own, moved=now)
 
 
 def _pick(value: int | None, default: int) -> int:
--- a/src/currantline/membership/_task.py
+++ b/src/currantline/membership/_task.py
@@ -10,16 +10,20 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import PeerError, WireError
+from currantline.membership._contact import Contact
 from currantline.membership._entry import InstanceEntry, View
 from currantline.membership._gossip import Gossip
 from currantline.membership._lease import ViewLease, combine_digest
 from currantline.membership._options import MembershipOptions
 from currantline.membership._published import ListMemory, PublishedList
 from currantline.membership._readiness import Decision, Readiness
-from currantline.membership._table import Contact, GossipTable
+from currantline.membership._table import GossipTable
 
 __all__ = ["Exchange", "MembershipTask", "ViewChanged"]
 
+# A question without keys, one with keys and one that introduces what was unknown.
+MAX_ROUNDS = 3
+
 
 class Exchange(Protocol):
     """Way to another instance."""
@@ -179,9 +183,12 @@
         now = self._clock.read()
         if self._detect_pause(now):
             self._publish(now, was_paused=True)
-        answer = self.table.answer(question, now)
+        resolved = self.table.resolve(question, now)
+        if resolved is None:
+            return Gossip(sender=self.table.own.name, needs_keys=True)
+        answer = self.table.answer(resolved, now)
         self._publish(now)
-        names = self._name_rows(question)
+        names = self._name_rows(resolved)
         return attrs.evolve(
             answer,
             lease_digest=self.lease.digest,
@@ -190,26 +197,31 @@
 
     async def _exchange(self, partner: Contact) -> None:
         question: Gossip | None = self.table.digest(self._clock.read())
-        while question is not None:
-            sent_at = self._clock.read()
-            names = self._name_rows(question)
+        for _ in range(MAX_ROUNDS):
+            if question is None:
+                return
             try:
-                answer = await self._peers.exchange(partner.peer_address, question)
+                question = await self._ask(partner, question)
             except (PeerError, WireError) as error:
                 log_message("currantline:gossip", peer=partner.name, error=str(error))
                 return
-            now = self._clock.read()
-            if self._detect_pause(now):
-                self._publish(now, was_paused=True)
-            if sent_at < self._reset_at:
-                # The answer may have waited through the pause.
-                return
-            follow_up = self.table.accept(answer, sent_at, now)
+
+    async def _ask(self, partner: Contact, question: Gossip) -> Gossip | None:
+        sent_at = self._clock.read()
+        names = self._name_rows(question)
+        answer = await self._peers.exchange(partner.peer_address, question)
+        now = self._clock.read()
+        if self._detect_pause(now):
+            self._publish(now, was_paused=True)
+        if sent_at < self._reset_at:
+            # The answer may have waited through the pause.
+            return None
+        follow_up = self.table.accept(question, answer, sent_at, now)
+        if not answer.needs_keys:
             self.lease.collect(answer, names, sent_at=sent_at)
             self._note_answer(answer, now)
             self._publish(now)
-            # One completion is enough: it introduces all that the peer lacked.
-            question = None if question.introduced else follow_up
+        return follow_up
 
     def _name_rows(self, question: Gossip) -> list[str | None]:
         names = self.table.names_by_key()
--- a/src/currantline/membership/tests/test_table.py
+++ b/src/currantline/membership/tests/test_table.py
@@ -13,6 +13,7 @@
 
 from currantline.membership import (
     Contact,
+    Gossip,
     GossipTable,
     InstanceEntry,
     IntroducedRow,
@@ -48,10 +49,14 @@
 
 def exchange(asking: GossipTable, asked: GossipTable, now: float) -> None:
     """Run one whole exchange without any delay."""
-    question = asking.digest(now)
-    follow_up = asking.accept(asked.answer(question, now), now, now)
-    if follow_up is not None:
-        asking.accept(asked.answer(follow_up, now), now, now)
+    question: Gossip | None = asking.digest(now)
+    while question is not None:
+        resolved = asked.resolve(question, now)
+        if resolved is None:
+            answer = Gossip(sender=asked.own.name, needs_keys=True)
+        else:
+            answer = asked.answer(resolved, now)
+        question = asking.accept(question, answer, now, now)
 
 
 class Fleet(RuleBasedStateMachine):
--- a/src/currantline/peer/_codec.py
+++ b/src/currantline/peer/_codec.py
@@ -92,16 +92,20 @@
         states.setdefault(row.state, len(states))
     for known in gossip.introduced:
         states.setdefault(GossipState.read(known.entry), len(states))
+    places = [states[row.state] for row in gossip.rows]
     return pb.Gossip(
         sender=gossip.sender,
-        keys=[row.key for row in gossip.rows],
+        keys=() if gossip.omits_keys else [row.key for row in gossip.rows],
         heartbeats=[row.heartbeat for row in gossip.rows],
         ages=[_encode_age(row.age_ms) for row in gossip.rows],
-        row_states=[states[row.state] for row in gossip.rows],
+        row_states=places if any(places) else (),
         states=[_encode_state(state) for state in states],
         instances=[_encode_instance(known, states) for known in gossip.introduced],
         unknown=gossip.unknown,
         lease_digest=gossip.lease_digest,
+        set_digest=gossip.set_digest,
+        omits_keys=gossip.omits_keys,
+        needs_keys=gossip.needs_keys,
         proofs=[0 if p is None else 1 + _encode_age(p) for p in gossip.proofs],
     )
 
@@ -114,8 +118,12 @@
     WireError
         If the message contradicts itself or a field is not allowed.
     """
-    columns = (message.keys, message.heartbeats, message.ages, message.row_states)
-    _check_count(message.keys, MAX_ROWS, "rows")
+    count = len(message.heartbeats)
+    _check_count(message.heartbeats, MAX_ROWS, "rows")
+    keys = [0] * count if message.omits_keys else message.keys
+    # Most messages have one state, and its positions are left out.
+    places = message.row_states or [0] * count
+    columns = (keys, message.heartbeats, message.ages, places)
     if len({len(column) for column in columns}) != 1:
         raise WireError("columns of gossip rows differ in length")
     for column in (message.instances, message.unknown, message.proofs, message.states):
@@ -135,6 +143,9 @@
         introduced=tuple(_decode_instance(i, states) for i in message.instances),
         unknown=tuple(message.unknown),
         lease_digest=message.lease_digest,
+        set_digest=message.set_digest,
+        omits_keys=message.omits_keys,
+        needs_keys=message.needs_keys,
         proofs=tuple((p - 1) * AGE_UNIT_MS if p else None for p in message.proofs),
     )
 
--- a/src/currantline/peer/tests/test_peer.py
+++ b/src/currantline/peer/tests/test_peer.py
@@ -160,6 +160,9 @@
         """Guards against a field that is lost or changed on the way."""
         assert decode_gossip(encode_gossip(GOSSIP)) == GOSSIP
         assert decode_envelope(encode_envelope(ENVELOPE)) == ENVELOPE
+        short = attrs.evolve(GOSSIP, rows=(attrs.evolve(GOSSIP.rows[0], key=0),))
+        short = attrs.evolve(short, omits_keys=True, set_digest=2**63)
+        assert decode_gossip(encode_gossip(short)) == short
         records = (make_record(3), make_record(4, b'{"a": [1]}'))
         assert decode_records(encode_records(records)) == records
 
@@ -174,7 +177,7 @@
         "change",
         [
             lambda m: m.keys.append(1),
-            lambda m: m.row_states.__setitem__(0, 1),
+            lambda m: m.row_states.append(1),
             lambda m: m.states[0].__setattr__("status", 3),
             lambda m: m.__setattr__("sender", ""),
             lambda m: m.__setattr__("sender", "a\n"),
