--- /dev/null
+++ b/src/currantline/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurements against baselines."""
