Check rights at the phase of a target only

Each tick asked the budget for every owned target and hashed each name. Rights are now checked at the two phases in an interval and before a probe, which is often enough for the budget to see them as held, and the phase of a name is kept.

Ruled out: a longer tick, which would send probes later than their phase.

--- a/src/currantline/load/_budget.py
+++ b/src/currantline/load/_budget.py
@@ -115,8 +115,8 @@
     ) -> bool:
         """Return whether a probe may be sent now, without taking the token.
 
-        Call this at least every 500 ms while a right is held: a right that was
-        not checked for ``CHECK_GAP_MS`` counts as lost and begins anew.
+        Call this regularly while a right is held: a right that was not checked
+        for ``CHECK_GAP_MS`` counts as lost and begins anew.
 
         Parameters
         ----------
--- a/src/currantline/load/_prober.py
+++ b/src/currantline/load/_prober.py
@@ -1,7 +1,6 @@
 """Task that probes targets without fresh evidence."""
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -124,6 +123,7 @@
         self._options = options or LoadOptions()
         self._ticked = clock.read()
         self._due: dict[str, float] = {}
+        self._phases: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self.sent: Counter[str] = Counter()
         self.failed: Counter[str] = Counter()
@@ -154,11 +154,14 @@
         """Start the probes that are due."""
         now = self._clock.read()
         for target in self._plan.list_owned():
-            may_send = self._check(target.name, now)
-            if self._is_due(target.name, now) and may_send:
-                self._due.pop(target.name, None)
-                task = asyncio.create_task(self._probe(target))
-                self._running[target.name] = task
+            name = target.name
+            if self._passes_phase(name, now):
+                # Also without a probe due: a right that is not checked is lost.
+                self._check(name, now)
+                self._due[name] = now
+            if self._is_due(name, now) and self._check(name, now):
+                del self._due[name]
+                self._running[name] = asyncio.create_task(self._probe(target))
         self._ticked = now
 
     def _check(self, name: str, now: float) -> bool:
@@ -170,20 +173,24 @@
         )
 
     def _is_due(self, name: str, now: float) -> bool:
-        if name in self._running or not self._book.needs_probe(name, now):
-            self._due.pop(name, None)
+        due = self._due.get(name)
+        if due is None:
             return False
-        if self._passes_phase(name, now):
-            self._due[name] = now
-        return now - self._due.get(name, -math.inf) <= DUE_MS
+        is_needed = name not in self._running and self._book.needs_probe(name, now)
+        if not is_needed or now - due > DUE_MS:
+            del self._due[name]
+            return False
+        return True
 
     def _passes_phase(self, name: str, now: float) -> bool:
         # Two phases in an interval: evidence is probed for at an age of at most
         # 1.5 intervals, which leaves time for a second probe before it expires.
         cycle_ms = self._options.probe_interval_ms / 2
-        phase_ms = rendezvous_score("probe", name) % cycle_ms
-        last = math.floor((self._ticked - phase_ms) / cycle_ms)
-        return math.floor((now - phase_ms) / cycle_ms) > last
+        phase_ms = self._phases.get(name)
+        if phase_ms is None:
+            phase_ms = rendezvous_score("probe", name) % cycle_ms
+            self._phases[name] = phase_ms
+        return (now - phase_ms) // cycle_ms > (self._ticked - phase_ms) // cycle_ms
 
     async def _probe(self, target: Target) -> None:
         sent: list[float] = []
