Publish patches of the fault scenarios in the form that instances judge

The scenarios used the form of an early draft, so that every patch was refused as malformed, and a flag of the target stand-in that does not exist. Only the scenarios change.

--- a/src/currantline/standin/faults.py
+++ b/src/currantline/standin/faults.py
@@ -176,7 +176,7 @@
 async def silence_connections(run: Run) -> None:
     """Let open connections of every target go silent while new ones work."""
     for target in run.fleet.targets:
-        await run.fleet.set_behaviour(target, silences_open=True)
+        await run.fleet.set_behaviour(target, is_silent=True)
     await asyncio.sleep(SETTLE_S)
 
 
@@ -258,12 +258,12 @@
 
 
 async def _publish_timeout(run: Run, *, author: str, timeout_ms: float) -> None:
-    changes = [{"set_service": "ordering", "timeout_ms": timeout_ms}]
+    changes = [{"set": "services/ordering/timeout_ms", "value": timeout_ms}]
     record = {
         "kind": "patch",
         "base_version": run.fleet.configuration.version,
         "author": author,
-        "body": {"changes": changes},
+        "body": changes,
     }
     await run.fleet.publish_record(record)
 
