Lend over own short work only for a wait 10 ms longer

A loan leaves the slot idle for a message there and one back. At 3 ms, owners with work of their own lent to each other for differences that a loan could not make good, which cost the federation most: it has four owners.

--- a/src/currantline/dispatch/_options.py
+++ b/src/currantline/dispatch/_options.py
@@ -23,7 +23,8 @@
         Wait of the oldest request after which all owners are asked, not one.
     lend_margin_ms : float
         A slot is lent rather than used if the borrower's short work has waited
-        longer than the owner's by this much, about the round trip that it costs.
+        longer than the owner's by this much. A loan leaves the slot idle for a
+        round trip, so small differences are not worth one.
     owner_patience_ms : float
         Wait without word from an owner after which the local choice is used.
     fairness_interval : int
@@ -38,7 +39,7 @@
     demand_refresh_ms: float = 20.0
     demand_expiry_ms: float = 60.0
     ask_all_ms: float = 4.0
-    lend_margin_ms: float = 3.0
+    lend_margin_ms: float = 10.0
     owner_patience_ms: float = 50.0
     fairness_interval: int = 64
     long_factor: float = 8.0
