--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -44,6 +44,8 @@
         Slots lent to other instances.
     borrowed_slots : int
         Slots borrowed from other instances.
+    loans_made : int
+        Loans made since the start.
     totals : PoolCounts
         Counters since the start.
     """
@@ -54,6 +56,7 @@
     free_slots: int
     lent_slots: int
     borrowed_slots: int
+    loans_made: int
     totals: PoolCounts
 
 
@@ -233,5 +236,6 @@
         free_slots=pool.ledger.count_free(),
         lent_slots=pool.ledger.count_lent(),
         borrowed_slots=len(pool.loans),
+        loans_made=pool.lender.lent,
         totals=attrs.evolve(pool.counts),
     )
--- /dev/null
+++ b/src/currantline/dispatch/_lender.py
@@ -0,0 +1,108 @@
+"""Which slots of owned targets are lent, and to whom."""
+
+from collections.abc import Callable
+
+import attrs
+
+from currantline.admission import LengthEstimator, WaitingQueue
+from currantline.dispatch._ledger import Lent, SlotLedger
+from currantline.dispatch._lending import PeerDemands
+from currantline.dispatch._messages import Lend, Send
+from currantline.dispatch._options import DispatchOptions
+
+__all__ = ["Lender"]
+
+
+@attrs.define(kw_only=True)
+class Lender:
+    """Lends slots of the targets of one service that this instance owns.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    ledger : SlotLedger
+        Slots.
+    queue : WaitingQueue
+        What waits at this instance.
+    lengths : LengthEstimator
+        Expected lengths.
+    options : DispatchOptions
+        Durations and limits.
+    next_loan : callable
+        Returns loan identifiers that are unique for this instance.
+    """
+
+    service: str
+    ledger: SlotLedger
+    queue: WaitingQueue
+    lengths: LengthEstimator
+    options: DispatchOptions
+    next_loan: Callable[[], int]
+    demands: PeerDemands = attrs.field(init=False)
+    lent: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.demands = PeerDemands(self.options)
+
+    def lend_fair(self, now: float) -> Send | None:
+        """Lend for the fairness start if the oldest work waits elsewhere."""
+        oldest = self.demands.find_oldest_other() if self.queue.is_fair_due else None
+        if oldest is None:
+            return None
+        waiting = self.queue.summary(now)
+        if waiting.long_waiting and oldest[0] >= now - waiting.oldest_long_ms:
+            return None
+        target = self.choose_long(now, spare=0)
+        if target is None:
+            return None
+        self.queue.use_fair_turn()
+        return self._lend(oldest[1], target, now, is_short=False)
+
+    def lend_short(self, target: str, now: float) -> Send | None:
+        """Lend if short work elsewhere has waited longer than here."""
+        oldest = self.demands.find_oldest_short()
+        if oldest is None:
+            return None
+        waiting = self.queue.summary(now)
+        if waiting.short_waiting:
+            own_since = now - waiting.oldest_short_ms
+            if oldest[0] + self.options.lend_margin_ms >= own_since:
+                return None
+        return self._lend(oldest[1], target, now, is_short=True)
+
+    def lend_other(self, now: float) -> Send | None:
+        """Lend to work that is not short, sparing the last free slot."""
+        oldest = self.demands.find_oldest_other()
+        target = self.choose_long(now, spare=1) if oldest else None
+        if oldest is None or target is None:
+            return None
+        return self._lend(oldest[1], target, now, is_short=False)
+
+    def choose_long(self, now: float, *, spare: int) -> str | None:
+        """Choose an owned target for long work, see `SlotLedger`."""
+        threshold_ms = self.lengths.threshold_ms
+        return self.ledger.choose_for_long(now, threshold_ms, spare=spare)
+
+    def _lend(self, borrower: str, target: str, now: float, *, is_short: bool) -> Send:
+        threshold_ms = self.lengths.threshold_ms
+        allow_long = self.ledger.has_long_room(target, now, threshold_ms)
+        lent = Lent(
+            loan_id=self.next_loan(),
+            target=target,
+            borrower=borrower,
+            is_long=allow_long,
+            since=now,
+            expires=now + self.options.lease_ms,
+        )
+        self.ledger.lend(lent)
+        self.demands.count_loan(borrower, is_short=is_short, now=now)
+        self.lent += 1
+        message = Lend(
+            loan_id=lent.loan_id,
+            service=self.service,
+            target=target,
+            lease_ms=self.options.lease_ms,
+            allow_long=allow_long,
+        )
+        return Send(borrower, message)
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -15,7 +15,8 @@
 from currantline.configuration import Service
 from currantline.directory import Ownership
 from currantline.dispatch._ledger import Borrowed, Lent, Running, SlotLedger
-from currantline.dispatch._lending import DemandReports, PeerDemands
+from currantline.dispatch._lender import Lender
+from currantline.dispatch._lending import DemandReports
 from currantline.dispatch._loans import BorrowedLoans, UsageReports
 from currantline.dispatch._messages import (
     Demand,
@@ -42,7 +43,6 @@
     loan_starts: int = 0
     local_starts: int = 0
     refused: int = 0
-    lent: int = 0
     borrowed: int = 0
     reverted: int = 0
     demands_sent: int = 0
@@ -76,14 +76,20 @@
         self._name = name
         self._service = service
         self._options = options
-        self._next_loan = next_loan
         self.lengths = LengthEstimator(long_factor=options.long_factor)
         self.queue = WaitingQueue(self.lengths, _queue_options(service, options))
         self.ledger = SlotLedger(rng)
         self.counts = PoolCounts()
         self.running: dict[str, Running] = {}
         self.loans = BorrowedLoans()
-        self._demands = PeerDemands(options)
+        self.lender = Lender(
+            service=service.name,
+            ledger=self.ledger,
+            queue=self.queue,
+            lengths=self.lengths,
+            options=options,
+            next_loan=next_loan,
+        )
         self._reports = DemandReports(options, rng)
         self._usage = UsageReports(service.name, options.lease_ms / 3)
         self._ownership = Ownership(owners=(), targets={})
@@ -109,7 +115,7 @@
         self._ownership = ownership
         self._owners = [name for name in ownership.owners if name != self._name]
         self.ledger.set_owned(self._find_owned())
-        self._demands.forget()
+        self.lender.demands.forget()
         self._reports.forget()
         self._heard = now
         self._has_foreign = True
@@ -143,9 +149,9 @@
             self._reports.note_free(sender, demand.free_slots, now)
         if not self.ledger.has_usable:
             return []
-        self._demands.note(sender, demand, now)
+        self.lender.demands.note(sender, demand, now)
         effects = self.advance(now)
-        if self._demands.needs(sender):
+        if self.lender.demands.needs(sender):
             effects += self._answer_demand(sender, now)
         return effects
 
@@ -185,7 +191,7 @@
         """Discard what is outdated after a pause."""
         self._has_foreign = True
         effects: list[Effect] = [*self.loans.drop(now)]
-        self._demands.forget()
+        self.lender.demands.forget()
         self._reports.forget()
         self._heard = now
         return effects + self.advance(now)
@@ -208,7 +214,7 @@
             self.counts.refused += 1
             effects.append(Refuse(work.request_id, "deadline"))
         self.counts.reverted += len(self.ledger.expire(now))
-        self._demands.expire(now)
+        self.lender.demands.expire(now)
         held = len(self.loans)
         effects += self.loans.renew(now)
         # A request whose loan has ended still uses the slot.
@@ -244,61 +250,26 @@
         target = self.ledger.choose()
         if target is None:
             return False
-        return (
-            self._lend_fair(now, effects)
-            or self._lend_short(target, now, effects)
-            or self._start_owned(target, now, effects)
-            or self._lend_other(now, effects)
-        )
-
-    def _lend_fair(self, now: float, effects: list[Effect]) -> bool:
-        """Lend for the fairness start if the oldest work waits elsewhere."""
-        oldest = self._demands.find_oldest_other() if self.queue.is_fair_due else None
-        if oldest is None:
-            return False
-        waiting = self.queue.summary(now)
-        if waiting.long_waiting and oldest[0] >= now - waiting.oldest_long_ms:
-            return False
-        target = self._choose_long(now, spare=0)
-        if target is None:
-            return False
-        self.queue.use_fair_turn()
-        self._lend(oldest[1], target, now, effects, is_short=False)
-        return True
-
-    def _lend_short(self, target: str, now: float, effects: list[Effect]) -> bool:
-        """Lend if short work elsewhere has waited longer than here."""
-        oldest = self._demands.find_oldest_short()
-        if oldest is None:
-            return False
-        waiting = self.queue.summary(now)
-        if waiting.short_waiting:
-            own_since = now - waiting.oldest_short_ms
-            if oldest[0] + self._options.lend_margin_ms >= own_since:
-                return False
-        self._lend(oldest[1], target, now, effects, is_short=True)
-        return True
-
-    def _lend_other(self, now: float, effects: list[Effect]) -> bool:
-        oldest = self._demands.find_oldest_other()
-        target = self._choose_long(now, spare=1) if oldest else None
-        if oldest is None or target is None:
-            return False
-        self._lend(oldest[1], target, now, effects, is_short=False)
-        return True
+        loan = self.lender.lend_fair(now) or self.lender.lend_short(target, now)
+        if loan is None and self._start_owned(target, now, effects):
+            return True
+        loan = loan or self.lender.lend_other(now)
+        if loan is not None:
+            effects.append(loan)
+        return loan is not None
 
     def _start_owned(self, target: str, now: float, effects: list[Effect]) -> bool:
         if not len(self.queue):
             return False
         for_long = for_fair = None
         if self.queue.has_long:
-            for_long = self._choose_long(now, spare=1)
-            for_fair = for_long or self._choose_long(now, spare=0)
+            for_long = self.lender.choose_long(now, spare=1)
+            for_fair = for_long or self.lender.choose_long(now, spare=0)
         work = self.queue.pop(
             for_long is not None,
             now,
             allow_fair_long=for_fair is not None,
-            peers_wait=self._demands.has_other,
+            peers_wait=self.lender.demands.has_other,
         )
         if work is None:
             return False
@@ -362,37 +333,6 @@
         self.running[work.request_id] = running
         effects.append(Start(work.request_id, target))
 
-    def _lend(
-        self,
-        borrower: str,
-        target: str,
-        now: float,
-        effects: list[Effect],
-        *,
-        is_short: bool,
-    ) -> None:
-        threshold_ms = self.lengths.threshold_ms
-        allow_long = self.ledger.has_long_room(target, now, threshold_ms)
-        lent = Lent(
-            loan_id=self._next_loan(),
-            target=target,
-            borrower=borrower,
-            is_long=allow_long,
-            since=now,
-            expires=now + self._options.lease_ms,
-        )
-        self.ledger.lend(lent)
-        self._demands.count_loan(borrower, is_short=is_short, now=now)
-        self.counts.lent += 1
-        message = Lend(
-            loan_id=lent.loan_id,
-            service=self._service.name,
-            target=target,
-            lease_ms=self._options.lease_ms,
-            allow_long=allow_long,
-        )
-        effects.append(Send(borrower, message))
-
     def _report_demand(self, now: float, effects: list[Effect]) -> None:
         if not self._owners:
             return
@@ -434,10 +374,6 @@
         effects += self._usage.plan(in_use, owners, now)
         self._has_foreign = bool(in_use)
 
-    def _choose_long(self, now: float, *, spare: int) -> str | None:
-        threshold_ms = self.lengths.threshold_ms
-        return self.ledger.choose_for_long(now, threshold_ms, spare=spare)
-
     def _choose_local(self, now: float, *, is_long: bool) -> str | None:
         return self.ledger.choose_local(
             is_long=is_long, now=now, threshold_ms=self.lengths.threshold_ms
