Return loans of targets that the borrower knows to leave

An owner lends by what it knows. A borrower may have later evidence that the target is draining, and started new work on it all the same until the lease ended. It now returns the loan unless its own limit is above zero.

--- a/src/currantline/dispatch/_ledger.py
+++ b/src/currantline/dispatch/_ledger.py
@@ -268,6 +268,10 @@
         """Return whether this instance owns a target."""
         return name in self._targets and self._targets[name].is_owned
 
+    def takes_work(self, name: str) -> bool:
+        """Return whether a target takes work as far as this instance knows."""
+        return name in self._targets and self._targets[name].limit > 0
+
     @property
     def has_usable(self) -> bool:
         """Whether any owned target takes work."""
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -279,7 +279,9 @@
         return True
 
     def _start_on_loan(self, now: float, effects: list[Effect]) -> bool:
-        usable = self.loans.find_idle(now)
+        # An owner may not know yet that a target is leaving.
+        idle = self.loans.find_idle(now)
+        usable = [loan for loan in idle if self.ledger.takes_work(loan.target)]
         if not usable:
             return False
         loan = next((loan for loan in usable if loan.allow_long), usable[0])
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -266,6 +266,17 @@
         assert owner.counts(10.5)["s"].free_slots == 6
         assert starts(other.receive("a", lends[0], 12.0)) == []
 
+    def test_loan_of_leaving_target(self) -> None:
+        """Guards against new work on a target that the borrower knows to leave."""
+        owner, other = make_dispatcher("a"), make_dispatcher("b")
+        demand = messages(other.submit(make_work("1", 0.0), 0.0))[0]
+        lend = messages(owner.receive("b", demand, 1.0))[0]
+        assert isinstance(lend, Lend)
+        other.set_limit(lend.target, 0, 2.0)
+        effects = other.receive("a", lend, 3.0)
+        assert starts(effects) == []
+        assert Send("a", Return(loan_id=lend.loan_id)) in effects
+
     def test_lost_return(self) -> None:
         """Guards against a slot that stays idle after a message was lost."""
         owner = make_dispatcher("a")
