Test membership over loopback and the majority of an even fleet

A trial that changed the code on purpose showed that no test noticed a lease granted to half of an even fleet: the fleets of the test all had an odd size. Gossip over gRPC was tested with an echo only, not with tasks.

--- a/src/currantline/membership/tests/test_lease.py
+++ b/src/currantline/membership/tests/test_lease.py
@@ -175,6 +175,20 @@
         assert lease.acknowledge(5998) == 0
         assert lease.acknowledge(5999) == 2
 
+    def test_half_is_no_majority(self) -> None:
+        """Guards against two halves of a fleet that both hold the lease."""
+        lease = ViewLease("a", started_at=-2000, options=OPTIONS)
+        lease.set_digest(1)
+        assert lease.acknowledge(0) == 1
+        lease.collect(
+            Gossip(sender="b", lease_digest=1, proofs=(0.0,)), ["b"], sent_at=0
+        )
+        known = frozenset("abcd")
+        assert not lease.holds(known, known, 0)
+        assert lease.holds(frozenset("abc"), known, 0)
+        # What is not listed for long enough is counted but has no vote.
+        assert not lease.holds(frozenset("abc"), frozenset("a"), 0)
+
     def test_digest_covers_owners(self) -> None:
         """Guards against instances that agree on a digest but not on the owners."""
         entry = make_entry("a")
--- a/src/currantline/peer/tests/test_peer.py
+++ b/src/currantline/peer/tests/test_peer.py
@@ -17,11 +17,13 @@
 from currantline.clock import ManualClock
 from currantline.exceptions import PeerError, PeerTimeoutError, WireError
 from currantline.membership import (
+    Contact,
     Gossip,
     GossipRow,
     GossipState,
     InstanceEntry,
     IntroducedRow,
+    MembershipTask,
     Status,
 )
 from currantline.peer import (
@@ -115,6 +117,16 @@
         self.envelopes.append(envelope)
 
 
+class GossipHandler(Handler):
+    """Answers with a membership task."""
+
+    task: MembershipTask
+
+    def answer_gossip(self, question: Gossip) -> Gossip:
+        """Return what the task answers."""
+        return self.task.answer(question)
+
+
 class RawCodec(CodecBase):
     """Passes bytes as they are."""
 
@@ -337,3 +349,39 @@
                     await client.exchange(address, GOSSIP)
 
         asyncio.run(run())
+
+    def test_membership(self) -> None:
+        """Guards against gossip that works in memory but not over the network."""
+
+        async def run() -> None:
+            clock = ManualClock()
+            async with connect(clock) as client:
+                tasks = [
+                    MembershipTask(
+                        attrs.evolve(ENTRY, name=name, peer_address=address),
+                        peers=client,
+                        clock=clock,
+                        rng=random.Random(1),
+                        seeds=[Contact(name="a", peer_address=addresses[0])],
+                    )
+                    for name, address in zip("abc", addresses, strict=True)
+                ]
+                for handler, task in zip(handlers, tasks, strict=True):
+                    handler.task = task
+                for _ in range(3):
+                    for task in tasks:
+                        await task.step()
+                views = [task.table.view(clock.read()) for task in tasks]
+                assert [view.names for view in views] == [("a", "b", "c")] * 3
+
+        async def run_all() -> None:
+            async with (
+                serve(handlers[0]) as first,
+                serve(handlers[1]) as second,
+                serve(handlers[2]) as third,
+            ):
+                addresses.extend((first, second, third))
+                await run()
+
+        handlers, addresses = [GossipHandler() for _ in range(3)], list[str]()
+        asyncio.run(run_all())
