Test the age of rows that are passed on by key

A trial that dropped the age of such rows passed all direct tests of the table; only the slow stateful test could notice it. The new test fails on that trial.

--- a/src/currantline/membership/tests/test_table.py
+++ b/src/currantline/membership/tests/test_table.py
@@ -200,6 +200,20 @@
         exchange(tables[0], tables[1], 2600)
         assert "d" not in tables[0].view(2600).names
 
+    def test_relayed_short_row(self) -> None:
+        """Guards against a row by its key that loses its age on the way."""
+        first, second = GossipTable(make_entry("a")), GossipTable(make_entry("b"))
+        exchange(first, second, 0)
+        for table in (first, second):
+            table.merge([IntroducedRow(entry=make_entry("d"), age_ms=0)], 0)
+        second.merge([IntroducedRow(entry=make_entry("d", heartbeat=1), age_ms=0)], 0)
+        exchange(first, second, 2000)
+        known = first.find("d")
+        assert known is not None
+        assert known.heartbeat == 1
+        assert "d" in first.view(2499).names
+        assert "d" not in first.view(2500).names
+
     def test_forgotten_stays_away(self) -> None:
         """Guards against a dropped row that returns from a peer with a later death."""
         table = GossipTable(make_entry("a"))
