Count only the CPU of requests in the measurement of added time

The CPU figure held the start of the interpreter and the imports, which is about as much as several hundred calls, and made runs with different numbers of calls incomparable. It now counts from the moment at which the instance listens.

--- a/src/currantline/bench/added.py
+++ b/src/currantline/bench/added.py
@@ -88,13 +88,19 @@
 
 
 async def serve_until_end(address: str) -> None:
-    """Print an address, wait for SIGTERM and print the CPU seconds used."""
+    """Print an address, wait for SIGTERM and print the CPU seconds used since."""
+    before_s = read_cpu_s()
     stopping = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
     print(address, flush=True)
     await stopping.wait()
+    print(read_cpu_s() - before_s, flush=True)
+
+
+def read_cpu_s() -> float:
+    """Return the CPU seconds that this process has used."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
-    print(usage.ru_utime + usage.ru_stime, flush=True)
+    return usage.ru_utime + usage.ru_stime
 
 
 async def exchange(connection: HttpConnection, path: str) -> float:
