Answer HEAD without a body and without a made-up length

An answer of the instance itself to HEAD, such as 404, carried a body, which h11 refuses for HEAD, so the connection was dropped without an answer. A passed-on answer to HEAD whose target named no length was given a length of 0.

Before the change the new case of test_status fails with IncompleteReadError; after it, all cases pass.

--- a/src/currantline/forwarding/tests/test_caller.py
+++ b/src/currantline/forwarding/tests/test_caller.py
@@ -104,6 +104,7 @@
             (ask(extra=f"x: {'y' * 40000}\r\n"), 431),
             (ask(method="POST", extra="content-length: 1001\r\n"), 413),
             (ask("/services/none/x"), 404),
+            (ask("/services/none/x", method="HEAD"), 404),
             (ask(extra="currantline-request-id: a b\r\n"), 400),
             (ask(extra=f"currantline-request-id: {'a' * 129}\r\n"), 400),
             (ask(extra="currantline-request-id: \xe9\r\n"), 400),
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -90,13 +90,15 @@
     def write_answer(self, answer: Answer) -> None:
         """Hand a whole response to the transport without suspending."""
         headers = list(answer.headers)
-        if answer.status not in NO_BODY_STATUSES:
+        # The length of an empty answer to HEAD is not known here.
+        is_length_known = answer.body or not self._is_head
+        if answer.status not in NO_BODY_STATUSES and is_length_known:
             headers = _add_length(answer.headers, answer.body)
         try:
             head = h11.Response(status_code=answer.status, headers=headers)
         except h11.LocalProtocolError as error:
             raise ProtocolError(str(error)) from error
-        self.write(self._encode(head, answer.body))
+        self.write(self._encode(head, b"" if self._is_head else answer.body))
 
     async def wait_for_data(self) -> bool:
         """Wait for the first byte of a message; return False at the end.
@@ -128,6 +130,7 @@
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
+        self._is_head = event.method == b"HEAD"
         headers = _decode(event.headers)
         _check_head(event.target, headers)
         self._check_length(headers)
