Start timers towards callers only when something has to be waited for

Each request started three timers on the caller's connection, for the next request, the request and the answer, though most requests and answers need no wait. A limit now starts its timer with the first wait.

Ruled out: one timer per connection that ticks, because limits would then be late by up to a tick.

--- a/src/currantline/forwarding/_caller.py
+++ b/src/currantline/forwarding/_caller.py
@@ -26,7 +26,7 @@
 from currantline.forwarding._observation import RequestObservation, RequestObserver
 from currantline.forwarding._outcome import Outcome
 from currantline.forwarding._progress import Completion
-from currantline.forwarding._timer import Schedule, schedule_on_loop
+from currantline.forwarding._timer import Schedule, TimerHandle, schedule_on_loop
 from currantline.wire import Answer, HttpConnection, Request
 
 __all__ = ["CallerOptions", "CallerServer", "Guidance"]
@@ -368,18 +368,30 @@
 
 
 class _Limit:
-    """Interrupts a connection after a time unless it is cancelled before."""
+    """Interrupts a connection that waits for longer than a time.
+
+    The timer starts with the first wait; most requests and answers need none.
+    """
 
     def __init__(
         self, connection: HttpConnection, limit_ms: float, schedule: Schedule
     ) -> None:
         self._connection = connection
-        self._handle = schedule(limit_ms, self._expire)
+        self._limit_ms = limit_ms
+        self._schedule = schedule
+        self._handle: TimerHandle | None = None
+        connection.before_wait = self._start
 
     def cancel(self) -> None:
         """Stop the timer, also if it has expired but nothing waited."""
-        self._handle.cancel()
-        self._connection.clear_interruption()
+        self._connection.before_wait = None
+        if self._handle is not None:
+            self._handle.cancel()
+            self._connection.clear_interruption()
+
+    def _start(self) -> None:
+        if self._handle is None:
+            self._handle = self._schedule(self._limit_ms, self._expire)
 
     def _expire(self) -> None:
         self._connection.interrupt(SlowRequestError("the request took too long"))
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -29,12 +29,16 @@
     ----------
     on_lost : callable or None
         Called when the other side closes or the connection breaks.
+    before_wait : callable or None
+        Called before each wait, so that a limit needs no timer while nothing
+        has to be waited for.
     """
 
     def __init__(
         self, *, is_client: bool, on_open: Callable[..., object] | None = None
     ) -> None:
         self.on_lost: Callable[[], object] | None = None
+        self.before_wait: Callable[[], object] | None = None
         self._on_open = on_open
         self._is_client = is_client
         self._transport: asyncio.Transport
@@ -84,7 +88,7 @@
             If the connection broke.
         """
         while self._is_writing_paused and not self._transport.is_closing():
-            self._raise_interruption()
+            self._prepare_wait()
             self._drain_waiter = asyncio.get_running_loop().create_future()
             await self._drain_waiter
         if self._transport.is_closing():
@@ -169,14 +173,16 @@
                 waiter.set_result(None)
 
     async def _wait(self) -> None:
-        self._raise_interruption()
+        self._prepare_wait()
         self._data_waiter = asyncio.get_running_loop().create_future()
         try:
             await self._data_waiter
         finally:
             self._data_waiter = None
 
-    def _raise_interruption(self) -> None:
+    def _prepare_wait(self) -> None:
+        if self.before_wait is not None:
+            self.before_wait()
         if self._interruption is not None:
             error, self._interruption = self._interruption, None
             raise error
