Measure waits and probes while owners change

Evidence about targets stays with the instance that made it, so an owner that is new, was paused or is on the minority side of a partition holds requests back. Nothing measured for how long. The stand-in target notes when it is probed, and the site can add an instance and cut some off from the platform.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -114,6 +114,10 @@
         """Whether the instance takes work."""
         return self._membership.readiness.decide(self._clock.read()).is_ready
 
+    def list_owners(self, service: str) -> tuple[str, ...]:
+        """Return the owners of a service in this instance's view."""
+        return self._owners.find(service).owners
+
     async def start(self) -> None:
         """Listen on all addresses and start the tasks.
 
--- a/src/currantline/standin/site.py
+++ b/src/currantline/standin/site.py
@@ -84,6 +84,14 @@
             self.find_host(name), instance.start(), process=self.find_process(name)
         )
 
+    async def join(self) -> str:
+        """Start and list one more instance and return its name."""
+        settings = self._build_settings(len(self.settings))
+        self.settings[settings.name] = settings
+        self.publish_list()
+        await self.start_instance(settings.name)
+        return settings.name
+
     def kill(self, name: str) -> None:
         """Kill an instance."""
         self.network.kill(self.find_process(name))
@@ -108,6 +116,13 @@
         """Cut groups of instances off from each other, not from targets."""
         self.network.cut(*([self.find_host(name) for name in g] for g in groups))
 
+    def cut_minority(self, names: list[str]) -> None:
+        """Cut instances off from all others and from the platform."""
+        others = [self.find_host(name) for name in self.settings if name not in names]
+        self.network.cut(
+            [*others, PLATFORM_HOST], [self.find_host(name) for name in names]
+        )
+
     def publish_list(self, leaving: frozenset[str] = frozenset()) -> None:
         """Publish the list of instances and targets."""
         entries: list[dict[str, Any]] = [
@@ -154,7 +169,8 @@
         return f"{name}#{self._starts[name]}"
 
     async def _start_target(self, target: Target) -> None:
-        standin = StandinTarget(target, random.Random(f"{self._seed} {target.name}"))
+        rng = random.Random(f"{self._seed} {target.name}")
+        standin = StandinTarget(target, rng, clock=self.clock)
         self.targets[target.name] = standin
         host = target.address.partition(":")[0]
         await run_on_host(host, standin.service.start(target.address))
--- a/src/currantline/standin/target.py
+++ b/src/currantline/standin/target.py
@@ -174,6 +174,7 @@
         self.behaviour = Behaviour()
         self.seen: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
+        self.probed: list[float] = []
         self.service = TargetService(self)
         self._rng = rng
         self._clock = clock or MonotonicClock()
@@ -197,6 +198,7 @@
         """Answer one request."""
         path = urlsplit(request.target).path
         if path == "/health":
+            self.probed.append(self._clock.read())
             return self._answer(200, b"")
         if path == "/standin/seen":
             return answer_json(dict(self.seen))
