Use the lease only for the owners that it is for

Instances acknowledge a digest of names, incarnations and statuses of the live instances and the configuration version, which is all that owners follow from; no change was needed there. But the prober compared nothing: owners are derived in another task after a change of view, and in between an instance could hold the lease of the new view while its list of owned targets was still that of the old one. The owners now keep the digest that they were derived from, and the lease of another digest is no right to probe.

Ruled out: deriving owners inside the membership task, which would make it depend on the directory.

Conclusion: one instance at most holds the lease of a target, also in the step between a change of view and the change of owners.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -47,6 +47,7 @@
     Status,
     View,
     ViewChanged,
+    combine_digest,
 )
 from currantline.operator import Metrics, OperatorService, OperatorSources, Readiness
 from currantline.peer import Outbox, PeerClient, PeerServer
@@ -211,7 +212,10 @@
         self._notices = NoticeSchedule()
         self.budget = ProbeBudget(EMPTY.max_instances)
         self._plan = OwnedTargets(
-            self._settings.name, self._owners, self._membership.holds_lease
+            name=self._settings.name,
+            owners=self._owners,
+            holds_majority=self._membership.holds_lease,
+            read_digest=lambda: self._membership.lease.digest,
         )
         self.prober = Prober(
             book=self.book,
@@ -324,7 +328,8 @@
         ready = [e.name for e in view.instances if e.status is Status.READY]
         configuration = self.configuration
         changed = self._owners.update(configuration.services, ready)
-        self._plan.update(configuration)
+        digest = combine_digest(view, configuration.version)
+        self._plan.update(configuration, digest)
         for service, ownership in changed.items():
             self.dispatch.set_ownership(service, ownership)
 
--- a/src/currantline/control/_plan.py
+++ b/src/currantline/control/_plan.py
@@ -10,7 +10,7 @@
 __all__ = ["OwnedTargets"]
 
 
-@attrs.define
+@attrs.define(kw_only=True)
 class OwnedTargets:
     """Targets that this instance owns, for the prober.
 
@@ -22,18 +22,32 @@
         Owners in this instance's view.
     holds_majority : callable
         Returns whether this instance holds the majority lease of its view.
+    read_digest : callable
+        Returns the digest that the lease is for; 0 if this instance is not in its
+        own view, because it leaves or was replaced.
     """
 
     name: str
     owners: OwnershipTable
     holds_majority: Callable[[], bool]
+    read_digest: Callable[[], int]
+    _digest: int = attrs.field(default=0, init=False)
     _targets: Mapping[str, Target] = attrs.field(factory=dict, init=False)
     _services: Mapping[str, str] = attrs.field(factory=dict, init=False)
     _owned: tuple[str, ...] = attrs.field(default=(), init=False)
 
-    def update(self, configuration: Configuration) -> None:
-        """Take over the configuration and the owners in force."""
+    def update(self, configuration: Configuration, digest: int) -> None:
+        """Take over the configuration, and the owners in force.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            Configuration in force.
+        digest : int
+            Digest of the view and version that the owners follow from.
+        """
         services = configuration.services.values()
+        self._digest = digest
         self._targets = {t.name: t for s in services for t in s.targets}
         self._services = {t.name: s.name for s in services for t in s.targets}
         self._owned = self.owners.list_owned(self.name)
@@ -50,9 +64,12 @@
         """Return whether this instance holds the lease of a target.
 
         Owners follow from the view and the version, which the majority lease
-        covers, so no two instances hold the lease of one target.
+        covers, so no two instances hold the lease of one target. The view may have
+        changed since the owners were derived: then the lease is for other owners.
         """
-        return target in self._owned and self.holds_majority()
+        if target not in self._owned or not self.holds_majority():
+            return False
+        return self.read_digest() == self._digest
 
     def holds_share(self, target: str, now: float) -> bool:
         """Return False: no instance probes without the lease.
