Ask peers for evidence about owned targets

An owner without evidence for its targets held their requests back until it held the majority lease and had probed them, although the owner before it, or an instance that borrows slots, often had fresh evidence. An envelope now carries names of targets that evidence is asked for and the answer carries notices of them. What comes back counts from the time at which the question was sent, so it never looks younger than it is, and only own observations are passed on. An owner asks at once after a change of owner and then every 500 ms at most for each peer, all targets of a peer in one message, and not while it has held the lease for 2 s.

Ruled out: unasked notices, whose age nobody knows; passing on what peers told, which would let a drain return to its author younger.

Nobody has the evidence of an owner that was killed or is on the other side of a partition, so these need probes.

--- a/src/currantline/bench/gossip.py
+++ b/src/currantline/bench/gossip.py
@@ -15,6 +15,7 @@
 from absl import app, flags
 
 from currantline.clock import ManualClock
+from currantline.load import TargetNotice
 from currantline.membership import (
     Contact,
     Gossip,
@@ -234,8 +235,8 @@
     def list_records(self, after: int) -> tuple[RecordMessage, ...]:
         return ()
 
-    def take_envelope(self, envelope: Envelope) -> None:
-        pass
+    def take_envelope(self, envelope: Envelope) -> tuple[TargetNotice, ...]:
+        return ()
 
 
 class _Relay:
--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -18,6 +18,8 @@
     select_readers,
 )
 from currantline.control import (
+    EvidenceAsker,
+    EvidenceSources,
     InstanceHandler,
     LimitKeeper,
     OwnedTargets,
@@ -137,6 +139,7 @@
             self._list_reader.run,
             self._spread.run,
             self.prober.run,
+            self._asker.run,
             self._limits.run,
         ):
             self._start_task(run())
@@ -217,6 +220,7 @@
             holds_majority=self._membership.holds_lease,
             read_digest=lambda: self._membership.lease.digest,
         )
+        self._sources = EvidenceSources(self._settings.name, self._owners)
         self.prober = Prober(
             book=self.book,
             budget=self.budget,
@@ -242,6 +246,16 @@
             set_limit=self.dispatch.set_limit,
             on_drain=self._tell_drains,
         )
+        self._asker = EvidenceAsker(
+            self._settings.name,
+            plan=self._plan,
+            sources=self._sources,
+            book=self.book,
+            find_address=self._find_peer_address,
+            deliver=self._client.deliver,
+            on_answer=self._limits.refresh,
+            clock=self._clock,
+        )
         handler = InstanceHandler(
             membership=self._membership,
             history=self.history,
@@ -330,8 +344,11 @@
         changed = self._owners.update(configuration.services, ready)
         digest = combine_digest(view, configuration.version)
         self._plan.update(configuration, digest)
+        self._sources.update(configuration.services, ready)
         for service, ownership in changed.items():
             self.dispatch.set_ownership(service, ownership)
+        if changed:
+            self._asker.restart()
 
     def _take_configuration(self, configuration: Configuration) -> None:
         services = configuration.services.values()
--- /dev/null
+++ b/src/currantline/control/_asker.py
@@ -0,0 +1,127 @@
+"""Asks other instances for evidence about owned targets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from eliot import log_message
+
+from currantline.clock import Clock
+from currantline.control._plan import OwnedTargets
+from currantline.control._sources import EvidenceSources
+from currantline.exceptions import PeerError, WireError
+from currantline.load import Asking, LoadOptions, TargetBook, TargetNotice
+from currantline.peer import Envelope
+
+__all__ = ["EvidenceAsker"]
+
+TICK_MS = 100.0
+# An owner that held the lease for this long has probed its targets itself.
+SETTLED_MS = 2000.0
+
+
+class EvidenceAsker:
+    """Asks for evidence about owned targets that nothing was heard of.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    plan : OwnedTargets
+        Targets that this instance owns.
+    sources : EvidenceSources
+        Instances to ask.
+    book : TargetBook
+        Receives the answers.
+    find_address : callable
+        Takes the name of an instance and returns its peer address, or None.
+    deliver : callable
+        Coroutine function that takes a peer address and an envelope.
+    on_answer : callable
+        Called after answers were taken over.
+    clock : Clock
+        Source of time.
+    options : LoadOptions, optional
+        Options of the load slice.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        plan: OwnedTargets,
+        sources: EvidenceSources,
+        book: TargetBook,
+        find_address: Callable[[str], str | None],
+        deliver: Callable[[str, Envelope], Awaitable[tuple[TargetNotice, ...]]],
+        on_answer: Callable[[], None],
+        clock: Clock,
+        options: LoadOptions | None = None,
+    ) -> None:
+        self._name = name
+        self._plan = plan
+        self._sources = sources
+        self._book = book
+        self._find_address = find_address
+        self._deliver = deliver
+        self._on_answer = on_answer
+        self._clock = clock
+        self._options = options or LoadOptions()
+        self._asking = Asking()
+        self._lease_since: float | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        try:
+            while True:
+                self.tick()
+                await asyncio.sleep(TICK_MS / 1000)
+        finally:
+            for task in tuple(self._tasks):
+                task.cancel()
+
+    def restart(self) -> None:
+        """Ask at once, after a change of owner or a reset."""
+        self._asking.reset()
+        self.tick()
+
+    def tick(self) -> None:
+        """Start the questions that are due."""
+        now = self._clock.read()
+        if self._is_settled(now):
+            return
+        sources = {
+            target.name: self._sources.find(target.name)
+            for target in self._plan.list_owned()
+            if self._book.heard_age(target.name, now) >= self._options.probe_interval_ms
+        }
+        for peer, targets in self._asking.choose(sources, now).items():
+            address = self._find_address(peer)
+            if address is not None:
+                task = asyncio.create_task(self._ask(address, targets))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def _is_settled(self, now: float) -> bool:
+        if not self._plan.holds_majority():
+            self._lease_since = None
+            return False
+        if self._lease_since is None:
+            self._lease_since = now
+        return now - self._lease_since >= SETTLED_MS
+
+    async def _ask(self, address: str, targets: tuple[str, ...]) -> None:
+        # Evidence counts from here: the answer is made later.
+        sent = self._clock.read()
+        try:
+            notices = await self._deliver(
+                address, Envelope(sender=self._name, asked=targets)
+            )
+        except (PeerError, WireError) as error:
+            log_message("currantline:asker", peer=address, error=str(error))
+            return
+        now = self._clock.read()
+        for notice in notices:
+            if notice.target in targets:
+                self._book.merge_notice(notice, now, asked=sent)
+        self._on_answer()
--- a/src/currantline/control/_handler.py
+++ b/src/currantline/control/_handler.py
@@ -7,7 +7,7 @@
 from currantline.clock import Clock
 from currantline.configuration import History, encode_record
 from currantline.dispatch import Message
-from currantline.load import TargetBook
+from currantline.load import TargetBook, TargetNotice
 from currantline.membership import Gossip, MembershipTask
 from currantline.peer import Envelope, RecordMessage
 
@@ -25,7 +25,7 @@
     history : History
         Has configuration records.
     book : TargetBook
-        Takes target notices.
+        Takes and gives target notices.
     receive : callable
         Takes the sender and a slot message.
     clock : Clock
@@ -49,10 +49,11 @@
             for record in self.history.records_after(after)
         )
 
-    def take_envelope(self, envelope: Envelope) -> None:
-        """Take over a batch of messages."""
+    def take_envelope(self, envelope: Envelope) -> tuple[TargetNotice, ...]:
+        """Take over a batch of messages and return evidence that it asks for."""
         now = self.clock.read()
         for notice in envelope.notices:
             self.book.merge_notice(notice, now)
         for message in envelope.messages:
             self.receive(envelope.sender, message)
+        return self.book.answer(envelope.asked, now)
--- /dev/null
+++ b/src/currantline/control/_sources.py
@@ -0,0 +1,64 @@
+"""Which instances may have evidence about the targets of this one."""
+
+from collections.abc import Iterable, Mapping
+
+from currantline.configuration import Service
+from currantline.directory import OwnershipTable, assign_owners
+
+__all__ = ["EvidenceSources"]
+
+
+class EvidenceSources:
+    """Instances that may have observed a target.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    owners : OwnershipTable
+        Owners in this instance's view.
+    """
+
+    def __init__(self, name: str, owners: OwnershipTable) -> None:
+        self._name = name
+        self._owners = owners
+        self._owner: dict[str, str] = {}
+        self._previous: dict[str, str] = {}
+        self._others: dict[str, tuple[str, ...]] = {}
+
+    def update(self, services: Mapping[str, Service], ready: Iterable[str]) -> None:
+        """Take over the owners in force.
+
+        Parameters
+        ----------
+        services : mapping of str to Service
+            Services in force.
+        ready : iterable of str
+            Live instances that take work.
+        """
+        others = [name for name in ready if name != self._name]
+        owner: dict[str, str] = {}
+        self._others = {}
+        for service in services.values():
+            ownership = self._owners.find(service.name)
+            owner.update(ownership.targets)
+            if self._name in ownership.owners:
+                without = assign_owners(service, others).targets
+                for target in ownership.targets:
+                    found = (*ownership.owners, without.get(target, ""))
+                    self._others[target] = found
+        for target, name in self._owner.items():
+            if owner.get(target) != name:
+                self._previous[target] = name
+        self._owner = owner
+        self._previous = {t: n for t, n in self._previous.items() if t in owner}
+
+    def find(self, target: str) -> list[str]:
+        """Return the instances to ask for evidence about an owned target.
+
+        These are the owner before this one, which may be leaving, the other owners
+        of the service, which may borrow the target, and the instance that would own
+        the target without this one.
+        """
+        found = (self._previous.get(target, ""), *self._others.get(target, ()))
+        return [name for name in dict.fromkeys(found) if name not in ("", self._name)]
--- a/src/currantline/control/tests/test_plan.py
+++ b/src/currantline/control/tests/test_plan.py
@@ -1,9 +1,20 @@
-"""Tests of the rights to probe."""
+"""Tests of the rights to probe and of whom to ask for evidence."""
 
+import asyncio
+
+import pytest
+
+from currantline.clock import ManualClock
 from currantline.configuration import Configuration
-from currantline.control import OwnedTargets
-from currantline.directory import OwnershipTable
-from currantline.load.tests.test_book import make_service
+from currantline.control import (
+    EvidenceAsker,
+    EvidenceSources,
+    OwnedTargets,
+)
+from currantline.directory import OwnershipTable, assign_owners
+from currantline.load import TargetBook, TargetNotice, TargetState
+from currantline.load.tests.test_book import make_book, make_service
+from currantline.peer import Envelope
 
 DIGEST = 7
 
@@ -11,21 +22,30 @@
 class Bench:
     """Instance a, which owns all targets of a service."""
 
-    def __init__(self) -> None:
+    def __init__(self, ready: tuple[str, ...] = ("a",)) -> None:
+        self.clock = ManualClock()
         self.service = make_service(3)
         self.configuration = Configuration(
             version=1, services={"ordering": self.service}
         )
         self.owners = OwnershipTable()
+        self.has_majority = True
         self.digest = DIGEST
         self.plan = OwnedTargets(
             name="a",
             owners=self.owners,
-            holds_majority=lambda: True,
+            holds_majority=lambda: self.has_majority,
             read_digest=lambda: self.digest,
         )
-        self.owners.update(self.configuration.services, ["a"])
+        self.sources = EvidenceSources("a", self.owners)
+        self.book: TargetBook = make_book(3)
+        self.set_ready(ready)
+
+    def set_ready(self, ready: tuple[str, ...]) -> None:
+        """Take over a view."""
+        self.owners.update(self.configuration.services, ready)
         self.plan.update(self.configuration, DIGEST)
+        self.sources.update(self.configuration.services, ready)
 
 
 class TestOwnedTargets:
@@ -37,3 +57,67 @@
         assert bench.plan.holds_lease("t0", 0)
         bench.digest = DIGEST + 1
         assert not bench.plan.holds_lease("t0", 0)
+
+
+class TestEvidenceSources:
+    """Whom to ask."""
+
+    def test_after_a_change(self) -> None:
+        """Guards against the previous owner, which leaves, not being asked."""
+        bench = Bench(("a", "b", "c"))
+        before = assign_owners(bench.service, ("a", "b", "c")).targets["t0"]
+        others = [name for name in ("b", "c") if name != before]
+        bench.set_ready(("a", *others))
+        bench.set_ready(("a",))
+        previous = assign_owners(bench.service, ("a", *others)).targets["t0"]
+        expected = [previous] if previous != "a" else [before]
+        assert bench.sources.find("t0") == expected
+
+    def test_after_a_join(self) -> None:
+        """Guards against a new owner that does not ask the one before."""
+        bench = Bench()
+        bench.set_ready(("a", "b"))
+        owner = assign_owners(bench.service, ("a", "b")).targets["t0"]
+        found = bench.sources.find("t0")
+        assert found == (["b"] if owner == "a" else [])
+
+
+class TestEvidenceAsker:
+    """Questions about owned targets."""
+
+    @pytest.mark.parametrize("delay_ms", [0.0, 1000.0])
+    def test_late_answer(self, delay_ms: float) -> None:
+        """Guards against a late answer that counts from its arrival."""
+        bench = Bench(("b",))
+        bench.set_ready(("a",))
+        bench.has_majority = False
+        asked: list[tuple[str, ...]] = []
+
+        async def deliver(_: str, envelope: Envelope) -> tuple[TargetNotice, ...]:
+            asked.append(envelope.asked)
+            bench.clock.advance(delay_ms)
+            notices = [
+                TargetNotice(target=name, state=TargetState.READY, age_ms=300.0)
+                for name in ("t0", "t9")
+            ]
+            return tuple(notices)
+
+        async def run() -> None:
+            asker = EvidenceAsker(
+                "a",
+                plan=bench.plan,
+                sources=bench.sources,
+                book=bench.book,
+                find_address=lambda name: name,
+                deliver=deliver,
+                on_answer=lambda: None,
+                clock=bench.clock,
+            )
+            asker.restart()
+            await asyncio.sleep(0)
+
+        bench.clock.advance(10_000)
+        asyncio.run(run())
+        assert asked[0] == ("t0", "t1", "t2")
+        age_ms = bench.book.evidence_age("t0", bench.clock.now)
+        assert age_ms == 300.0 + delay_ms
--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -1,5 +1,6 @@
 """What is known of each target, and the probes that find it out."""
 
+from currantline.load._asking import Asking
 from currantline.load._book import TargetBelief, TargetBook
 from currantline.load._budget import ProbeBudget, count_share_holders
 from currantline.load._notices import NoticeSchedule, TargetNotice
@@ -14,6 +15,7 @@
 from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
 
 __all__ = [
+    "Asking",
     "LoadOptions",
     "LoadReport",
     "NoticeSchedule",
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -196,6 +196,11 @@
         entry = self._entries.get(target)
         return math.inf if entry is None else entry.evidence.age_ms(now)
 
+    def heard_age(self, target: str, now: float) -> float:
+        """Return the time in ms since anything was heard of a target."""
+        entry = self._entries.get(target)
+        return math.inf if entry is None else now - entry.heard
+
     def needs_probe(self, target: str, now: float) -> bool:
         """Return whether nothing was heard of a target for the probe interval.
 
@@ -204,7 +209,7 @@
         entry = self._entries.get(target)
         if entry is None:
             return False
-        return now - entry.heard >= self._options.probe_interval_ms
+        return self.heard_age(target, now) >= self._options.probe_interval_ms
 
     def notices(self, now: float) -> list[TargetNotice]:
         """Return what this instance observed itself, the freshest first.
@@ -218,6 +223,15 @@
         ]
         return sorted(found, key=lambda notice: notice.age_ms)
 
+    def answer(self, targets: Iterable[str], now: float) -> tuple[TargetNotice, ...]:
+        """Return what this instance observed itself about some targets."""
+        found = (
+            self._make_notice(name, self._entries[name], now)
+            for name in targets
+            if name in self._entries
+        )
+        return tuple(notice for notice in found if notice is not None)
+
     def merge_notice(
         self, notice: TargetNotice, now: float, *, asked: float | None = None
     ) -> None:
--- /dev/null
+++ b/src/currantline/load/tests/test_asking.py
@@ -0,0 +1,25 @@
+"""Tests of the choice of whom to ask for evidence."""
+
+from currantline.load import Asking
+
+SOURCES = {"t0": ["a", "b"], "t1": ["b"]}
+
+
+class TestAsking:
+    """Questions over peers and time."""
+
+    def test_rate(self) -> None:
+        """Guards against a message per target, and against more than 2 a second."""
+        asking = Asking()
+        asked = {now: asking.choose(SOURCES, now) for now in range(0, 1100, 50)}
+        due = {now: questions for now, questions in asked.items() if questions}
+        assert list(due) == [0, 500, 1000]
+        assert due[500] == {"a": ("t0",), "b": ("t0", "t1")}
+
+    def test_change_of_owner(self) -> None:
+        """Guards against a new owner that waits for the turn of its peers."""
+        asking = Asking()
+        asking.choose({"t1": ["b"]}, 0)
+        assert asking.choose(SOURCES, 10) == {"a": ("t0",)}
+        asking.reset()
+        assert asking.choose(SOURCES, 20) == {"a": ("t0",), "b": ("t0", "t1")}
--- a/src/currantline/peer/_client.py
+++ b/src/currantline/peer/_client.py
@@ -11,9 +11,11 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import PeerError, PeerTimeoutError, WireError
+from currantline.load import TargetNotice
 from currantline.membership import Gossip
 from currantline.peer._codec import (
     LimitedCodec,
+    decode_ack,
     decode_gossip,
     decode_records,
     encode_envelope,
@@ -108,15 +110,20 @@
         answer = await self._call(address, "FetchRecords", pb.After(sequence=after))
         return decode_records(answer)
 
-    async def deliver(self, address: str, envelope: Envelope) -> None:
-        """Send a batch of messages.
+    async def deliver(
+        self, address: str, envelope: Envelope
+    ) -> tuple[TargetNotice, ...]:
+        """Send a batch of messages and return evidence that it asks for.
 
         Raises
         ------
         PeerError
             If the batch was not acknowledged. It may have arrived all the same.
+        WireError
+            If the answer cannot be used.
         """
-        await self._call(address, "Deliver", encode_envelope(envelope))
+        answer = await self._call(address, "Deliver", encode_envelope(envelope))
+        return decode_ack(answer)
 
     def retain(self, addresses: set[str]) -> None:
         """Close the channels to all other addresses."""
--- a/src/currantline/peer/_codec.py
+++ b/src/currantline/peer/_codec.py
@@ -26,9 +26,11 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "LimitedCodec",
+    "decode_ack",
     "decode_envelope",
     "decode_gossip",
     "decode_records",
+    "encode_ack",
     "encode_envelope",
     "encode_gossip",
     "encode_records",
@@ -178,6 +180,7 @@
         sender=envelope.sender,
         messages=[_encode_slot_message(message) for message in envelope.messages],
         notices=[_encode_notice(notice) for notice in envelope.notices],
+        asked=envelope.asked,
     )
 
 
@@ -191,13 +194,32 @@
     """
     _check_count(message.messages, MAX_BATCH, "slot messages")
     _check_count(message.notices, MAX_BATCH, "target notices")
+    _check_count(message.asked, MAX_BATCH, "names of targets")
     return Envelope(
         sender=_check_name(message.sender, "sender"),
         messages=tuple(_decode_slot_message(each) for each in message.messages),
         notices=tuple(_decode_notice(each) for each in message.notices),
+        asked=tuple(_check_name(name, "asked") for name in message.asked),
     )
 
 
+def encode_ack(notices: Iterable[TargetNotice]) -> pb.Ack:
+    """Return the answer to a batch."""
+    return pb.Ack(notices=[_encode_notice(notice) for notice in notices])
+
+
+def decode_ack(message: pb.Ack) -> tuple[TargetNotice, ...]:
+    """Return the notices in the answer to a batch.
+
+    Raises
+    ------
+    WireError
+        If a notice is not allowed.
+    """
+    _check_count(message.notices, MAX_BATCH, "target notices")
+    return tuple(_decode_notice(each) for each in message.notices)
+
+
 def _encode_age(age_ms: float) -> int:
     # Rounded up: an age that is too low would outlive the promise behind it.
     return min(MAX_AGE_UNITS, math.ceil(max(age_ms, 0.0) / AGE_UNIT_MS))
--- a/src/currantline/peer/_messages.py
+++ b/src/currantline/peer/_messages.py
@@ -36,8 +36,11 @@
         Slot messages in order.
     notices : tuple of TargetNotice
         Evidence about targets.
+    asked : tuple of str
+        Names of targets whose evidence is asked for.
     """
 
     sender: str
     messages: tuple[Message, ...] = ()
     notices: tuple[TargetNotice, ...] = ()
+    asked: tuple[str, ...] = ()
--- a/src/currantline/peer/_server.py
+++ b/src/currantline/peer/_server.py
@@ -12,16 +12,17 @@
 from grpclib.server import Server
 
 from currantline.exceptions import WireError
+from currantline.load import TargetNotice
 from currantline.membership import Gossip
 from currantline.peer._codec import (
     MAX_MESSAGE_BYTES,
     LimitedCodec,
     decode_envelope,
     decode_gossip,
+    encode_ack,
     encode_gossip,
     encode_records,
 )
-from currantline.peer._generated import peer_pb2 as pb
 from currantline.peer._generated.peer_grpc import PeerBase
 from currantline.peer._messages import Envelope, RecordMessage
 
@@ -44,8 +45,8 @@
         """Return the records above a sequence, in order."""
         ...
 
-    def take_envelope(self, envelope: Envelope) -> None:
-        """Take over a batch of messages."""
+    def take_envelope(self, envelope: Envelope) -> tuple[TargetNotice, ...]:
+        """Take over a batch of messages and return evidence that it asks for."""
         ...
 
 
@@ -120,8 +121,8 @@
 
     async def Deliver(self, stream: Any) -> None:  # noqa: N802
         async with self._receive(stream) as message:
-            self._handler.take_envelope(decode_envelope(message))
-            await stream.send_message(pb.Ack())
+            notices = self._handler.take_envelope(decode_envelope(message))
+            await stream.send_message(encode_ack(notices))
 
     @asynccontextmanager
     async def _receive(self, stream: Any) -> AsyncIterator[Any]:
--- a/src/currantline/peer/tests/test_peer.py
+++ b/src/currantline/peer/tests/test_peer.py
@@ -83,6 +83,7 @@
         Usage(service="s", target="t", in_use=2),
     ),
     notices=(TargetNotice(target="t", state=TargetState.DRAINING, age_ms=12.5),),
+    asked=("t", "u"),
 )
 
 
@@ -106,9 +107,10 @@
         """Return the records above a sequence."""
         return tuple(record for record in self.records if record.sequence > after)
 
-    def take_envelope(self, envelope: Envelope) -> None:
-        """Keep a batch."""
+    def take_envelope(self, envelope: Envelope) -> tuple[TargetNotice, ...]:
+        """Keep a batch and return its notices."""
         self.envelopes.append(envelope)
+        return envelope.notices
 
 
 class RawCodec(CodecBase):
@@ -221,7 +223,8 @@
             async with serve(handler) as address, connect() as client:
                 assert await client.exchange(address, GOSSIP) == GOSSIP
                 assert await client.fetch_records(address, 1) == (make_record(2),)
-                await client.deliver(address, ENVELOPE)
+                notices = await client.deliver(address, ENVELOPE)
+                assert notices == ENVELOPE.notices
                 assert handler.envelopes == [ENVELOPE]
 
         asyncio.run(run())
