Give the share right to one instance for each target

No instance probed without the majority lease, so after a kill and on both sides of a partition nobody could find evidence for seconds, while half of the probe budget was unused. The first instance by rendezvous hashing among those that the published list names live now holds the share right of a target, once it was first in every copy that it read for 60 s. It probes what it owns and what peers asked for within 2 s, if it has not observed it itself within 1 s. The right lapses when the latest copy is older than 30 s, after a pause, and while the instance leaves or was replaced.

The rate of the share half was divided by max_instances, one probe in 32 s for each instance, which kept no evidence alive. As one instance holds the right, it may send half of the budget, but at most one probe in a second. The bound of a second is unchanged: one holder of the lease, and no more holders of the share right than the budget has room for.

Ruled out: a share right by acknowledgements like those of the lease. It needs a second set of acknowledgements and 2 s after each change of view, which is just when it is needed.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -39,7 +39,13 @@
     Guidance,
     RequestObservation,
 )
-from currantline.load import NoticeSchedule, ProbeBudget, Prober, TargetBook
+from currantline.load import (
+    NoticeSchedule,
+    ProbeBudget,
+    Prober,
+    ShareRights,
+    TargetBook,
+)
 from currantline.membership import (
     Contact,
     InstanceEntry,
@@ -213,14 +219,18 @@
     def _build_load(self) -> None:
         self.book = TargetBook(self._rng)
         self._notices = NoticeSchedule()
-        self.budget = ProbeBudget(EMPTY.max_instances)
+        self.budget = ProbeBudget()
+        self._shares = ShareRights(self._settings.name)
         self._plan = OwnedTargets(
             name=self._settings.name,
             owners=self._owners,
             holds_majority=self._membership.holds_lease,
             read_digest=lambda: self._membership.lease.digest,
+            shares=self._shares,
+        )
+        self._sources = EvidenceSources(
+            self._settings.name, self._owners, self._shares.find_holder
         )
-        self._sources = EvidenceSources(self._settings.name, self._owners)
         self.prober = Prober(
             book=self.book,
             budget=self.budget,
@@ -260,6 +270,7 @@
             membership=self._membership,
             history=self.history,
             book=self.book,
+            asked=self._plan.asked,
             receive=self.dispatch.receive,
             clock=self._clock,
         )
@@ -328,6 +339,7 @@
     def _take_view(self, change: ViewChanged) -> None:
         if change.was_paused:
             self.book.reset()
+            self._shares.reset()
             self._limits.refresh()
         self._note_members(change.view)
         self._update_owners(change.view)
@@ -355,6 +367,7 @@
         names = [target.name for service in services for target in service.targets]
         addresses = {t.address for s in services for t in s.targets}
         self.book.set_services(services)
+        self._shares.set_targets(names, self._clock.read())
         self.budget.set_services(services)
         self.dispatch.set_configuration(configuration)
         self._limits.set_targets(names)
@@ -373,6 +386,8 @@
     def _take_list(self, published: PublishedList, now: float) -> None:
         self._membership.take_list(published, now)
         targets = published.targets
+        instances = [e.name for e in published.instances if not e.is_leaving]
+        self._shares.set_listed(instances, now)
         self.book.set_listed(
             live=[target.name for target in targets if not target.is_leaving],
             leaving=[target.name for target in targets if target.is_leaving],
--- a/src/currantline/control/_handler.py
+++ b/src/currantline/control/_handler.py
@@ -7,7 +7,7 @@
 from currantline.clock import Clock
 from currantline.configuration import History, encode_record
 from currantline.dispatch import Message
-from currantline.load import TargetBook, TargetNotice
+from currantline.load import AskedTargets, TargetBook, TargetNotice
 from currantline.membership import Gossip, MembershipTask
 from currantline.peer import Envelope, RecordMessage
 
@@ -26,6 +26,8 @@
         Has configuration records.
     book : TargetBook
         Takes and gives target notices.
+    asked : AskedTargets
+        Notes the targets that evidence is asked for.
     receive : callable
         Takes the sender and a slot message.
     clock : Clock
@@ -35,6 +37,7 @@
     membership: MembershipTask
     history: History
     book: TargetBook
+    asked: AskedTargets
     receive: Callable[[str, Message], None]
     clock: Clock
 
@@ -56,4 +59,6 @@
             self.book.merge_notice(notice, now)
         for message in envelope.messages:
             self.receive(envelope.sender, message)
+        if envelope.asked:
+            self.asked.add(envelope.asked, now)
         return self.book.answer(envelope.asked, now)
--- a/src/currantline/control/_plan.py
+++ b/src/currantline/control/_plan.py
@@ -6,13 +6,14 @@
 
 from currantline.configuration import Configuration, Target
 from currantline.directory import OwnershipTable
+from currantline.load import AskedTargets, ShareRights
 
 __all__ = ["OwnedTargets"]
 
 
 @attrs.define(kw_only=True)
 class OwnedTargets:
-    """Targets that this instance owns, for the prober.
+    """Targets that this instance owns or has the share right of, for the prober.
 
     Parameters
     ----------
@@ -25,16 +26,22 @@
     read_digest : callable
         Returns the digest that the lease is for; 0 if this instance is not in its
         own view, because it leaves or was replaced.
+    shares : ShareRights
+        Share rights of this instance.
+    asked : AskedTargets
+        Targets that other instances asked for.
     """
 
     name: str
     owners: OwnershipTable
     holds_majority: Callable[[], bool]
     read_digest: Callable[[], int]
+    shares: ShareRights
+    asked: AskedTargets = attrs.field(factory=AskedTargets)
     _digest: int = attrs.field(default=0, init=False)
     _targets: Mapping[str, Target] = attrs.field(factory=dict, init=False)
     _services: Mapping[str, str] = attrs.field(factory=dict, init=False)
-    _owned: tuple[str, ...] = attrs.field(default=(), init=False)
+    _owned: Mapping[str, Target] = attrs.field(factory=dict, init=False)
 
     def update(self, configuration: Configuration, digest: int) -> None:
         """Take over the configuration, and the owners in force.
@@ -50,7 +57,8 @@
         self._digest = digest
         self._targets = {t.name: t for s in services for t in s.targets}
         self._services = {t.name: s.name for s in services for t in s.targets}
-        self._owned = self.owners.list_owned(self.name)
+        owned = self.owners.list_owned(self.name)
+        self._owned = {n: self._targets[n] for n in owned if n in self._targets}
 
     def find_service(self, target: str) -> str:
         """Return the service of a target, empty for an unknown one."""
@@ -58,7 +66,19 @@
 
     def list_owned(self) -> Iterable[Target]:
         """Return the targets that this instance owns."""
-        return [self._targets[name] for name in self._owned if name in self._targets]
+        return self._owned.values()
+
+    def list_shared(self, now: float) -> Iterable[Target]:
+        """Return further targets that this instance has the share right of."""
+        return [
+            self._targets[name]
+            for name in self.shares.list_held(now)
+            if name in self._targets and name not in self._owned
+        ]
+
+    def is_asked(self, target: str, now: float) -> bool:
+        """Return whether another instance asked for a target a short while ago."""
+        return self.asked.is_asked(target, now)
 
     def holds_lease(self, target: str, now: float) -> bool:
         """Return whether this instance holds the lease of a target.
@@ -72,8 +92,5 @@
         return self.read_digest() == self._digest
 
     def holds_share(self, target: str, now: float) -> bool:
-        """Return False: no instance probes without the lease.
-
-        Without a majority, targets are used on the evidence of their answers.
-        """
-        return False
+        """Return whether this instance has the share right of a target."""
+        return self.read_digest() != 0 and self.shares.holds(target, now)
--- a/src/currantline/control/_sources.py
+++ b/src/currantline/control/_sources.py
@@ -1,6 +1,6 @@
 """Which instances may have evidence about the targets of this one."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from currantline.configuration import Service
 from currantline.directory import OwnershipTable, assign_owners
@@ -17,11 +17,16 @@
         Name of this instance.
     owners : OwnershipTable
         Owners in this instance's view.
+    find_holder : callable
+        Takes a target and returns the holder of its share right.
     """
 
-    def __init__(self, name: str, owners: OwnershipTable) -> None:
+    def __init__(
+        self, name: str, owners: OwnershipTable, find_holder: Callable[[str], str]
+    ) -> None:
         self._name = name
         self._owners = owners
+        self._find_holder = find_holder
         self._owner: dict[str, str] = {}
         self._previous: dict[str, str] = {}
         self._others: dict[str, tuple[str, ...]] = {}
@@ -57,8 +62,12 @@
         """Return the instances to ask for evidence about an owned target.
 
         These are the owner before this one, which may be leaving, the other owners
-        of the service, which may borrow the target, and the instance that would own
-        the target without this one.
+        of the service, which may borrow the target, the instance that would own the
+        target without this one, and the holder of the share right.
         """
-        found = (self._previous.get(target, ""), *self._others.get(target, ()))
+        found = (
+            self._previous.get(target, ""),
+            *self._others.get(target, ()),
+            self._find_holder(target),
+        )
         return [name for name in dict.fromkeys(found) if name not in ("", self._name)]
--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -1,5 +1,6 @@
 """What is known of each target, and the probes that find it out."""
 
+from currantline.load._asked import AskedTargets
 from currantline.load._asking import Asking
 from currantline.load._book import TargetBelief, TargetBook
 from currantline.load._budget import ProbeBudget, count_share_holders
@@ -13,8 +14,10 @@
 )
 from currantline.load._options import LoadOptions
 from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
+from currantline.load._share import ShareRights
 
 __all__ = [
+    "AskedTargets",
     "Asking",
     "LoadOptions",
     "LoadReport",
@@ -24,6 +27,7 @@
     "ProbeFetch",
     "ProbePlan",
     "Prober",
+    "ShareRights",
     "Signal",
     "TargetBelief",
     "TargetBook",
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -201,6 +201,11 @@
         entry = self._entries.get(target)
         return math.inf if entry is None else now - entry.heard
 
+    def own_age(self, target: str, now: float) -> float:
+        """Return the time in ms since this instance observed a target itself."""
+        entry = self._entries.get(target)
+        return math.inf if entry is None else now - entry.own.observed
+
     def needs_probe(self, target: str, now: float) -> bool:
         """Return whether nothing was heard of a target for the probe interval.
 
--- a/src/currantline/load/_budget.py
+++ b/src/currantline/load/_budget.py
@@ -9,14 +9,18 @@
 
 - for each target at most one instance holds the lease at a time, and
 - for each target at most ``count_share_holders(budget)`` instances hold the share
-  right at a time, or one more while no instance holds the lease.
+  right at a time, or one more while no instance holds the lease. The rule in
+  ``_share`` gives it to one, which is within that for every budget from 2 on; for a
+  smaller budget that has no room for it, the share right gives no probes.
 
 A bucket is emptied when its right begins, ends or changes. So an instance that sends
 a probe held its right for a whole period before, and all that send in one second held
 theirs at the time of its first probe: their number is bounded by the rights alone.
 
-The rate of the share half does not bound a second without such a right: buckets that
-filled while the evidence was fresh could all be spent in the second it is lost.
+A holder of the share right sends at most one probe in any second, whatever its half of
+the budget is, so that each counts once. Without such a right the rate of the share half
+would bound no second: buckets that filled while the evidence was fresh could all be
+spent in the second it is lost.
 """
 
 import enum
@@ -87,16 +91,9 @@
 
 
 class ProbeBudget:
-    """Probes that one instance may send.
+    """Probes that one instance may send."""
 
-    Parameters
-    ----------
-    max_instances : int
-        Most instances that may run at the same time.
-    """
-
-    def __init__(self, max_instances: int) -> None:
-        self._max_instances = max_instances
+    def __init__(self) -> None:
         self._buckets: dict[str, Bucket] = {}
 
     def set_services(self, services: Iterable[Service]) -> None:
@@ -131,9 +128,7 @@
             Time in milliseconds of the clock.
         holds_share : bool
             Whether this instance holds the share right of the target; see the
-            module for how many may hold it. A view acknowledged by more than
-            ``1 / (count_share_holders(budget) + 2)`` of the known instances, under
-            the rules of the lease, gives such a right.
+            module for how many may hold it.
         """
         bucket = self._buckets.get(target)
         if bucket is None:
@@ -189,7 +184,7 @@
         if bucket.right is ProbeRight.LEASE:
             return period_ms
         # At least a second, so that each holder counts once in any second.
-        return max(SECOND_MS, period_ms * self._max_instances)
+        return max(SECOND_MS, period_ms)
 
 
 def _choose_right(budget: float, holds_lease: bool, holds_share: bool) -> ProbeRight:
--- a/src/currantline/load/_evidence.py
+++ b/src/currantline/load/_evidence.py
@@ -46,6 +46,11 @@
             return True
         return self.drain_received > NEVER and self.drain_received >= self.ready_sent
 
+    @property
+    def observed(self) -> float:
+        """Time of the latest evidence of either kind."""
+        return max(self.alive_sent, self.drain_received)
+
     def add(self, state: TargetState, *, sent: float, received: float) -> None:
         """Add what a target said of itself."""
         if state is TargetState.DRAINING:
--- a/src/currantline/load/_prober.py
+++ b/src/currantline/load/_prober.py
@@ -40,6 +40,14 @@
         """Return the targets that this instance owns in its own view."""
         ...
 
+    def list_shared(self, now: float) -> Iterable[Target]:
+        """Return further targets that this instance has the share right of."""
+        ...
+
+    def is_asked(self, target: str, now: float) -> bool:
+        """Return whether another instance asked for a target a short while ago."""
+        ...
+
     def holds_lease(self, target: str, now: float) -> bool:
         """Return whether this instance holds the lease of a target."""
         ...
@@ -160,9 +168,23 @@
                 self._due[name] = now
             if self._is_due(name, now) and self._check(name, now):
                 del self._due[name]
-                self._running[name] = asyncio.create_task(self._probe(target))
+                self._start(target)
+        for target in self._plan.list_shared(now):
+            if self._passes_phase(target.name, now):
+                self._check(target.name, now)
+            if self._is_wanted(target.name, now) and self._check(target.name, now):
+                self._start(target)
         self._ticked = now
 
+    def _start(self, target: Target) -> None:
+        self._running[target.name] = asyncio.create_task(self._probe(target))
+
+    def _is_wanted(self, name: str, now: float) -> bool:
+        if name in self._running or not self._plan.is_asked(name, now):
+            return False
+        # Peers are told own observations only, so those of others do not count.
+        return self._book.own_age(name, now) >= self._options.probe_interval_ms
+
     def _check(self, name: str, now: float) -> bool:
         return self._budget.check(
             name,
--- /dev/null
+++ b/src/currantline/load/_share.py
@@ -0,0 +1,108 @@
+"""Share right: which instance may probe a target without the lease.
+
+The holder of a target is the first by rendezvous hashing among the instances that
+the published list names live. Copies of the list may lag, so the right begins only
+when an instance was first in every copy that it read for ``list_memory_ms``, and it
+ends when the latest copy is older than half of that. Two instances hold it at the
+same time only if a copy lags by more than the other half (30 s): the list that made
+one of them first was published at least ``list_memory_ms`` before its right began,
+and the other one last read an older list less than half of it ago.
+"""
+
+from collections.abc import Iterable
+
+from currantline.membership import MembershipOptions, rendezvous_score
+
+__all__ = ["ShareRights"]
+
+
+class ShareRights:
+    """Share rights of one instance.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    memory_ms : float, optional
+        Time for which the instance must be first, in milliseconds.
+    """
+
+    def __init__(self, name: str, *, memory_ms: float | None = None) -> None:
+        options = MembershipOptions()
+        self._name = name
+        self._memory_ms = options.list_memory_ms if memory_ms is None else memory_ms
+        self._names: frozenset[str] = frozenset()
+        self._read_at = float("-inf")
+        self._holders: dict[str, str] = {}
+        self._since: dict[str, float] = {}
+
+    def set_targets(self, targets: Iterable[str], now: float) -> None:
+        """Take over the names of the targets in force.
+
+        The right to probe an added target begins anew: no earlier copy of the list
+        was compared for it.
+        """
+        self._holders = {
+            target: self._holders.get(target) or self._find_first(target)
+            for target in targets
+        }
+        self._note_first(now)
+
+    def set_listed(self, live: Iterable[str], now: float) -> None:
+        """Take over a reading of the published list.
+
+        Parameters
+        ----------
+        live : iterable of str
+            Instances that the list names live.
+        now : float
+            Time of reading in milliseconds of the clock.
+        """
+        if self._is_old(now):
+            self._since = {}
+        self._read_at = now
+        names = frozenset(live)
+        if names != self._names:
+            self._names = names
+            self._holders = {t: self._find_first(t) for t in self._holders}
+        self._note_first(now)
+
+    def reset(self) -> None:
+        """Give up all rights, as after a pause: a copy may have waited in it."""
+        self._since = {}
+        self._read_at = float("-inf")
+
+    def find_holder(self, target: str) -> str:
+        """Return the first instance for a target by the latest copy, or ''."""
+        return self._holders.get(target, "")
+
+    def list_held(self, now: float) -> list[str]:
+        """Return the targets whose share right this instance holds."""
+        return [target for target in self._since if self.holds(target, now)]
+
+    def holds(self, target: str, now: float) -> bool:
+        """Return whether this instance holds the share right of a target."""
+        since = self._since.get(target)
+        if since is None or self._is_old(now):
+            return False
+        return now - since >= self._memory_ms
+
+    def _is_old(self, now: float) -> bool:
+        return now - self._read_at >= self._memory_ms / 2
+
+    def _note_first(self, now: float) -> None:
+        if not self._names:
+            return
+        self._since = {
+            target: self._since.get(target, now)
+            for target, holder in self._holders.items()
+            if holder == self._name
+        }
+
+    def _find_first(self, target: str) -> str:
+        names = sorted(self._names)
+        return max(
+            names,
+            key=lambda name: rendezvous_score(f"share\0{target}", name),
+            default="",
+        )
--- /dev/null
+++ b/src/currantline/standin/tests/test_handover.py
@@ -0,0 +1,45 @@
+"""Tests of handing evidence on in a whole deployment on the in-memory network."""
+
+import attrs
+import pytest
+
+from currantline.bench.handover import CASES, run_case
+from currantline.configuration import Configuration, Route, Service, Target
+
+TARGETS = 4
+
+
+def make_configuration() -> Configuration:
+    """Return two services with an owner each."""
+    services = {}
+    for number, name in enumerate(("archive", "ordering")):
+        targets = tuple(
+            Target(
+                name=f"{name}-{i}",
+                address=f"10.2.{number}.{i + 1}:7000",
+                data_centre="north",
+                slots=2,
+            )
+            for i in range(TARGETS)
+        )
+        route = Route(name="any", path_prefix="/", idempotent=True)
+        services[name] = Service(
+            name=name, targets=targets, routes=(route,), timeout_ms=20_000.0
+        )
+    return Configuration(version=1, services=services)
+
+
+class TestHandOver:
+    """Waits in virtual time, which is the same in every run."""
+
+    @pytest.mark.parametrize(
+        ("name", "longest_ms"), [("kill", 3000.0), ("leave", 200.0), ("join", 200.0)]
+    )
+    def test_waits(self, name: str, longest_ms: float) -> None:
+        """Guards against new owners that hold requests back without evidence."""
+        case = attrs.evolve(CASES[name], duration_s=5.0)
+        result = run_case(make_configuration(), case, count=4, rate=5.0, seed=1)
+        assert result.find_quantile(1.0) <= longest_ms
+        assert result.outcomes["not-run"] == 0
+        assert result.probe_ratio <= 1.0
+        assert result.broken == []
