Wait for evidence before an instance is ready for operators

/ready said yes as soon as an instance had joined, when no target had evidence yet: requests that came then waited for up to 3.7 s. It now also waits for evidence of at least one target of each service that the instance owns targets of, and names the services that lack it. The gossip status and address answers do not depend on it: otherwise nobody would own targets, hold the lease and probe. Requests are accepted as soon as an instance has joined, as before.

Ruled out: evidence for all owned targets, which one dead target would keep from being reached.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -24,6 +24,7 @@
     LimitKeeper,
     OwnedTargets,
     ReadyGate,
+    find_missing,
     render_counts,
     render_event,
     render_view,
@@ -99,6 +100,7 @@
         self._rng = rng
         self._wall_offset_ms = incarnation - clock.read()
         self._is_leaving = False
+        self._may_own = False
         self._tasks: list[asyncio.Task[None]] = []
         self._members: dict[str, Status] = {}
         self._build_configuration()
@@ -120,8 +122,8 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the instance takes work."""
-        return self._membership.readiness.decide(self._clock.read()).is_ready
+        """Whether the instance has joined and has evidence for its targets."""
+        return self._read_readiness().is_ready
 
     def list_owners(self, service: str) -> tuple[str, ...]:
         """Return the owners of a service in this instance's view."""
@@ -352,6 +354,7 @@
 
     def _update_owners(self, view: View) -> None:
         ready = [e.name for e in view.instances if e.status is Status.READY]
+        self._may_own = self._settings.name in ready
         configuration = self.configuration
         changed = self._owners.update(configuration.services, ready)
         digest = combine_digest(view, configuration.version)
@@ -423,7 +426,10 @@
         return self._retries[service]
 
     def _may_work(self) -> bool:
-        return self._is_leaving or self.is_ready
+        # Without evidence requests wait; only an instance that has not joined may
+        # act on old knowledge.
+        now = self._clock.read()
+        return self._is_leaving or self._membership.readiness.decide(now).is_ready
 
     def _needs_refresh(self, service: str) -> bool:
         return self._settings.name not in self._owners.find(service).owners
@@ -454,9 +460,15 @@
             self.metrics.count_retry(observation.service)
 
     def _read_readiness(self) -> Readiness:
-        decision = self._membership.readiness.decide(self._clock.read())
-        reason = "" if decision.is_ready else decision.reason
-        return Readiness(is_ready=decision.is_ready, reason=reason)
+        now = self._clock.read()
+        decision = self._membership.readiness.decide(now)
+        if not decision.is_ready:
+            return Readiness(is_ready=False, reason=decision.reason)
+        if not self._may_own:
+            return Readiness(is_ready=False, reason="owned targets not known yet")
+        missing = find_missing(self._plan, self.book, now)
+        text = f"no evidence for targets of {', '.join(missing)}" if missing else ""
+        return Readiness(is_ready=not missing, reason=text)
 
     def _read_audit(self, after: int) -> Iterable[Mapping[str, Any]]:
         return [render_event(event) for event in self.trail.events_after(after)]
--- a/src/currantline/control/__init__.py
+++ b/src/currantline/control/__init__.py
@@ -1,6 +1,7 @@
 """Small parts that connect the slices of one instance."""
 
 from currantline.control._asker import EvidenceAsker
+from currantline.control._evidence import find_missing
 from currantline.control._gate import ReadyGate
 from currantline.control._handler import InstanceHandler
 from currantline.control._limits import LimitKeeper
@@ -15,6 +16,7 @@
     "LimitKeeper",
     "OwnedTargets",
     "ReadyGate",
+    "find_missing",
     "render_counts",
     "render_event",
     "render_view",
--- a/src/currantline/control/tests/test_plan.py
+++ b/src/currantline/control/tests/test_plan.py
@@ -10,10 +10,11 @@
     EvidenceAsker,
     EvidenceSources,
     OwnedTargets,
+    find_missing,
 )
 from currantline.directory import OwnershipTable, assign_owners
 from currantline.load import ShareRights, TargetBook, TargetNotice, TargetState
-from currantline.load.tests.test_book import make_book, make_service
+from currantline.load.tests.test_book import make_book, make_observation, make_service
 from currantline.peer import Envelope
 
 DIGEST = 7
@@ -133,3 +134,16 @@
         assert asked[0] == ("t0", "t1", "t2")
         age_ms = bench.book.evidence_age("t0", bench.clock.now)
         assert age_ms == 300.0 + delay_ms
+
+
+class TestFindMissing:
+    """Evidence that readiness waits for."""
+
+    def test_one_of_each_service(self) -> None:
+        """Guards against an instance that is ready without any evidence."""
+        bench = Bench()
+        assert find_missing(bench.plan, bench.book, 100) == ["ordering"]
+        bench.book.observe("t1", make_observation(sent=90), 100)
+        assert find_missing(bench.plan, bench.book, 100) == []
+        bench.set_ready(("b",))
+        assert find_missing(bench.plan, bench.book, 9000) == []
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -196,6 +196,14 @@
         entry = self._entries.get(target)
         return math.inf if entry is None else entry.evidence.age_ms(now)
 
+    def has_evidence(self, target: str, now: float) -> bool:
+        """Return whether the state of a target is known."""
+        entry = self._entries.get(target)
+        if entry is None:
+            return False
+        state = entry.evidence.state(now, self._options.evidence_ms)
+        return state is not TargetState.UNKNOWN
+
     def heard_age(self, target: str, now: float) -> float:
         """Return the time in ms since anything was heard of a target."""
         entry = self._entries.get(target)
