--- a/src/currantline/control/tests/test_plan.py
+++ b/src/currantline/control/tests/test_plan.py
@@ -80,6 +80,18 @@
         bench.digest = DIGEST + 1
         assert not bench.plan.holds_lease("t0", 0)
 
+    def test_lost_lease(self) -> None:
+        """Guards against a lease that is remembered beyond a tick or a view."""
+        bench = Bench()
+        assert bench.plan.holds_lease("t0", 0)
+        bench.has_majority = False
+        assert not bench.plan.holds_lease("t0", 1)
+        bench.has_majority = True
+        assert bench.plan.holds_lease("t0", 2)
+        bench.has_majority = False
+        bench.set_ready(("a",))
+        assert not bench.plan.holds_lease("t0", 2)
+
     def test_share_of_a_replaced_instance(self) -> None:
         """Guards against two starts of one name that both hold its share rights."""
         bench = Bench()
