Score only added instances for the share right

A change of the published list ranked all instances for all targets in one step of the loop. A holder that is still listed is behind no other that was listed before, so only added names are compared with it.

Ruled out: ranking in parts over several steps, in which holders of two lists would be mixed.

A new test compares the holders with those of a fresh instance over 200 random lists.

--- a/src/currantline/load/_share.py
+++ b/src/currantline/load/_share.py
@@ -9,7 +9,7 @@
 and the other one last read an older list less than half of it ago.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from currantline.membership import MembershipOptions, rendezvous_score
 
@@ -43,7 +43,7 @@
         was compared for it.
         """
         self._holders = {
-            target: self._holders.get(target) or self._find_first(target)
+            target: self._holders.get(target) or self._find_first(target, self._names)
             for target in targets
         }
         self._note_first(now)
@@ -63,8 +63,15 @@
         self._read_at = now
         names = frozenset(live)
         if names != self._names:
+            added = names - self._names
             self._names = names
-            self._holders = {t: self._find_first(t) for t in self._holders}
+            self._holders = {
+                # Others that were listed before stay behind a holder that is listed.
+                target: self._find_first(
+                    target, {holder, *added} if holder in names else names
+                )
+                for target, holder in self._holders.items()
+            }
         self._note_first(now)
 
     def reset(self) -> None:
@@ -99,10 +106,8 @@
             if holder == self._name
         }
 
-    def _find_first(self, target: str) -> str:
-        names = sorted(self._names)
-        return max(
-            names,
-            key=lambda name: rendezvous_score(f"share\0{target}", name),
-            default="",
-        )
+    def _find_first(self, target: str, names: Set[str]) -> str:
+        if len(names) < 2:
+            return next(iter(names), "")
+        key = f"share\0{target}"
+        return max(names, key=lambda name: (rendezvous_score(key, name), name))
--- a/src/currantline/load/tests/test_share.py
+++ b/src/currantline/load/tests/test_share.py
@@ -89,6 +89,18 @@
         rights.set_listed(["a"], 59_000)
         assert rights.list_held(60_000) == []
 
+    def test_holder_follows_list(self) -> None:
+        """Guards against a holder that depends on earlier copies of the list."""
+        rng = random.Random(1)
+        rights = make_rights("a")
+        for now in range(200):
+            names = rng.sample(NAMES, rng.randint(0, len(NAMES)))
+            rights.set_listed(names, now)
+            fresh = make_rights("b")
+            fresh.set_listed(names, 0)
+            for target in TARGETS:
+                assert rights.find_holder(target) == fresh.find_holder(target)
+
     def test_added_target(self) -> None:
         """Guards against a right to a target that no earlier copy was read for."""
         rights = make_rights("a")
