Merge evidence

Owners ask peers for evidence about their targets, one instance for each target may probe without the majority lease, and readiness for operators waits for evidence.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -18,10 +18,13 @@
     select_readers,
 )
 from currantline.control import (
+    EvidenceAsker,
+    EvidenceSources,
     InstanceHandler,
     LimitKeeper,
     OwnedTargets,
     ReadyGate,
+    find_missing,
     render_counts,
     render_event,
     render_view,
@@ -37,7 +40,13 @@
     Guidance,
     RequestObservation,
 )
-from currantline.load import NoticeSchedule, ProbeBudget, Prober, TargetBook
+from currantline.load import (
+    NoticeSchedule,
+    ProbeBudget,
+    Prober,
+    ShareRights,
+    TargetBook,
+)
 from currantline.membership import (
     Contact,
     InstanceEntry,
@@ -47,6 +56,7 @@
     Status,
     View,
     ViewChanged,
+    combine_digest,
 )
 from currantline.operator import Metrics, OperatorService, OperatorSources, Readiness
 from currantline.peer import Outbox, PeerClient, PeerServer
@@ -90,6 +100,7 @@
         self._rng = rng
         self._wall_offset_ms = incarnation - clock.read()
         self._is_leaving = False
+        self._may_own = False
         self._tasks: list[asyncio.Task[None]] = []
         self._members: dict[str, Status] = {}
         self._build_configuration()
@@ -111,8 +122,12 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the instance takes work."""
-        return self._membership.readiness.decide(self._clock.read()).is_ready
+        """Whether the instance has joined and has evidence for its targets."""
+        return self._read_readiness().is_ready
+
+    def list_owners(self, service: str) -> tuple[str, ...]:
+        """Return the owners of a service in this instance's view."""
+        return self._owners.find(service).owners
 
     async def start(self) -> None:
         """Listen on all addresses and start the tasks.
@@ -132,6 +147,7 @@
             self._list_reader.run,
             self._spread.run,
             self.prober.run,
+            self._asker.run,
             self._limits.run,
         ):
             self._start_task(run())
@@ -205,9 +221,17 @@
     def _build_load(self) -> None:
         self.book = TargetBook(self._rng)
         self._notices = NoticeSchedule()
-        self.budget = ProbeBudget(EMPTY.max_instances)
+        self.budget = ProbeBudget()
+        self._shares = ShareRights(self._settings.name)
         self._plan = OwnedTargets(
-            self._settings.name, self._owners, self._membership.holds_lease
+            name=self._settings.name,
+            owners=self._owners,
+            holds_majority=self._membership.holds_lease,
+            read_digest=lambda: self._membership.lease.digest,
+            shares=self._shares,
+        )
+        self._sources = EvidenceSources(
+            self._settings.name, self._owners, self._shares.find_holder
         )
         self.prober = Prober(
             book=self.book,
@@ -234,10 +258,22 @@
             set_limit=self.dispatch.set_limit,
             on_drain=self._tell_drains,
         )
+        self._asker = EvidenceAsker(
+            self._settings.name,
+            plan=self._plan,
+            sources=self._sources,
+            book=self.book,
+            find_address=self._find_peer_address,
+            deliver=self._client.deliver,
+            list_stranded=self.dispatch.list_stranded,
+            on_answer=self._limits.refresh,
+            clock=self._clock,
+        )
         handler = InstanceHandler(
             membership=self._membership,
             history=self.history,
             book=self.book,
+            asked=self._plan.asked,
             receive=self.dispatch.receive,
             clock=self._clock,
         )
@@ -306,6 +342,7 @@
     def _take_view(self, change: ViewChanged) -> None:
         if change.was_paused:
             self.book.reset()
+            self._shares.reset()
             self._limits.refresh()
         self._note_members(change.view)
         self._update_owners(change.view)
@@ -318,17 +355,23 @@
 
     def _update_owners(self, view: View) -> None:
         ready = [e.name for e in view.instances if e.status is Status.READY]
+        self._may_own = self._settings.name in ready
         configuration = self.configuration
         changed = self._owners.update(configuration.services, ready)
-        self._plan.update(configuration)
+        digest = combine_digest(view, configuration.version)
+        self._plan.update(configuration, digest)
+        self._sources.update(configuration.services, ready)
         for service, ownership in changed.items():
             self.dispatch.set_ownership(service, ownership)
+        if changed:
+            self._asker.restart()
 
     def _take_configuration(self, configuration: Configuration) -> None:
         services = configuration.services.values()
         names = [target.name for service in services for target in service.targets]
         addresses = {t.address for s in services for t in s.targets}
         self.book.set_services(services)
+        self._shares.set_targets(names, self._clock.read())
         self.budget.set_services(services)
         self.dispatch.set_configuration(configuration)
         self._limits.set_targets(names)
@@ -347,6 +390,8 @@
     def _take_list(self, published: PublishedList, now: float) -> None:
         self._membership.take_list(published, now)
         targets = published.targets
+        instances = [e.name for e in published.instances if not e.is_leaving]
+        self._shares.set_listed(instances, now)
         self.book.set_listed(
             live=[target.name for target in targets if not target.is_leaving],
             leaving=[target.name for target in targets if target.is_leaving],
@@ -382,7 +427,10 @@
         return self._retries[service]
 
     def _may_work(self) -> bool:
-        return self._is_leaving or self.is_ready
+        # Without evidence requests wait; only an instance that has not joined may
+        # act on old knowledge.
+        now = self._clock.read()
+        return self._is_leaving or self._membership.readiness.decide(now).is_ready
 
     def _needs_refresh(self, service: str) -> bool:
         return self._settings.name not in self._owners.find(service).owners
@@ -413,9 +461,15 @@
             self.metrics.count_retry(observation.service)
 
     def _read_readiness(self) -> Readiness:
-        decision = self._membership.readiness.decide(self._clock.read())
-        reason = "" if decision.is_ready else decision.reason
-        return Readiness(is_ready=decision.is_ready, reason=reason)
+        now = self._clock.read()
+        decision = self._membership.readiness.decide(now)
+        if not decision.is_ready:
+            return Readiness(is_ready=False, reason=decision.reason)
+        if not self._may_own:
+            return Readiness(is_ready=False, reason="owned targets not known yet")
+        missing = find_missing(self._plan, self.book, now)
+        text = f"no evidence for targets of {', '.join(missing)}" if missing else ""
+        return Readiness(is_ready=not missing, reason=text)
 
     def _read_audit(self, after: int) -> Iterable[Mapping[str, Any]]:
         return [render_event(event) for event in self.trail.events_after(after)]
