Refuse address questions without an address to name

Cause: an instance that has just started knows the configuration and no ready instance yet, so it answered with an empty list and status 200. Callers kept the empty list for ttl_ms and had nobody to turn to.

Ruled out: refused connections, since all known addresses were live.

Now the answer is 503 with reason not-ready. The new case of the caller's test failed before with status 200.

--- a/src/currantline/forwarding/_caller.py
+++ b/src/currantline/forwarding/_caller.py
@@ -295,6 +295,9 @@
             answer = self._guidance.answer_addresses(service)
         except UnknownServiceError as error:
             return refuse(404, "unknown-service", str(error))
+        if not answer.addresses:
+            # An instance that starts knows of none; another one may.
+            return refuse(503, "not-ready", "no ready instance is known")
         body = json.dumps(attrs.asdict(answer)).encode()
         return Answer(
             status=200, headers=(("content-type", "application/json"),), body=body
--- a/src/currantline/forwarding/tests/test_caller.py
+++ b/src/currantline/forwarding/tests/test_caller.py
@@ -1,13 +1,13 @@
 """Tests of the HTTP side for callers over loopback sockets."""
 
 import asyncio
-from typing import Any
 
 import attrs
 import pytest
 
 from currantline.clock import ManualClock
 from currantline.configuration import Configuration, Route, Service, Target
+from currantline.directory import AddressAnswer
 from currantline.exceptions import UnknownServiceError
 from currantline.forwarding import (
     AttemptResult,
@@ -56,7 +56,7 @@
             carrier=Carrier(self.placement, clock=self.clock, schedule=self.schedule),
             guidance=Guidance(
                 read_configuration=lambda: configuration,
-                answer_addresses=self._fail,
+                answer_addresses=self._answer_addresses,
                 needs_refresh=lambda service: False,
                 is_leaving=lambda: self.is_leaving,
             ),
@@ -66,8 +66,10 @@
             schedule=self.schedule,
         )
 
-    def _fail(self, service: str) -> Any:
-        raise UnknownServiceError(service)
+    def _answer_addresses(self, service: str) -> AddressAnswer:
+        if service != "s":
+            raise UnknownServiceError(service)
+        return AddressAnswer(service="s", version=1, ttl_ms=2000.0, addresses=())
 
     def observe_request(self, observation: RequestObservation) -> None:
         """Keep an observation."""
@@ -104,6 +106,8 @@
             (ask(extra=f"x: {'y' * 40000}\r\n"), 431),
             (ask(method="POST", extra="content-length: 1001\r\n"), 413),
             (ask("/services/none/x"), 404),
+            # Without an address a caller has nobody to turn to until it expires.
+            (ask("/v1/addresses/s"), 503),
             (ask(extra="currantline-request-id: a b\r\n"), 400),
             (ask(extra=f"currantline-request-id: {'a' * 129}\r\n"), 400),
             (ask(extra="currantline-request-id: \xe9\r\n"), 400),
