Let processes on the in-memory network freeze and end as real ones

Cause: a callback that came due in a frozen process ran after the thaw even if it was cancelled in between, which real event loops never do; asyncio timeouts failed with AssertionError. The end of a session waited for ever for tasks of a killed process, whose next step was held. Connections were kept in a set of objects, so silence, healing and kills took them in an order that differs between runs.

Callbacks now look at their handle when they run late, the end of a session releases what is held, and connections are kept in order of opening. Connections of a host to some hosts only can go silent.

Ruled out: wrong use of timeouts in the product, since no handle ran twice. Both new tests of freeze and kill failed before, one of them without an end.

--- a/src/currantline/standin/network.py
+++ b/src/currantline/standin/network.py
@@ -41,7 +41,8 @@
     _held: dict[str, list[Callable[[], None]]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
-    _transports: set["MemoryTransport"] = attrs.field(factory=set)
+    # In order of opening: the order of a set of objects differs between runs.
+    _transports: dict["MemoryTransport", None] = attrs.field(factory=dict)
 
     def cut(self, *groups: Iterable[str]) -> None:
         """Let hosts of different groups not reach each other."""
@@ -86,23 +87,34 @@
                 transport.abort()
                 self.forget(transport)
 
-    def silence(self, host: str) -> None:
-        """Let open connections of a host carry nothing any more."""
+    def silence(self, host: str, others: Iterable[str] | None = None) -> None:
+        """Let open connections of a host, or those to others, carry nothing more."""
+        chosen = None if others is None else frozenset(others)
         for transport in tuple(self._transports):
-            if transport.host == host or transport.peer_host == host:
+            ends = (transport.host, transport.peer_host)
+            if host not in ends:
+                continue
+            other = ends[1 - ends.index(host)]
+            if chosen is None or other in chosen:
                 transport.is_silent = True
 
+    def release(self) -> None:
+        """Let all processes go on, killed ones included, so that they can end."""
+        self.frozen.clear()
+        for process in tuple(self._held):
+            self.thaw(process)
+
     def hold(self, process: str, callback: Callable[[], None]) -> None:
         """Keep a callback until its process thaws."""
         self._held[process].append(callback)
 
     def register(self, transport: "MemoryTransport") -> None:
         """Note an open connection end."""
-        self._transports.add(transport)
+        self._transports[transport] = None
 
     def forget(self, transport: "MemoryTransport") -> None:
         """Drop a closed connection end."""
-        self._transports.discard(transport)
+        self._transports.pop(transport, None)
 
 
 class MemoryTransport(asyncio.Transport):
@@ -273,6 +285,37 @@
         return self._keys
 
 
+class _Step:
+    """A callback that waits while its process is frozen."""
+
+    __slots__ = ("_args", "_callback", "_context", "_network", "handle")
+
+    def __init__(
+        self,
+        network: Network,
+        callback: Any,
+        args: tuple[Any, ...],
+        context: contextvars.Context,
+    ) -> None:
+        self._network = network
+        self._callback = callback
+        self._args = args
+        self._context = context
+        self.handle: asyncio.Handle | None = None
+
+    def run(self) -> None:
+        process = self._context.get(PROCESS, "")
+        if process and process in self._network.frozen:
+            self._network.hold(process, self._run_late)
+        else:
+            self._callback(*self._args)
+
+    def _run_late(self) -> None:
+        # It may have been cancelled by what ran between the thaw and now.
+        if self.handle is None or not self.handle.cancelled():
+            self._context.run(self._callback, *self._args)
+
+
 class MemoryLoop(asyncio.SelectorEventLoop):
     """Event loop with virtual time whose connections are in memory.
 
@@ -297,8 +340,9 @@
     ) -> asyncio.Handle:
         """Run a callback next, unless its process is frozen."""
         context = context or contextvars.copy_context()
-        wrapped = self._wrap(callback, args, context)
-        return super().call_soon(wrapped, context=context)
+        step = _Step(self.network, callback, args, context)
+        step.handle = super().call_soon(step.run, context=context)
+        return step.handle
 
     def call_at(  # type: ignore[override]
         self,
@@ -309,8 +353,10 @@
     ) -> asyncio.TimerHandle:
         """Run a callback at a time, unless its process is frozen."""
         context = context or contextvars.copy_context()
-        wrapped = self._wrap(callback, args, context)
-        return super().call_at(when, wrapped, context=context)
+        step = _Step(self.network, callback, args, context)
+        handle = super().call_at(when, step.run, context=context)
+        step.handle = handle
+        return handle
 
     async def create_server(  # type: ignore[override]
         self, protocol_factory: Any, host: str, port: int, **_: Any
@@ -343,21 +389,6 @@
     def _accept(self, accept: Any, host: str, source: str) -> MemoryTransport:
         return MemoryTransport(self, accept(), host, source)
 
-    def _wrap(
-        self, callback: Any, args: tuple[Any, ...], context: contextvars.Context
-    ) -> Callable[[], None]:
-        process = context.get(PROCESS, "")
-        if not process:
-            return lambda: callback(*args)
-
-        def run() -> None:
-            if process in self.network.frozen:
-                self.network.hold(process, lambda: context.run(callback, *args))
-            else:
-                callback(*args)
-
-        return run
-
 
 @attrs.frozen
 class LoopClock:
@@ -415,9 +446,15 @@
         return loop.run_until_complete(session)
     finally:
         # Tasks of frozen and killed processes can only be cancelled if they run.
-        network.frozen.clear()
-        leftover = asyncio.all_tasks(loop)
+        loop.run_until_complete(_end_all(network))
+        loop.close()
+
+
+async def _end_all(network: Network) -> None:
+    # What is cancelled may start other tasks to close what it used.
+    while leftover := asyncio.all_tasks() - {asyncio.current_task()}:
         for task in leftover:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*leftover, return_exceptions=True))
-        loop.close()
+        # A step that waits for a frozen process is never taken otherwise.
+        network.release()
+        await asyncio.gather(*leftover, return_exceptions=True)
--- a/src/currantline/standin/tests/test_network.py
+++ b/src/currantline/standin/tests/test_network.py
@@ -79,6 +79,47 @@
 
         assert run(session) > 1.05
 
+    def test_cancelled_while_frozen(self) -> None:
+        """Guards against a timer that runs after a thaw although it was cancelled."""
+        ran: list[str] = []
+
+        async def process() -> None:
+            loop = asyncio.get_running_loop()
+            late = loop.call_later(0.06, ran.append, "late")
+            loop.call_later(0.05, late.cancel)
+
+        async def session(network: Network) -> None:
+            await run_on_host(SERVER, process(), process="p")
+            network.freeze("p")
+            await asyncio.sleep(0.1)
+            network.thaw("p")
+            await asyncio.sleep(0.1)
+
+        run(session)
+        assert ran == []
+
+    def test_end_after_kill(self) -> None:
+        """Guards against a session that waits for ever for a killed process."""
+
+        async def session(network: Network) -> None:
+            task = run_on_host("10.0.0.3", asyncio.sleep(0.01), process="p")
+            network.kill("p")
+            await asyncio.sleep(0.1)
+            assert not task.done()
+
+        run(session)
+
+    def test_silence_of_some(self) -> None:
+        """Guards against silence that reaches connections to other hosts."""
+
+        async def session(network: Network) -> int:
+            pending = asyncio.create_task(fetch(ADDRESS, REQUEST, timeout_ms=500))
+            await asyncio.sleep(0.05)
+            network.silence(SERVER, ["10.0.0.9"])
+            return (await pending).status
+
+        assert run(session) == 200
+
     def test_kill(self) -> None:
         """Guards against callers that never hear of a killed process."""
 
