Tell which tasks of an instance ended with an error

Cause: a task of an instance that dies takes a duty with it (gossip, probes, the list, limits), and nothing outside could see it before the instance leaves.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -114,6 +114,12 @@
         """Whether the instance takes work."""
         return self._membership.readiness.decide(self._clock.read()).is_ready
 
+    @property
+    def failures(self) -> list[BaseException]:
+        """Errors that ended a task, none while the instance works."""
+        ended = [task for task in self._tasks if task.done() and not task.cancelled()]
+        return [error for task in ended if (error := task.exception()) is not None]
+
     async def start(self) -> None:
         """Listen on all addresses and start the tasks.
 
