--- a/src/currantline/standin/caller.py
+++ b/src/currantline/standin/caller.py
@@ -4,6 +4,7 @@
 import json
 import random
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -81,6 +82,10 @@
         self._kept: dict[str, list[KeptConnection]] = defaultdict(list)
         self.reports: dict[str, LoadReport] = defaultdict(LoadReport)
         self.not_run: set[str] = set()
+        # Called with each request, its outcome and its answer, None without one.
+        self.on_end: Callable[[Request, str, Answer | None], None] = (
+            lambda request, outcome, answer: None
+        )
 
     async def send(self, service: str, method: str, path: str, request_id: str) -> str:
         """Send one request, record its outcome and return the outcome.
@@ -103,6 +108,7 @@
             self._known.pop(service, None)
             report.outcomes["unknown"] += 1
             report.reasons[f"caller: {error}"] += 1
+            self.on_end(request, "unknown", None)
             return "unknown"
         outcome = find_header(answer.headers, "currantline-outcome") or "missing"
         report.outcomes[outcome] += 1
@@ -120,6 +126,7 @@
             self.not_run.add(request_id)
         if find_header(answer.headers, "currantline-refresh"):
             self._known.pop(service, None)
+        self.on_end(request, outcome, answer)
         return outcome
 
     async def _send(self, service: str, request: Request) -> Answer:
--- /dev/null
+++ b/src/currantline/standin/golden.py
@@ -0,0 +1,187 @@
+"""A short scripted session whose every outcome and event is written as text.
+
+The text is compared with a committed file. After an intended change of behaviour,
+``python -m currantline.standin.golden`` rewrites the file; read its diff before it
+is committed.
+"""
+
+import asyncio
+from pathlib import Path
+
+from absl import app
+
+from currantline.audit import AuditEvent
+from currantline.standin.network import run_on_host
+from currantline.standin.site import CALLER_HOST, START_WALL_MS
+from currantline.standin.trial import Trial, build_small_configuration, run_trial
+from currantline.wire import Answer, Request, fetch, find_header
+
+__all__ = ["PATH", "play_session"]
+
+PATH = Path(__file__).parents[1] / "tests" / "golden" / "session.txt"
+SEED = 7
+HEADERS = ("outcome", "reason", "instance", "target", "refresh")
+TIMEOUT_MS = 5000.0
+SPACING_S = 0.03
+
+
+class Script:
+    """Plays the session and keeps its lines.
+
+    Parameters
+    ----------
+    trial : Trial
+        The deployment.
+    """
+
+    def __init__(self, trial: Trial) -> None:
+        self.lines: list[str] = []
+        self._trial = trial
+        self._numbers = iter(range(1, 1000))
+        self._keep_end = trial.caller.on_end
+        trial.caller.on_end = self._note_end
+
+    async def play(self) -> None:
+        """Play the whole session."""
+        await self._send_all("ready")
+        await self._send_malformed()
+        await self._leave()
+        await self._kill()
+        await self._drain()
+        await self._patch()
+        await self._send_all("end")
+
+    async def _leave(self) -> None:
+        self._say("instance-0 leaves")
+        leaving = asyncio.create_task(self._trial.site.leave("instance-0"))
+        await self._send_all("while it leaves")
+        await leaving
+        await self._trial.restart("instance-0")
+        await self._settle()
+
+    async def _kill(self) -> None:
+        self._say("instance-2 is killed and replaced")
+        with self._trial.disturb("kill", allows_unknown=True):
+            self._trial.site.kill("instance-2")
+            await self._send_all("after the kill")
+            await self._trial.restart("instance-2")
+        await self._settle()
+
+    async def _drain(self) -> None:
+        self._say("ordering-1 drains")
+        drain = self._trial.drain("ordering-1")
+        await self._send_all("at the start of the drain")
+        await asyncio.sleep(3.5)
+        await self._send_all("3.5 s later")
+        self._trial.end_drain(drain)
+
+    async def _patch(self) -> None:
+        self._say("two patches against version 1")
+        self._trial.publish_patch()
+        self._trial.publish_patch(base_version=1)
+        await self._settle()
+        await self._send_all("after the patches")
+
+    async def _settle(self) -> None:
+        await self._trial.wait_until_ready()
+        await asyncio.sleep(4.0)
+
+    async def _send_all(self, title: str) -> None:
+        self._say(title)
+        requests = [
+            ("ordering", "GET", "/item"),
+            ("ordering", "POST", "/orders"),
+            ("archive", "GET", "/item"),
+            ("archive", "GET", "/long"),
+            ("ordering", "GET", "/long"),
+            ("ordering", "POST", "/orders"),
+            ("ordering", "DELETE", "/item"),
+        ]
+        sends = []
+        for service, method, path in requests:
+            number = next(self._numbers)
+            send = self._trial.caller.send(
+                service, method, f"{path}/{number}", f"{service}-{number}"
+            )
+            sends.append(run_on_host(CALLER_HOST, send))
+            await asyncio.sleep(SPACING_S)
+        await asyncio.gather(*sends)
+
+    async def _send_malformed(self) -> None:
+        self._say("malformed requests")
+        settings = self._trial.site.settings["instance-1"]
+        cases: list[tuple[str, str, tuple[str, str]]] = [
+            ("GET", "/nowhere", ("x-none", "1")),
+            ("GET", "/services/nowhere/item", ("x-none", "1")),
+            ("GET", "/services/ordering/item", ("currantline-timeout-ms", "soon")),
+            ("GET", "/services/ordering/item", ("currantline-timeout-ms", "0")),
+            ("GET", "/services/ordering/item", ("currantline-request-id", "a b")),
+            ("GET", "/v1/addresses/nowhere", ("x-none", "1")),
+            ("GET", "/v1/addresses/ordering", ("x-none", "1")),
+        ]
+        for method, target, header in cases:
+            request = Request(method=method, target=target, headers=(header,))
+            answer = await run_on_host(
+                CALLER_HOST,
+                fetch(settings.caller_address, request, timeout_ms=TIMEOUT_MS),
+            )
+            self._note_answer(request, answer)
+
+    def _note_end(self, request: Request, outcome: str, answer: Answer | None) -> None:
+        self._keep_end(request, outcome, answer)
+        if answer is None:
+            self._say(f"  {request.method} {request.target}: {outcome}, no answer")
+        else:
+            self._note_answer(request, answer)
+
+    def _note_answer(self, request: Request, answer: Answer) -> None:
+        found = {
+            name: find_header(answer.headers, f"currantline-{name}") for name in HEADERS
+        }
+        told = " ".join(f"{name}={value}" for name, value in found.items() if value)
+        body = answer.body.decode().strip()
+        head = f"  {request.method} {request.target}: {answer.status}"
+        self._say(f"{head} {told} body={body!r}")
+
+    def _say(self, text: str) -> None:
+        self.lines.append(f"{self._trial.now:9.1f} {text}")
+
+
+def play_session() -> str:
+    """Play the session and return its text."""
+    lines: list[str] = []
+
+    async def play(trial: Trial) -> None:
+        script = Script(trial)
+        await script.play()
+        lines.extend(script.lines)
+        for process, instance in trial.site.started.items():
+            lines.append(f"audit of {process}")
+            lines.extend(_render(event) for event in instance.trail.events_after(0))
+
+    configuration = build_small_configuration(targets=2)
+    journal = run_trial(play, seed=SEED, count=3, configuration=configuration)
+    lines.extend(f"broken: {line}" for line in journal.find_broken())
+    return "\n".join([*lines, ""])
+
+
+def _render(event: AuditEvent) -> str:
+    when_ms = event.when_ms - START_WALL_MS
+    parts = [
+        f"{when_ms:9.1f}  {event.kind.value}",
+        f"{event.author} {event.sequence} {event.verdict} {event.reason}".strip(),
+        f"{event.from_version}->{event.to_version}" if event.sequence else "",
+        event.detail,
+    ]
+    return " ".join(part for part in parts if part and part != "0")
+
+
+def main(_: list[str]) -> None:
+    """Rewrite the file."""
+    PATH.parent.mkdir(exist_ok=True)
+    PATH.write_text(play_session(), encoding="utf-8")
+    print(f"{PATH.name}: {len(PATH.read_text(encoding='utf-8').splitlines())} lines")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/src/currantline/standin/incidents.py
@@ -0,0 +1,194 @@
+"""Faults of a whole deployment, each from its start to its end."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from currantline.standin.site import CALLER_HOST
+from currantline.standin.target import Behaviour
+from currantline.standin.trial import Trial
+
+__all__ = ["INCIDENTS", "Incident", "cause"]
+
+FREEZE_S = 5.0
+SETTLE_S = 4.0
+DEAD_S = 4.0
+DRAIN_S = 7.0
+# Long enough for one patch to come into force on one side only.
+PARTITION_S = 8.0
+
+
+async def kill_owner(trial: Trial) -> None:
+    """Kill an instance that owns targets and start it again later."""
+    with trial.hold(trial.find_owner("ordering")) as name:
+        trial.site.kill(name)
+        await asyncio.sleep(DEAD_S)
+        await trial.restart(name)
+        await asyncio.sleep(SETTLE_S / 2)
+
+
+async def kill_and_replace(trial: Trial) -> None:
+    """Kill an instance and replace it at once, twice."""
+    with trial.hold(trial.find_owner("ordering")) as name:
+        for _ in range(2):
+            trial.site.kill(name)
+            await trial.restart(name)
+            await asyncio.sleep(SETTLE_S / 2)
+
+
+async def freeze_owner(trial: Trial) -> None:
+    """Stop an owner for some seconds, then let it go on."""
+    with trial.hold(trial.find_owner("ordering")) as name:
+        trial.site.freeze(name)
+        await asyncio.sleep(FREEZE_S)
+        trial.site.thaw(name)
+        await asyncio.sleep(SETTLE_S / 2)
+
+
+async def leave_owner(trial: Trial) -> None:
+    """Let an owner leave gracefully, then start it again."""
+    with trial.hold(trial.find_owner("ordering")) as name:
+        await trial.site.leave(name)
+        await asyncio.sleep(SETTLE_S / 2)
+        await trial.restart(name)
+        await asyncio.sleep(SETTLE_S / 2)
+
+
+async def cut_off(trial: Trial) -> None:
+    """Cut the fleet in two, the platform on one side, and publish a patch."""
+    names = sorted(trial.site.settings)
+    half = len(names) // 2
+    async with trial.cut(names[:half], names[half:]):
+        await asyncio.sleep(PARTITION_S / 2)
+        trial.publish_patch()
+        await asyncio.sleep(PARTITION_S / 2)
+
+
+async def race_patches(trial: Trial) -> None:
+    """Publish two patches against one version; the first is in force."""
+    base = trial.version
+    trial.publish_patch()
+    trial.publish_patch(base_version=base)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def take_platform_down(trial: Trial) -> None:
+    """Take the platform away and publish a patch before it is back."""
+    trial.site.platform.is_down = True
+    await asyncio.sleep(SETTLE_S)
+    trial.publish_patch()
+    trial.site.platform.is_down = False
+
+
+async def restart_into_stale(trial: Trial) -> None:
+    """Restart an instance while the platform answers as it did long ago."""
+    platform = trial.site.platform
+    trial.publish_patch()
+    await asyncio.sleep(SETTLE_S)
+    platform.stale_after = 1
+    with trial.hold(trial.find_owner("archive")) as name:
+        trial.site.kill(name)
+        await trial.restart(name)
+        await asyncio.sleep(SETTLE_S)
+    platform.stale_after = None
+
+
+async def drain_target(trial: Trial) -> None:
+    """Let a target of each service drain while the list names it live."""
+    names = [
+        trial.pick_target(service) for service in trial.site.configuration.services
+    ]
+    trial.busy.update(names)
+    drains = [trial.drain(name) for name in names]
+    await asyncio.sleep(DRAIN_S)
+    for drain in drains:
+        trial.end_drain(drain)
+    trial.busy.difference_update(names)
+
+
+async def reject_fast(trial: Trial) -> None:
+    """Let a target shed everything at once."""
+    await _misbehave(trial, Behaviour(rejects=True))
+
+
+async def slow_target(trial: Trial) -> None:
+    """Let a target run ten times slower."""
+    await _misbehave(trial, Behaviour(slow_factor=10.0))
+
+
+async def silence_target(trial: Trial) -> None:
+    """Let all open connections to a target go silent."""
+    with trial.hold(trial.pick_target("ordering")) as name:
+        host = trial.site.targets[name].target.address.partition(":")[0]
+        trial.site.network.silence(host)
+        await asyncio.sleep(SETTLE_S)
+
+
+async def silence_peers(trial: Trial) -> None:
+    """Let all open connections between an owner and the others go silent."""
+    host = trial.site.find_host(trial.find_owner("ordering"))
+    others = [trial.site.find_host(name) for name in trial.site.settings]
+    trial.site.network.silence(host, others)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def silence_callers(trial: Trial) -> None:
+    """Let all open connections of callers go silent."""
+    trial.site.network.silence(CALLER_HOST)
+    await asyncio.sleep(SETTLE_S)
+
+
+@attrs.frozen(kw_only=True)
+class Incident:
+    """A fault and what callers may see of it.
+
+    Parameters
+    ----------
+    cause : callable
+        Coroutine function that causes the fault and ends it.
+    allows_unknown : bool
+        Whether a request may end unknown.
+    is_exclusive : bool
+        Whether the fault concerns all instances, so that no other of this kind
+        may run at the same time.
+    """
+
+    cause: Callable[[Trial], Awaitable[None]]
+    allows_unknown: bool = False
+    is_exclusive: bool = False
+
+
+INCIDENTS = {
+    "kill-owner": Incident(cause=kill_owner, allows_unknown=True),
+    "kill-and-replace": Incident(cause=kill_and_replace, allows_unknown=True),
+    "freeze-owner": Incident(cause=freeze_owner, allows_unknown=True),
+    "leave-owner": Incident(cause=leave_owner),
+    # A request that waited for evidence may be sent shortly before its deadline.
+    "partition": Incident(cause=cut_off, allows_unknown=True, is_exclusive=True),
+    "race-patches": Incident(cause=race_patches),
+    "platform-down": Incident(cause=take_platform_down, is_exclusive=True),
+    "restart-into-stale": Incident(
+        cause=restart_into_stale, allows_unknown=True, is_exclusive=True
+    ),
+    "drain-target": Incident(cause=drain_target),
+    "reject-fast": Incident(cause=reject_fast),
+    "slow-target": Incident(cause=slow_target, allows_unknown=True),
+    "silent-target": Incident(cause=silence_target, allows_unknown=True),
+    "silent-peers": Incident(cause=silence_peers),
+    "silent-callers": Incident(cause=silence_callers, allows_unknown=True),
+}
+
+
+async def cause(trial: Trial, name: str) -> None:
+    """Cause a fault of `INCIDENTS`, noted in the journal."""
+    incident = INCIDENTS[name]
+    with trial.disturb(name, allows_unknown=incident.allows_unknown):
+        await incident.cause(trial)
+
+
+async def _misbehave(trial: Trial, behaviour: Behaviour) -> None:
+    with trial.hold(trial.pick_target("ordering")) as name:
+        trial.site.targets[name].switch(behaviour)
+        await asyncio.sleep(SETTLE_S)
+        trial.site.targets[name].switch(Behaviour())
--- /dev/null
+++ b/src/currantline/standin/journal.py
@@ -0,0 +1,247 @@
+"""What is seen of a session from outside the instances, and what must hold of it.
+
+The journal is filled by callers, targets and the platform, which cannot be misled
+by a fault in an instance. `INVARIANTS` is the one table of what must hold; tests
+and the long randomised run check the same table.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator, Mapping
+
+import attrs
+
+from currantline.standin.load import ORDER_MARK
+
+__all__ = ["INVARIANTS", "Arrival", "Disturbance", "End", "Journal", "Level"]
+
+# Guarantee 5 and guarantee 7 of the design page.
+DRAIN_MS = 3000.0
+IN_FORCE_MS = 7000.0
+SECOND_MS = 1000.0
+# A request ends at the latest when its caller gives up after 30 s.
+LONGEST_REQUEST_MS = 30_500.0
+# Leases are held again this long after the end of a disturbance.
+CALM_AFTER_MS = 6000.0
+
+
+@attrs.frozen(kw_only=True)
+class Arrival:
+    """A request at a target, at a time in ms."""
+
+    when: float
+    target: str
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class End:
+    """The outcome that a caller got, at a time in ms."""
+
+    when: float
+    request_id: str
+    outcome: str
+    is_match: bool = True
+
+
+@attrs.define(kw_only=True)
+class Disturbance:
+    """A fault from its start to its end, both in ms.
+
+    Parameters
+    ----------
+    name : str
+        What happened.
+    start, end : float
+        Times in ms; the end is infinite while the fault lasts.
+    allows_unknown : bool
+        Whether a request during it may end unknown.
+    """
+
+    name: str
+    start: float
+    end: float = float("inf")
+    allows_unknown: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Level:
+    """Configuration in force at one process, at a time in ms.
+
+    Parameters
+    ----------
+    when : float
+        Time of the look.
+    process : str
+        Name of the instance and number of its start.
+    sequence, version, digest : int
+        What the instance has.
+    due_version : int
+        Least version that must be in force by now.
+    """
+
+    when: float
+    process: str
+    sequence: int
+    version: int
+    digest: int
+    due_version: int = 0
+
+
+@attrs.define(kw_only=True)
+class Journal:
+    """What happened in a session, in order of time.
+
+    Parameters
+    ----------
+    budgets : mapping of str to float
+        Probe budget of each target, in probes per second.
+    arrivals, ends, disturbances, levels : list
+        Requests at targets, outcomes at callers, faults and changes of level.
+    drains : list of Disturbance
+        Times during which targets drained, by the name of the target.
+    probes : dict of str to list of float
+        Times of probes in ms by target.
+    published : list of tuple of float and int
+        Time in ms and version of each patch that must be accepted.
+    alarms : list of str
+        Faults that instances found themselves.
+    """
+
+    budgets: Mapping[str, float] = attrs.field(factory=dict)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    ends: list[End] = attrs.field(factory=list)
+    disturbances: list[Disturbance] = attrs.field(factory=list)
+    levels: list[Level] = attrs.field(factory=list)
+    drains: list[Disturbance] = attrs.field(factory=list)
+    probes: dict[str, list[float]] = attrs.field(factory=lambda: defaultdict(list))
+    published: list[tuple[float, int]] = attrs.field(factory=list)
+    alarms: list[str] = attrs.field(factory=list)
+
+    def find_due_version(self, now: float, reachable_since: float) -> int:
+        """Return the version that must be in force at an instance by now."""
+        due = [
+            version
+            for when, version in self.published
+            if now > max(when, reachable_since) + IN_FORCE_MS
+        ]
+        return max(due, default=0)
+
+    def find_broken(self) -> list[str]:
+        """Return a line for each violation of `INVARIANTS`."""
+        return [
+            f"{name}: {line}"
+            for name, check in INVARIANTS.items()
+            for line in check(self)
+        ]
+
+
+def check_orders(journal: Journal) -> Iterator[str]:
+    """Yield orders that reached targets more than once."""
+    seen = Counter(arrival.request_id for arrival in journal.arrivals)
+    for request_id, count in seen.items():
+        if ORDER_MARK in request_id and count > 1:
+            yield f"{request_id} reached targets {count} times"
+
+
+def check_not_run(journal: Journal) -> Iterator[str]:
+    """Yield requests that were told not-run and reached a target."""
+    seen = {arrival.request_id for arrival in journal.arrivals}
+    for end in journal.ends:
+        if end.outcome == "not-run" and end.request_id in seen:
+            yield f"{end.request_id} at {end.when:.1f} ms"
+
+
+def check_matches(journal: Journal) -> Iterator[str]:
+    """Yield requests that got a part of an answer or another's."""
+    for end in journal.ends:
+        if not end.is_match:
+            yield f"{end.request_id} at {end.when:.1f} ms"
+
+
+def check_outcomes(journal: Journal) -> Iterator[str]:
+    """Yield requests whose answer carries none of the three outcomes."""
+    for end in journal.ends:
+        if end.outcome not in ("answered", "not-run", "unknown"):
+            yield f"{end.request_id} ended {end.outcome}"
+
+
+def check_unknown(journal: Journal) -> Iterator[str]:
+    """Yield requests that ended unknown with no fault that allows it."""
+    excuses = [each for each in journal.disturbances if each.allows_unknown]
+    for end in journal.ends:
+        is_excused = any(
+            each.start <= end.when <= each.end + LONGEST_REQUEST_MS for each in excuses
+        )
+        if end.outcome == "unknown" and not is_excused:
+            yield f"{end.request_id} at {end.when:.1f} ms"
+
+
+def check_drains(journal: Journal) -> Iterator[str]:
+    """Yield requests that reached a target long after it began to drain."""
+    for drain in journal.drains:
+        for arrival in journal.arrivals:
+            is_late = drain.start + DRAIN_MS < arrival.when < drain.end
+            if arrival.target == drain.name and is_late:
+                late_ms = arrival.when - drain.start
+                yield f"{arrival.request_id} at {drain.name} after {late_ms:.1f} ms"
+
+
+def check_levels(journal: Journal) -> Iterator[str]:
+    """Yield falls, differences and delays of the configuration in force."""
+    last: dict[str, Level] = {}
+    digests: dict[int, int] = {0: 0}
+    highest = max((version for _, version in journal.published), default=0)
+    for level in journal.levels:
+        before = last.get(level.process, level)
+        where = f"{level.process} at {level.when:.1f} ms"
+        if level.sequence < before.sequence:
+            yield f"{where}: sequence {level.sequence} fell from {before.sequence}"
+        if level.version < before.version:
+            yield f"{where}: version {level.version} fell from {before.version}"
+        if digests.setdefault(level.version, level.digest) != level.digest:
+            yield f"{where}: version {level.version} differs between instances"
+        if level.version < level.due_version:
+            yield f"{where}: {level.version} in force, {level.due_version} is due"
+        if journal.published and level.version > highest:
+            yield f"{where}: version {level.version} was never accepted"
+        last[level.process] = level
+
+
+def check_probes(journal: Journal) -> Iterator[str]:
+    """Yield seconds in which a target was probed above its budget."""
+    for target, times in journal.probes.items():
+        budget = journal.budgets[target]
+        first = 0
+        for number, now in enumerate(times):
+            # Rounding of times must not count probes that are a second apart.
+            while times[first] <= now - SECOND_MS + 1e-6:
+                first += 1
+            count = number - first + 1
+            limit = budget / 2 if _is_calm(journal, now) else budget
+            if count > limit:
+                yield f"{target}: {count} in 1 s at {now:.1f} ms, {limit:g} allowed"
+
+
+def check_alarms(journal: Journal) -> Iterator[str]:
+    """Yield the faults that instances found themselves."""
+    yield from journal.alarms
+
+
+def _is_calm(journal: Journal, now: float) -> bool:
+    return not any(
+        each.start <= now and now - SECOND_MS <= each.end + CALM_AFTER_MS
+        for each in journal.disturbances
+    )
+
+
+INVARIANTS: dict[str, Callable[[Journal], Iterator[str]]] = {
+    "an order reaches targets at most once": check_orders,
+    "not-run never reached a target": check_not_run,
+    "an answer matches its request": check_matches,
+    "every answer has an outcome": check_outcomes,
+    "unknown only with a fault that allows it": check_unknown,
+    "no work 3 s after a drain began": check_drains,
+    "accepted patches come into force and stay": check_levels,
+    "probes stay within the budget": check_probes,
+    "no instance finds a fault in itself": check_alarms,
+}
--- a/src/currantline/standin/site.py
+++ b/src/currantline/standin/site.py
@@ -49,6 +49,8 @@
         self.platform = Platform()
         self.targets: dict[str, StandinTarget] = {}
         self.instances: dict[str, Instance] = {}
+        # All starts by process name, also those that have ended.
+        self.started: dict[str, Instance] = {}
         self.clock: Clock = LoopClock(asyncio.get_running_loop())
         self._seed = seed
         self._starts: Counter[str] = Counter()
@@ -80,6 +82,7 @@
             incarnation=START_WALL_MS + int(self.clock.read()),
         )
         self.instances[name] = instance
+        self.started[self.find_process(name)] = instance
         await run_on_host(
             self.find_host(name), instance.start(), process=self.find_process(name)
         )
@@ -154,7 +157,8 @@
         return f"{name}#{self._starts[name]}"
 
     async def _start_target(self, target: Target) -> None:
-        standin = StandinTarget(target, random.Random(f"{self._seed} {target.name}"))
+        rng = random.Random(f"{self._seed} {target.name}")
+        standin = StandinTarget(target, rng, clock=self.clock)
         self.targets[target.name] = standin
         host = target.address.partition(":")[0]
         await run_on_host(host, standin.service.start(target.address))
--- a/src/currantline/standin/target.py
+++ b/src/currantline/standin/target.py
@@ -174,6 +174,8 @@
         self.behaviour = Behaviour()
         self.seen: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
+        # Called with the path and the identifier of each request that arrives.
+        self.on_arrival: Callable[[str, str], None] = lambda path, request_id: None
         self.service = TargetService(self)
         self._rng = rng
         self._clock = clock or MonotonicClock()
@@ -196,6 +198,8 @@
     async def handle(self, request: Request) -> Answer:
         """Answer one request."""
         path = urlsplit(request.target).path
+        request_id = find_header(request.headers, "currantline-request-id") or ""
+        self.on_arrival(path, request_id)
         if path == "/health":
             return self._answer(200, b"")
         if path == "/standin/seen":
@@ -203,10 +207,9 @@
         if path == "/standin/behaviour":
             self.switch(Behaviour(**json.loads(request.body)))
             return answer_json({})
-        return await self._work(request, path)
+        return await self._work(request, path, request_id)
 
-    async def _work(self, request: Request, path: str) -> Answer:
-        request_id = find_header(request.headers, "currantline-request-id") or ""
+    async def _work(self, request: Request, path: str, request_id: str) -> Answer:
         self.seen[request_id] += 1
         log_message(
             "target:request", request_id=request_id, target=self.target.name, path=path
--- /dev/null
+++ b/src/currantline/standin/trial.py
@@ -0,0 +1,350 @@
+"""A deployment under load and faults, with a journal of what is seen of it."""
+
+import asyncio
+import contextlib
+import random
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+
+import attrs
+
+from currantline.configuration import (
+    Configuration,
+    Priority,
+    Route,
+    Service,
+    Target,
+)
+from currantline.directory import assign_owners
+from currantline.exceptions import PlatformError
+from currantline.standin.alarms import collect_alarms
+from currantline.standin.journal import Arrival, Disturbance, End, Journal, Level
+from currantline.standin.load import run_load
+from currantline.standin.network import Network, run_on_host, run_session
+from currantline.standin.site import CALLER_HOST, PLATFORM_HOST, Site
+from currantline.standin.target import Behaviour
+from currantline.wire import Answer, Request, find_header
+
+__all__ = ["Trial", "build_small_configuration", "run_trial"]
+
+LOOK_S = 0.1
+READY_TIMEOUT_S = 30.0
+WARM_UP_S = 4.0
+RECENT_ARRIVALS = 50
+DATA_CENTRES = ("north", "south")
+SLOTS = 2
+
+
+def build_small_configuration(*, targets: int = 4) -> Configuration:
+    """Return two services, one with orders and one with deferrable work.
+
+    Parameters
+    ----------
+    targets : int
+        Targets of each service.
+    """
+    order = Route(name="order", method="POST", path_prefix="/orders")
+    stock = Route(name="stock", method="GET", idempotent=True)
+    lookup = Route(name="lookup", priority=Priority.DEFERRABLE, idempotent=True)
+    services = [
+        Service(
+            name="ordering",
+            targets=_build_targets("ordering", 1, targets),
+            routes=(order, stock),
+            timeout_ms=3000.0,
+            slots_per_owner=4,
+        ),
+        Service(
+            name="archive",
+            targets=_build_targets("archive", 2, targets),
+            routes=(lookup,),
+            timeout_ms=8000.0,
+            slots_per_owner=4,
+        ),
+    ]
+    return Configuration(version=1, services={each.name: each for each in services})
+
+
+def run_trial(
+    play: Callable[["Trial"], Awaitable[None]],
+    *,
+    seed: int,
+    count: int = 4,
+    configuration: Configuration | None = None,
+) -> Journal:
+    """Run a session on a deployment and return its journal.
+
+    Parameters
+    ----------
+    play : callable
+        Coroutine function that takes the trial, started and ready.
+    seed : int
+        Seed of all randomness.
+    count : int
+        Number of instances.
+    configuration : Configuration, optional
+        What the platform publishes at first.
+    """
+    network = Network()
+    journal = Journal()
+
+    async def session() -> None:
+        site = Site(
+            configuration or build_small_configuration(),
+            count=count,
+            seed=seed,
+            network=network,
+        )
+        trial = Trial(site, journal, seed)
+        # Not while the session is torn down, which ends tasks at any point.
+        with collect_alarms(journal.alarms):
+            await trial.start()
+            await play(trial)
+            trial.look()
+
+    run_session(network, session())
+    return journal
+
+
+class Trial:
+    """A deployment, its load and the journal.
+
+    Parameters
+    ----------
+    site : Site
+        The deployment.
+    journal : Journal
+        Receives what is seen.
+    seed : int
+        Seed of the load and of choices.
+    """
+
+    def __init__(self, site: Site, journal: Journal, seed: int) -> None:
+        self.site = site
+        self.journal = journal
+        self.rng = random.Random(f"{seed} faults")
+        self.version = site.configuration.version
+        self.caller = site.build_caller()
+        self.caller.on_end = self._note_end
+        self.busy: set[str] = set()
+        self._seed = seed
+        self._is_cut = False
+        self._reachable_since: dict[str, float] = {}
+        self._floors: dict[str, int] = {}
+        self._levels: dict[str, Level] = {}
+        self._watch: asyncio.Task[None] | None = None
+
+    @property
+    def now(self) -> float:
+        """Virtual time in ms."""
+        return self.site.clock.read()
+
+    async def start(self) -> None:
+        """Start all processes and wait until every instance is ready."""
+        with self.disturb("start"):
+            await self.site.start()
+            services = self.site.configuration.services.values()
+            self.journal.budgets = {
+                t.name: s.probe_budget for s in services for t in s.targets
+            }
+            self.journal.published.append((self.now, self.version))
+            for name, target in self.site.targets.items():
+                target.on_arrival = self._build_arrival(name)
+            self._watch = asyncio.create_task(self._look_on())
+            await self.wait_until_ready()
+            # The first leases are held some seconds after the start.
+            await asyncio.sleep(WARM_UP_S)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every instance that runs is ready.
+
+        Raises
+        ------
+        PlatformError
+            If one of them is not in time.
+        """
+        end = self.now + READY_TIMEOUT_S * 1000
+        while not all(each.is_ready for each in self.site.instances.values()):
+            if self.now > end:
+                raise PlatformError(f"not ready in {READY_TIMEOUT_S:g} s")
+            await asyncio.sleep(LOOK_S)
+
+    async def run_load(self, *, rate: float, duration_s: float) -> None:
+        """Send a mixed load to each service and wait for all outcomes."""
+        await asyncio.gather(
+            *(
+                run_on_host(
+                    CALLER_HOST,
+                    run_load(
+                        self.caller,
+                        service,
+                        seed=self._seed,
+                        rate=rate,
+                        duration_s=duration_s,
+                    ),
+                )
+                for service in self.site.configuration.services.values()
+            )
+        )
+
+    @contextlib.contextmanager
+    def disturb(self, name: str, *, allows_unknown: bool = False) -> Iterator[None]:
+        """Note a fault in the journal for as long as the context lasts."""
+        fault = Disturbance(name=name, start=self.now, allows_unknown=allows_unknown)
+        self.journal.disturbances.append(fault)
+        yield
+        fault.end = self.now
+
+    @contextlib.contextmanager
+    def hold(self, name: str) -> Iterator[str]:
+        """Keep other faults away from an instance or target."""
+        self.busy.add(name)
+        yield name
+        self.busy.discard(name)
+
+    @contextlib.asynccontextmanager
+    async def cut(self, *groups: list[str]) -> AsyncIterator[None]:
+        """Cut instances off from each other; the platform is with the first."""
+        hosts = [[self.site.find_host(name) for name in group] for group in groups]
+        hosts[0].append(PLATFORM_HOST)
+        self.site.network.cut(*hosts)
+        self._is_cut = True
+        yield
+        self.site.network.heal()
+        self._is_cut = False
+
+    async def restart(self, name: str) -> None:
+        """Start an instance anew; it must not serve an older version."""
+        versions = [each.configuration.version for each in self.site.instances.values()]
+        await self.site.start_instance(name)
+        floor = 0 if self._is_cut else min(versions, default=0)
+        self._floors[self.site.find_process(name)] = floor
+
+    def find_owner(self, service: str) -> str:
+        """Return an instance that owns targets of a service and is not held."""
+        running = self.site.instances
+        ready = sorted(name for name, each in running.items() if each.is_ready)
+        free = [name for name in ready if name not in self.busy]
+        known = self.site.configuration.services[service]
+        owners = assign_owners(known, ready).owners
+        return next((name for name in owners if name in free), free[0])
+
+    def pick_target(self, service: str) -> str:
+        """Return the target of a service with most work that is not held."""
+        names = [t.name for t in self.site.configuration.services[service].targets]
+        recent = self.journal.arrivals[-RECENT_ARRIVALS:]
+        work = Counter(arrival.target for arrival in recent)
+        return max((n for n in names if n not in self.busy), key=lambda n: work[n])
+
+    def publish_patch(self, *, base_version: int | None = None) -> bool:
+        """Publish a patch and return whether it must be accepted."""
+        base = self.version if base_version is None else base_version
+        is_accepted = base == self.version
+        if is_accepted:
+            self.version += 1
+            self.journal.published.append((self.now, self.version))
+        value = 3000.0 + 10 * len(self.site.platform.records)
+        self.site.platform.publish(
+            {
+                "kind": "patch",
+                "base_version": base,
+                "author": "operator",
+                "body": [{"set": "services/ordering/timeout_ms", "value": value}],
+            }
+        )
+        return is_accepted
+
+    def drain(self, name: str) -> Disturbance:
+        """Let a target drain while the list still names it live."""
+        self.site.targets[name].switch(Behaviour(state="draining"))
+        drain = Disturbance(name=name, start=self.now)
+        self.journal.drains.append(drain)
+        return drain
+
+    def end_drain(self, drain: Disturbance) -> None:
+        """Let a target take work again."""
+        drain.end = self.now
+        self.site.targets[drain.name].switch(Behaviour())
+
+    def look(self) -> None:
+        """Note the configuration in force at each instance, and tasks that died."""
+        for name, instance in self.site.instances.items():
+            process = self.site.find_process(name)
+            if not self._is_reachable(name) or process not in self._reachable_since:
+                self._reachable_since[process] = self.now
+            since = self._reachable_since[process]
+            due = self.journal.find_due_version(self.now, since)
+            if instance.is_ready:
+                due = max(due, self._floors.get(process, 0))
+            state = instance.history.state
+            level = Level(
+                when=self.now,
+                process=process,
+                sequence=state.sequence,
+                version=state.version,
+                digest=state.digest,
+                due_version=due,
+            )
+            self._note_level(level)
+            for error in instance.failures:
+                alarm = f"{process}: a task ended with {error!r}"
+                if alarm not in self.journal.alarms:
+                    self.journal.alarms.append(alarm)
+
+    def _note_level(self, level: Level) -> None:
+        last = self._levels.get(level.process)
+        if last is None or attrs.evolve(last, when=level.when) != level:
+            self._levels[level.process] = level
+            self.journal.levels.append(level)
+
+    async def _look_on(self) -> None:
+        while True:
+            self.look()
+            await asyncio.sleep(LOOK_S)
+
+    def _is_reachable(self, name: str) -> bool:
+        platform = self.site.platform
+        network = self.site.network
+        return not (
+            platform.is_down
+            or platform.stale_after is not None
+            or self.site.find_process(name) in network.frozen
+            or network.is_cut(self.site.find_host(name), PLATFORM_HOST)
+        )
+
+    def _build_arrival(self, name: str) -> Callable[[str, str], None]:
+        def note(path: str, request_id: str) -> None:
+            if path == "/health":
+                self.journal.probes[name].append(self.now)
+                return
+            arrival = Arrival(when=self.now, target=name, request_id=request_id)
+            self.journal.arrivals.append(arrival)
+
+        return note
+
+    def _note_end(self, request: Request, outcome: str, answer: Answer | None) -> None:
+        request_id = find_header(request.headers, "currantline-request-id") or ""
+        path = "/" + request.target.split("/", 3)[3]
+        is_match = True
+        if answer is not None and outcome == "answered" and answer.status == 200:
+            is_match = answer.body == f"{request_id} {path}".encode()
+        self.journal.ends.append(
+            End(
+                when=self.now,
+                request_id=request_id,
+                outcome=outcome,
+                is_match=is_match,
+            )
+        )
+
+
+def _build_targets(service: str, net: int, count: int) -> tuple[Target, ...]:
+    return tuple(
+        Target(
+            name=f"{service}-{number}",
+            address=f"10.2.{net}.{number}:7000",
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            slots=SLOTS,
+        )
+        for number in range(1, count + 1)
+    )
