--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -129,6 +129,12 @@
         """Return the owners of a service in this instance's view."""
         return self._owners.find(service).owners
 
+    @property
+    def failures(self) -> list[BaseException]:
+        """Errors that ended a task, none while the instance works."""
+        ended = [task for task in self._tasks if task.done() and not task.cancelled()]
+        return [error for task in ended if (error := task.exception()) is not None]
+
     async def start(self) -> None:
         """Listen on all addresses and start the tasks.
 
