Add status, wait, explain and audit to the tool

Operators had only the raw endpoints of each instance: the state of a fleet, the spread of a version, the way of one request and the merged trail had to be put together by hand.

The published list has no operators' address, and adding one would change the platform's protocol. `wait` also counts the instances that the asked ones have in their views, by the version that gossip carries. `explain` reads each log twice, because the end of an eliot action carries its task but not the request id; keeping all records instead would hold whole logs in memory. Lines that are not records are left out, since a process that is killed may leave half a line.

Two exit codes are added: 7 when all instances were heard from and some are behind, and 8 when no record of a request was found.

Tested against small HTTP services on loopback and made-up logs; real instances are not part of these tests.

--- a/src/currantline/cli/_command.py
+++ b/src/currantline/cli/_command.py
@@ -19,6 +19,8 @@
     CONFLICT = 4
     REFUSED = 5
     UNREACHABLE = 6
+    TIMED_OUT = 7
+    NOT_FOUND = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -36,6 +38,10 @@
     arguments: tuple[str, ...]
     flags: flags.FlagValues
 
+    def read(self, name: str) -> Any:
+        """Return the value of a flag."""
+        return self.flags[name].value
+
 
 @attrs.frozen(kw_only=True)
 class Report:
@@ -47,10 +53,19 @@
         Output in JSON.
     rows : tuple of mapping
         Output as a table; the keys of the first row are the headings.
+    tables : mapping of str to tuple of mapping
+        Further tables by their titles.
+    code : ExitCode
+        Exit code of a command that has something to print but did not succeed.
+    message : str
+        One line for people on what is missing; empty for success.
     """
 
     document: Any
     rows: tuple[Mapping[str, Any], ...]
+    tables: Mapping[str, tuple[Mapping[str, Any], ...]] = attrs.field(factory=dict)
+    code: ExitCode = ExitCode.OK
+    message: str = ""
 
 
 def _define_none(values: flags.FlagValues) -> None:
@@ -67,8 +82,12 @@
         First positional argument.
     arguments : tuple of str
         Names of the further ones.
+    rest : str
+        Name of any number of arguments that may follow; empty for none.
     summary : str
         One line for the help.
+    details : str
+        Lines for the help on this command alone.
     perform : callable
         Does the work; it raises `CommandError` with an exit code.
     define_flags : callable
@@ -80,3 +99,11 @@
     summary: str
     perform: Callable[[Invocation], Report]
     define_flags: Callable[[flags.FlagValues], None] = _define_none
+    rest: str = ""
+    details: str = ""
+
+    @property
+    def usage(self) -> str:
+        """Name and arguments, as one types them."""
+        rest = (f"[{self.rest}...]",) if self.rest else ()
+        return " ".join((self.name, *self.arguments, *rest))
--- a/src/currantline/cli/_commands.py
+++ b/src/currantline/cli/_commands.py
@@ -1,9 +1,18 @@
 """All commands of the tool; a further one is added to the list here."""
 
-from currantline.cli import _check, _diff, _patch
+from currantline.cli import _audit, _check, _diff, _explain, _patch, _status, _wait
 
 __all__ = ["COMMANDS"]
 
 COMMANDS = {
-    command.name: command for command in (_check.COMMAND, _diff.COMMAND, _patch.COMMAND)
+    command.name: command
+    for command in (
+        _check.COMMAND,
+        _diff.COMMAND,
+        _patch.COMMAND,
+        _status.COMMAND,
+        _wait.COMMAND,
+        _explain.COMMAND,
+        _audit.COMMAND,
+    )
 }
--- /dev/null
+++ b/src/currantline/cli/_explain.py
@@ -0,0 +1,221 @@
+"""The command ``explain``."""
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from currantline.cli._audit import render_time
+from currantline.cli._command import Command, ExitCode, Invocation, Report
+from currantline.cli._instances import MS_PER_SECOND
+from currantline.exceptions import CommandError
+
+__all__ = ["COMMAND", "Step", "collect_steps"]
+
+STANDARD_INPUT = "-"
+CANCELLED = "CancelledError"
+DIGITS = 1
+FIELDS = ("service", "route", "outcome", "target", "reason", "attempts", "waited_ms")
+
+DETAILS = """\
+Reads logs of instances (log_path, one JSON record a line) and prints every record
+with the request id in the order of time. Without a FILE, or for -, it reads the
+standard input. One request id shows up more than once if the caller tried again
+at another instance. An outcome of `abandoned` says that the caller closed its
+connection, `no end` that the instance ended, or that the log ends, before the
+request did."""
+
+
+@attrs.define(kw_only=True)
+class Step:
+    """What one process recorded of a request.
+
+    Parameters
+    ----------
+    kind : str
+        Type of the record.
+    started : float
+        Wall-clock time in seconds.
+    fields : dict
+        Its fields.
+    ended : float or None
+        Wall-clock time of the end in seconds, None for none.
+    is_action : bool
+        Whether the record has a beginning and an end.
+    """
+
+    kind: str
+    started: float
+    fields: dict[str, Any] = attrs.field(factory=dict)
+    ended: float | None = None
+    is_action: bool = False
+
+    def render(self) -> dict[str, Any]:
+        """Return the step as a row."""
+        found = {key: self.fields.get(key) for key in ("instance", *FIELDS)}
+        found["outcome"] = found["outcome"] or self._describe_end()
+        found["reason"] = found["reason"] or self._describe_failure()
+        duration_ms = None
+        if self.ended is not None:
+            duration_ms = round((self.ended - self.started) * MS_PER_SECOND, DIGITS)
+        return {
+            "when": render_time(self.started * MS_PER_SECOND),
+            "record": self.kind,
+            **found,
+            "duration_ms": duration_ms,
+        }
+
+    def _describe_end(self) -> str | None:
+        if not self.is_action:
+            return None
+        if self.ended is None:
+            return "no end"
+        exception = str(self.fields.get("exception", ""))
+        return "abandoned" if exception.endswith(CANCELLED) else "failed"
+
+    def _describe_failure(self) -> str | None:
+        exception = self.fields.get("exception")
+        return str(exception) if exception else None
+
+
+def collect_steps(records: Iterable[dict[str, Any]]) -> list[Step]:
+    """Return the steps that records describe, by their start.
+
+    Parameters
+    ----------
+    records : iterable of dict
+        Records of one request from all processes, in any order.
+    """
+    steps: dict[tuple[str, ...], Step] = {}
+    for number, record in enumerate(records):
+        if "action_status" in record:
+            _add_action(steps, record)
+        else:
+            kind = str(record.get("message_type", "-"))
+            step = Step(kind=kind, started=_read_time(record), fields=record)
+            steps[(str(number),)] = step
+    return sorted(steps.values(), key=lambda step: step.started)
+
+
+def explain_request(invocation: Invocation) -> Report:
+    """Print what logs say of one request."""
+    request_id, *paths = invocation.arguments
+    sources = [_Log(path) for path in paths or [STANDARD_INPUT]]
+    records = _select(request_id, sources)
+    rows = tuple(step.render() for step in collect_steps(records))
+    if not rows:
+        names = ", ".join(source.name for source in sources)
+        raise CommandError(
+            f"no record of request {request_id} in {names}", ExitCode.NOT_FOUND
+        )
+    return Report(
+        document={"request_id": request_id, "steps": list(rows)},
+        rows=tuple(_fill(row) for row in rows),
+    )
+
+
+class _Log:
+    """Records of one file or of the standard input, which can be read again.
+
+    Lines that are not records, such as the last of a process that was killed, are
+    left out; a log without any record is an error.
+    """
+
+    def __init__(self, path: str) -> None:
+        self.name = "standard input" if path == STANDARD_INPUT else path
+        self._path = path
+        self._kept: list[bytes] | None = None
+        if path == STANDARD_INPUT:
+            self._kept = sys.stdin.buffer.readlines()
+
+    def read(self) -> Iterator[dict[str, Any]]:
+        """Yield all records."""
+        lines = found = 0
+        for line in self._read_lines():
+            lines += bool(line.strip())
+            record = _parse(line)
+            if record is not None:
+                found += 1
+                yield record
+        if lines and not found:
+            raise CommandError(
+                f"{self.name}: not a log: no line is a record in JSON", ExitCode.INVALID
+            )
+
+    def _read_lines(self) -> Iterator[bytes]:
+        if self._kept is not None:
+            yield from self._kept
+            return
+        try:
+            with Path(self._path).open("rb") as file:
+                yield from file
+        except OSError as error:
+            reason = f"{self._path}: cannot be read: {error.strerror or error}"
+            raise CommandError(reason, ExitCode.USAGE) from error
+
+
+def _select(request_id: str, sources: Iterable[_Log]) -> list[dict[str, Any]]:
+    """Return the records of a request.
+
+    The end of an action carries no request id, only the task of its beginning, so
+    each log is read twice: for the tasks, then for their records.
+    """
+    logs = list(sources)
+    tasks = {
+        record.get("task_uuid")
+        for log in logs
+        for record in log.read()
+        if record.get("request_id") == request_id
+    }
+    return [
+        record
+        for log in logs
+        for record in log.read()
+        if record.get("task_uuid") in tasks
+        and record.get("request_id", request_id) == request_id
+    ]
+
+
+def _parse(line: bytes) -> dict[str, Any] | None:
+    try:
+        record = json.loads(line)
+    except (ValueError, RecursionError):
+        return None
+    is_record = isinstance(record, dict) and isinstance(record.get("task_uuid"), str)
+    return record if is_record else None
+
+
+def _add_action(steps: dict[tuple[str, ...], Step], record: dict[str, Any]) -> None:
+    level = record.get("task_level")
+    parents = level[:-1] if isinstance(level, list) else []
+    key = (str(record["task_uuid"]), *map(str, parents), "action")
+    when = _read_time(record)
+    kind = str(record.get("action_type", "-"))
+    step = steps.setdefault(key, Step(kind=kind, started=when, is_action=True))
+    is_start = record["action_status"] == "started"
+    step.started = min(step.started, when)
+    if not is_start:
+        step.ended = when
+    step.fields.update(record)
+
+
+def _read_time(record: dict[str, Any]) -> float:
+    value = record.get("timestamp")
+    return float(value) if isinstance(value, int | float) else 0.0
+
+
+def _fill(row: dict[str, Any]) -> dict[str, Any]:
+    return {key: "-" if value in (None, "") else value for key, value in row.items()}
+
+
+COMMAND = Command(
+    name="explain",
+    arguments=("REQUEST_ID",),
+    rest="FILE",
+    summary="Show from logs why a request went where it went.",
+    details=DETAILS,
+    perform=explain_request,
+)
--- a/src/currantline/cli/_patch.py
+++ b/src/currantline/cli/_patch.py
@@ -36,7 +36,7 @@
     base_path, changes_path = invocation.arguments
     base = read_configuration(base_path)
     _, document = read_document(changes_path)
-    author = str(invocation.flags["author"].value)
+    author = str(invocation.read("author"))
     record = _build_record(changes_path, document, base, author)
     state = ConfigurationState.build(1, base)
     verdict = judge(state, record)
--- a/src/currantline/cli/_program.py
+++ b/src/currantline/cli/_program.py
@@ -14,6 +14,7 @@
 __all__ = ["main", "run"]
 
 PROGRAM = "currantline"
+FLAG_WIDTH = 14
 
 
 def main(argv: Sequence[str]) -> int:
@@ -49,8 +50,10 @@
     if values["output"].value == "json":
         print(json.dumps(report.document, indent=2))
     else:
-        print(render_table(report.rows))
-    return ExitCode.OK
+        print(render_report(report))
+    if report.message:
+        print(f"{PROGRAM} {name}: {report.message}", file=sys.stderr)
+    return report.code
 
 
 def run() -> NoReturn:
@@ -58,6 +61,14 @@
     sys.exit(main(sys.argv))
 
 
+def render_report(report: Report) -> str:
+    """Return the tables of a report, further ones under their titles."""
+    parts = [render_table(report.rows)]
+    for title, rows in report.tables.items():
+        parts.append(f"{title}:\n{render_table(rows)}")
+    return "\n\n".join(parts)
+
+
 def render_table(rows: Iterable[Mapping[str, Any]]) -> str:
     """Return rows as aligned columns under their headings.
 
@@ -83,24 +94,17 @@
 def render_help(command: Command | None) -> str:
     """Return the help on one command or on all."""
     shown = [command] if command else list(COMMANDS.values())
-    uses = {c.name: " ".join((c.name, *c.arguments)) for c in shown}
-    width = max(map(len, uses.values()))
+    if command is None:
+        width = max(len(each.usage) for each in shown)
+        head = [f"usage: {PROGRAM} COMMAND [ARGUMENTS] [FLAGS]", "", "commands:"]
+        head += [f"  {each.usage.ljust(width)}  {each.summary}" for each in shown]
+        head += ["", f"`{PROGRAM} COMMAND --help` explains one command."]
+    else:
+        head = [f"usage: {PROGRAM} {command.usage} [FLAGS]", "", command.summary]
+        head += ["", command.details] if command.details else []
     codes = ", ".join(f"{code.value} {code.name.lower()}" for code in ExitCode)
-    flag_lines = [
-        f"  --{flag.name}  {flag.help}" for flag in _list_flags(_define_flags(shown))
-    ]
     return "\n".join(
-        [
-            f"usage: {PROGRAM} COMMAND ARGUMENTS [FLAGS]",
-            "",
-            "commands:",
-            *(f"  {uses[c.name].ljust(width)}  {c.summary}" for c in shown),
-            "",
-            "flags:",
-            *flag_lines,
-            "",
-            f"exit codes: {codes}",
-        ]
+        [*head, "", "flags:", *_describe_flags(shown), "", f"exit codes: {codes}"]
     )
 
 
@@ -126,9 +130,28 @@
     return values
 
 
-def _list_flags(values: flags.FlagValues) -> list[Any]:
-    own = {flag.name: flag for name in values for flag in [values[name]]}
-    return [own[name] for name in sorted(own) if name not in ("flagfile", "undefok")]
+def _describe_flags(commands: Sequence[Command]) -> list[str]:
+    """Return a line for each flag; one that not all commands have names them."""
+    common = _list_flags(_define_flags([]))
+    users: dict[str, list[str]] = {name: [] for name in common}
+    found = dict(common)
+    for command in commands:
+        for name, flag in _list_flags(_define_flags([command])).items():
+            found[name] = flag
+            if name not in common:
+                users.setdefault(name, []).append(command.name)
+    lines = []
+    for name in sorted(found):
+        names = (
+            f" ({', '.join(users[name])})" if users[name] and len(commands) > 1 else ""
+        )
+        lines.append(f"  {f'--{name}'.ljust(FLAG_WIDTH)}  {found[name].help}{names}")
+    return lines
+
+
+def _list_flags(values: flags.FlagValues) -> dict[str, Any]:
+    own = {values[name].name: values[name] for name in values}
+    return {name: own[name] for name in own if name not in ("flagfile", "undefok")}
 
 
 def _describe_missing(name: str) -> str:
@@ -141,7 +164,8 @@
 def _perform(
     command: Command, arguments: tuple[str, ...], values: flags.FlagValues
 ) -> Report:
-    if len(arguments) != len(command.arguments):
+    missing = len(arguments) - len(command.arguments)
+    if missing < 0 or (missing > 0 and not command.rest):
         raise CommandError(
             f"{len(command.arguments)} arguments are required "
             f"({' '.join(command.arguments)}), not {len(arguments)}",
--- /dev/null
+++ b/src/currantline/cli/_status.py
@@ -0,0 +1,140 @@
+"""The command ``status``."""
+
+import asyncio
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from currantline.cli._command import Command, ExitCode, Invocation, Report
+from currantline.cli._instances import (
+    Reading,
+    define_instance_flags,
+    describe_unreachable,
+    list_addresses,
+    read_answer_limit,
+    read_instances,
+)
+
+__all__ = ["COMMAND", "list_mappings"]
+
+QUEUE_KEYS = (
+    "short_waiting",
+    "long_waiting",
+    "running",
+    "free_slots",
+    "lent_slots",
+    "borrowed_slots",
+)
+TARGET_KEYS = (
+    "target",
+    "service",
+    "state",
+    "evidence_age_ms",
+    "limit",
+    "circuit",
+    "response_ms",
+)
+
+DETAILS = """\
+Asks each instance for /status and prints three tables: the instances (version in
+force, readiness and reason, lease), the queues of each service at each instance,
+and what each instance believes of each target. `evidence_age_ms` is the age of
+the evidence that the target is not leaving; a target without evidence, shown as
+-, gets no new work."""
+
+
+def show_status(invocation: Invocation) -> Report:
+    """Print the status of the given instances."""
+    readings = asyncio.run(
+        read_instances(
+            list_addresses(invocation),
+            "/status",
+            timeout_ms=read_answer_limit(invocation),
+        )
+    )
+    message = describe_unreachable(readings)
+    return Report(
+        document={"instances": [_render(reading) for reading in readings]},
+        rows=tuple(_list_instance(reading) for reading in readings),
+        tables={
+            "queues": tuple(_list_queues(readings)),
+            "targets": tuple(_list_targets(readings)),
+        },
+        code=ExitCode.UNREACHABLE if message else ExitCode.OK,
+        message=message,
+    )
+
+
+def list_mappings(document: Mapping[str, Any], key: str) -> list[Mapping[str, Any]]:
+    """Return the mappings in a list; another release may answer otherwise."""
+    value = document.get(key)
+    items = value if isinstance(value, list) else []
+    return [item for item in items if isinstance(item, dict)]
+
+
+def _render(reading: Reading) -> dict[str, Any]:
+    if reading.document is None:
+        return {"address": reading.address, "error": reading.error}
+    return {"address": reading.address, **reading.document}
+
+
+def _list_instance(reading: Reading) -> dict[str, Any]:
+    document = reading.document
+    if document is None:
+        keys = ("instance", "version", "sequence", "ready", "lease", "sees")
+        blank = dict.fromkeys(keys, "-")
+        return {"address": reading.address, **blank, "reason": reading.error}
+    lease = document.get("lease")
+    return {
+        "address": reading.address,
+        "instance": document.get("instance", "-"),
+        "version": document.get("version", "-"),
+        "sequence": document.get("sequence", "-"),
+        "ready": _say(document.get("ready")),
+        "lease": _say(lease.get("held") if isinstance(lease, dict) else None),
+        "sees": len(list_mappings(document, "view")),
+        "reason": document.get("reason") or "-",
+    }
+
+
+def _list_queues(readings: Sequence[Reading]) -> Iterator[dict[str, Any]]:
+    for reading in readings:
+        document = reading.document or {}
+        queues = document.get("queues")
+        for service, counts in (queues if isinstance(queues, dict) else {}).items():
+            if isinstance(counts, dict):
+                found = {key: counts.get(key, "-") for key in QUEUE_KEYS}
+                instance = document.get("instance", "-")
+                yield {"instance": instance, "service": service, **found}
+
+
+def _list_targets(readings: Sequence[Reading]) -> Iterator[dict[str, Any]]:
+    for reading in readings:
+        document = reading.document or {}
+        for target in list_mappings(document, "targets"):
+            found = {key: _fill(target.get(key)) for key in TARGET_KEYS}
+            instance = document.get("instance", "-")
+            yield {"instance": instance, **found, "claim": _claim(target.get("claim"))}
+
+
+def _claim(claim: Any) -> str:
+    if not isinstance(claim, dict):
+        return "-"
+    return f"{claim.get('state')}, {claim.get('in_flight')} of {claim.get('slots')}"
+
+
+def _fill(value: Any) -> Any:
+    return "-" if value is None else value
+
+
+def _say(value: Any) -> str:
+    return "-" if value is None else "yes" if value else "no"
+
+
+COMMAND = Command(
+    name="status",
+    arguments=(),
+    summary="Show version, readiness, queues, lease and targets of instances.",
+    details=DETAILS,
+    perform=show_status,
+    define_flags=define_instance_flags,
+)
--- /dev/null
+++ b/src/currantline/cli/_wait.py
@@ -0,0 +1,207 @@
+"""The command ``wait``."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import attrs
+from absl import flags
+
+from currantline.cli._command import Command, ExitCode, Invocation, Report
+from currantline.cli._instances import (
+    MS_PER_SECOND,
+    Reading,
+    define_instance_flags,
+    list_addresses,
+    read_answer_limit,
+    read_instances,
+)
+from currantline.cli._status import list_mappings
+from currantline.clock import Clock, MonotonicClock
+from currantline.exceptions import CommandError
+
+__all__ = ["COMMAND", "Progress", "measure_progress", "wait_for_version"]
+
+POLL_MS = 200.0
+
+DETAILS = """\
+Asks the given instances for /status until each of them, and each other instance
+in their views, has the version or a later one in force. One address is enough to
+follow the fleet as that instance sees it; give all addresses to also learn which
+instances cannot be reached. Exits with 6 if an instance was not heard from when
+the time ended, and with 7 if all were heard from and some are behind."""
+
+
+@attrs.frozen(kw_only=True)
+class Progress:
+    """How far a version has come.
+
+    Parameters
+    ----------
+    versions : dict of str to int
+        Version in force by name of the instance.
+    unheard : tuple of str
+        Names, or addresses, of instances that gave no usable answer.
+    """
+
+    versions: dict[str, int]
+    unheard: tuple[str, ...] = ()
+
+    def list_behind(self, version: int) -> list[str]:
+        """Return the instances with an earlier version."""
+        return sorted(name for name, has in self.versions.items() if has < version)
+
+    def is_complete(self, version: int) -> bool:
+        """Return whether the version is in force on all known instances."""
+        return not self.unheard and not self.list_behind(version)
+
+
+def measure_progress(
+    readings: Iterable[Reading], names: dict[str, str] | None = None
+) -> Progress:
+    """Return what a round of answers tells of all known instances.
+
+    An instance counts with its own answer. One that was not asked counts with the
+    version that the views of the others have of it.
+
+    Parameters
+    ----------
+    readings : iterable of Reading
+        Answers to ``/status``.
+    names : dict of str to str, optional
+        Names by address from earlier rounds; those of this round are added.
+    """
+    known = {} if names is None else names
+    own: dict[str, int] = {}
+    seen: dict[str, int] = {}
+    silent = []
+    for reading in readings:
+        document = reading.document or {}
+        name, version = document.get("instance"), document.get("version")
+        if not isinstance(name, str) or type(version) is not int:
+            silent.append(reading.address)
+            continue
+        known[reading.address] = name
+        own[name] = version
+        for row in list_mappings(document, "view"):
+            other, has = row.get("name"), row.get("version")
+            if isinstance(other, str) and type(has) is int:
+                seen[other] = max(has, seen.get(other, 0))
+    unheard = tuple(known.get(address, address) for address in silent)
+    versions = {k: v for k, v in {**seen, **own}.items() if k not in unheard}
+    return Progress(versions=versions, unheard=unheard)
+
+
+async def wait_for_version(
+    read: Callable[[], Awaitable[list[Reading]]],
+    version: int,
+    *,
+    timeout_ms: float,
+    clock: Clock,
+    sleep: Callable[[float], Awaitable[None]],
+) -> Progress:
+    """Ask until the version is in force everywhere or the time has ended.
+
+    Parameters
+    ----------
+    read : callable
+        Asks all instances.
+    version : int
+        Version to wait for.
+    timeout_ms : float
+        Longest time to wait, in milliseconds.
+    clock : Clock
+        Source of time.
+    sleep : callable
+        Waits for a time in milliseconds.
+    """
+    until = clock.read() + timeout_ms
+    names: dict[str, str] = {}
+    while True:
+        progress = measure_progress(await read(), names)
+        if progress.is_complete(version) or clock.read() >= until:
+            return progress
+        await sleep(min(POLL_MS, until - clock.read()))
+
+
+def wait_in_force(invocation: Invocation) -> Report:
+    """Wait until a version is in force on all known instances."""
+    version = invocation.read("version")
+    if version is None:
+        raise CommandError("--version: a number is required", ExitCode.USAGE)
+    addresses = list_addresses(invocation)
+    limit_ms = read_answer_limit(invocation)
+    progress = asyncio.run(
+        wait_for_version(
+            lambda: read_instances(addresses, "/status", timeout_ms=limit_ms),
+            version,
+            timeout_ms=invocation.read("timeout_s") * MS_PER_SECOND,
+            clock=MonotonicClock(),
+            sleep=lambda ms: asyncio.sleep(ms / MS_PER_SECOND),
+        )
+    )
+    return _report(progress, version)
+
+
+def _report(progress: Progress, version: int) -> Report:
+    code, message = _judge(progress, version)
+    document = {
+        "result": code.name.lower(),
+        "version": version,
+        "versions": progress.versions,
+        "behind": progress.list_behind(version),
+        "unheard": list(progress.unheard),
+    }
+    rows: list[dict[str, Any]] = [
+        {
+            "instance": name,
+            "version": has,
+            "in_force": "yes" if has >= version else "no",
+        }
+        for name, has in sorted(progress.versions.items())
+    ]
+    rows += [
+        {"instance": name, "version": "-", "in_force": "unheard"}
+        for name in progress.unheard
+    ]
+    return Report(document=document, rows=tuple(rows), code=code, message=message)
+
+
+def _judge(progress: Progress, version: int) -> tuple[ExitCode, str]:
+    behind = ", ".join(progress.list_behind(version))
+    parts = (
+        [f"not heard from {', '.join(progress.unheard)}"] if progress.unheard else []
+    )
+    parts += [f"version {version} is not in force on {behind}"] if behind else []
+    if not parts:
+        return ExitCode.OK, ""
+    code = ExitCode.UNREACHABLE if progress.unheard else ExitCode.TIMED_OUT
+    return code, "; ".join(parts)
+
+
+def _define_flags(values: flags.FlagValues) -> None:
+    define_instance_flags(values)
+    flags.DEFINE_integer(
+        "version",
+        None,
+        "Version to wait for.",
+        lower_bound=1,
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "timeout_s",
+        7.0,
+        "Longest time to wait, in seconds.",
+        lower_bound=0.0,
+        flag_values=values,
+    )
+
+
+COMMAND = Command(
+    name="wait",
+    arguments=(),
+    summary="Wait until a version is in force on all known instances.",
+    details=DETAILS,
+    perform=wait_in_force,
+    define_flags=_define_flags,
+)
