Name file, key and reason of each failed start

A log file that cannot be written was reported under its own path, without the settings file, and an address in use under the name of the instance. `--help` printed the flags of absl and of all imported modules.

A second SIGTERM already changed nothing; that is kept on purpose, because what stops a daemon may repeat the signal and a second one must not cut off requests. A signal that arrives before the handlers are installed, while modules are still imported, ends the process by the signal; nothing listens at that time.

The tests run the daemon in process. They were not run against the code before, except that the messages and the help differ there by reading it.

--- a/src/currantline/daemon.py
+++ b/src/currantline/daemon.py
@@ -1,27 +1,56 @@
 """The daemon ``currantlined``: one instance."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
 import time
+from collections.abc import Iterator, Sequence
+from typing import BinaryIO, NoReturn
 
+import attrs
 import eliot
-from absl import app, flags
+from absl import flags
 
+from currantline import __version__
 from currantline.clock import MonotonicClock
 from currantline.compose import Instance
-from currantline.exceptions import SettingsError
+from currantline.exceptions import AddressInUseError, SettingsError
 from currantline.settings import Settings, read_settings
 
-__all__ = ["run"]
+__all__ = ["main", "run", "serve"]
 
-EXIT_SETTINGS = 2
+PROGRAM = "currantlined"
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+HELP = """\
+usage: {program} --settings=FILE
+
+Runs one instance of currantline until SIGTERM or SIGINT. It then leaves: it is no
+longer named in address answers, finishes its requests within leave_timeout_ms and
+exits with 0. Further signals change nothing; SIGKILL ends it at once.
+
+flags:
+  --settings  Path of the settings file (YAML).
+  --version   Print the version.
+  --help      Print this help.
+
+required settings: {required}
+other settings: {optional}
+
+exit codes: 0 left after a signal, 2 flags, settings, log file or addresses cannot
+be used"""
 
 
 async def serve(settings: Settings) -> None:
     """Run one instance until SIGTERM or SIGINT, then leave.
 
+    A signal during the start takes effect when the instance has started, so that it
+    leaves in the usual way. Further signals change nothing: what stops a daemon may
+    send a signal twice, and a second one must not cut off requests in flight.
+
     Raises
     ------
     AddressInUseError
@@ -42,35 +71,98 @@
     await instance.leave()
 
 
-def main(_: list[str]) -> int:
-    """Run the daemon and return its exit code."""
-    if not flags.FLAGS.settings:
-        print("currantlined: --settings: a path is required", file=sys.stderr)
-        return EXIT_SETTINGS
-    try:
-        settings = read_settings(flags.FLAGS.settings)
-        _open_log(settings.log_path)
-        asyncio.run(serve(settings))
-    except SettingsError as error:
-        print(f"currantlined: {error}", file=sys.stderr)
-        return EXIT_SETTINGS
-    return 0
+def main(argv: Sequence[str]) -> int:
+    """Run the daemon.
 
+    Parameters
+    ----------
+    argv : sequence of str
+        Name of the program and flags.
 
-def run() -> None:
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    values = _define_flags()
+    try:
+        words = values(list(argv))[1:]
+    except flags.Error as error:
+        return _print_failure(" ".join(str(error).split()))
+    if values["help"].value:
+        print(render_help())
+        return EXIT_OK
+    if values["version"].value:
+        print(f"{PROGRAM} {__version__}")
+        return EXIT_OK
+    if words:
+        return _print_failure(f"{words[0]!r}: only flags are allowed")
+    if not values["settings"].value:
+        return _print_failure("--settings: a path is required")
+    return _run_instance(str(values["settings"].value))
+
+
+def run() -> NoReturn:
     """Entry point of the program."""
-    flags.DEFINE_string("settings", None, "Path of the settings file (YAML).")
-    app.run(main)
+    sys.exit(main(sys.argv))
+
+
+def render_help() -> str:
+    """Return the help on the daemon."""
+    fields = attrs.fields(Settings)
+    required = [field.name for field in fields if field.default is attrs.NOTHING]
+    optional = [field.name for field in fields if field.name not in required]
+    return HELP.format(
+        program=PROGRAM, required=", ".join(required), optional=", ".join(optional)
+    )
 
 
-def _open_log(path: str) -> None:
+def _run_instance(path: str) -> int:
     try:
-        stream = open(path, "ab", buffering=0) if path else sys.stdout.buffer
-    except OSError as error:
-        raise SettingsError(
-            f"cannot be written: {error.strerror}", source=path, path="log_path"
-        ) from error
-    eliot.to_file(stream)
+        settings = read_settings(path)
+        with _open_log(path, settings.log_path):
+            asyncio.run(serve(settings))
+    except AddressInUseError as error:
+        # The instance knows its settings, not the file that they came from.
+        fault = AddressInUseError(error.message, source=path, path=error.path)
+        return _print_failure(str(fault))
+    except SettingsError as error:
+        return _print_failure(str(error))
+    return EXIT_OK
+
+
+def _define_flags() -> flags.FlagValues:
+    values: flags.FlagValues = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string("settings", "", "Settings file.", flag_values=values)
+    flags.DEFINE_boolean("help", False, "Print the help.", flag_values=values)
+    flags.DEFINE_boolean("version", False, "Print the version.", flag_values=values)
+    return values
+
+
+@contextlib.contextmanager
+def _open_log(source: str, path: str) -> Iterator[None]:
+    stream: BinaryIO = sys.stdout.buffer
+    if path:
+        try:
+            stream = open(path, "ab", buffering=0)
+        except (OSError, ValueError) as error:
+            reason = getattr(error, "strerror", None) or error
+            raise SettingsError(
+                f"{path!r} cannot be written: {reason}", source=source, path="log_path"
+            ) from error
+    destination = eliot.FileDestination(file=stream)
+    eliot.add_destinations(destination)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(destination)
+        if path:
+            stream.close()
+
+
+def _print_failure(reason: str) -> int:
+    print(f"{PROGRAM}: {reason}", file=sys.stderr)
+    return EXIT_USAGE
 
 
 if __name__ == "__main__":
