Import tasks of a slice only when they are named

The decision cores are pure, but importing one, such as Dispatcher, brought asyncio, eliot, h11 and the carrier along, because the __init__ of a slice imports all its modules and cores import public names of other slices. Five slices now import their tasks on first use. A separate package of cores was ruled out: it would split each slice in two.

Before: all of asyncio, eliot and h11 were loaded by `import currantline.dispatch`; after: none of them, nor grpclib or protobuf, by the cores that docs/embedding.md lists. A test imports them in a fresh interpreter.

--- a/src/currantline/configuration/__init__.py
+++ b/src/currantline/configuration/__init__.py
@@ -1,5 +1,7 @@
 """The configuration: its model, its versions, and how it spreads."""
 
+from typing import TYPE_CHECKING
+
 from currantline.configuration._changes import (
     Change,
     Group,
@@ -17,12 +19,6 @@
 from currantline.configuration._digest import digest_configuration
 from currantline.configuration._history import History, HistoryCounts, Judged
 from currantline.configuration._judge import find_obstacle, judge, read_level
-from currantline.configuration._keeper import (
-    ConfigurationKeeper,
-    RecordSpread,
-    decode_records,
-    encode_record,
-)
 from currantline.configuration._limits import find_violation
 from currantline.configuration._model import (
     Configuration,
@@ -36,14 +32,6 @@
     parse_configuration,
     render_configuration,
 )
-from currantline.configuration._reader import (
-    HttpRecordService,
-    ReaderCounts,
-    ReaderOptions,
-    RecordReader,
-    RecordService,
-    select_readers,
-)
 from currantline.configuration._record import (
     Accepted,
     ConfigurationState,
@@ -55,6 +43,23 @@
     render_record,
 )
 from currantline.configuration._schema import RELEASE_SCHEMA, Schema
+from currantline.lazy import import_lazily
+
+if TYPE_CHECKING:
+    from currantline.configuration._keeper import (
+        ConfigurationKeeper,
+        RecordSpread,
+        decode_records,
+        encode_record,
+    )
+    from currantline.configuration._reader import (
+        HttpRecordService,
+        ReaderCounts,
+        ReaderOptions,
+        RecordReader,
+        RecordService,
+        select_readers,
+    )
 
 __all__ = [
     "RELEASE_SCHEMA",
@@ -106,3 +111,26 @@
     "render_record",
     "select_readers",
 ]
+
+# Tasks and sockets are imported on first use, so that the decision cores of the
+# slice can be used without them. With a `__getattr__`, mypy would accept any name.
+if not TYPE_CHECKING:
+    __getattr__ = import_lazily(
+        __name__,
+        {
+            "_keeper": (
+                "ConfigurationKeeper",
+                "RecordSpread",
+                "decode_records",
+                "encode_record",
+            ),
+            "_reader": (
+                "HttpRecordService",
+                "ReaderCounts",
+                "ReaderOptions",
+                "RecordReader",
+                "RecordService",
+                "select_readers",
+            ),
+        },
+    )
--- a/src/currantline/dispatch/__init__.py
+++ b/src/currantline/dispatch/__init__.py
@@ -1,7 +1,8 @@
 """Which slot of which target a request gets."""
 
+from typing import TYPE_CHECKING
+
 from currantline.dispatch._dispatcher import Dispatcher, ServiceCounts
-from currantline.dispatch._local import LocalPlacement
 from currantline.dispatch._messages import (
     Demand,
     Effect,
@@ -17,7 +18,11 @@
 from currantline.dispatch._options import DispatchOptions
 from currantline.dispatch._pool import PoolCounts
 from currantline.dispatch._retry import RetryBudget
-from currantline.dispatch._task import DispatchTask
+from currantline.lazy import import_lazily
+
+if TYPE_CHECKING:
+    from currantline.dispatch._local import LocalPlacement
+    from currantline.dispatch._task import DispatchTask
 
 __all__ = [
     "Demand",
@@ -38,3 +43,14 @@
     "Start",
     "Usage",
 ]
+
+# Tasks and sockets are imported on first use, so that the decision cores of the
+# slice can be used without them. With a `__getattr__`, mypy would accept any name.
+if not TYPE_CHECKING:
+    __getattr__ = import_lazily(
+        __name__,
+        {
+            "_local": ("LocalPlacement",),
+            "_task": ("DispatchTask",),
+        },
+    )
--- a/src/currantline/forwarding/__init__.py
+++ b/src/currantline/forwarding/__init__.py
@@ -1,7 +1,7 @@
 """HTTP towards callers and targets, and the outcome of each request."""
 
-from currantline.forwarding._caller import CallerOptions, CallerServer, Guidance
-from currantline.forwarding._carrier import Carrier, CarrierOptions
+from typing import TYPE_CHECKING
+
 from currantline.forwarding._exchange import Exchange, Step
 from currantline.forwarding._observation import (
     AttemptObservation,
@@ -17,8 +17,13 @@
     Placement,
     share_connections,
 )
-from currantline.forwarding._progress import Completion
-from currantline.forwarding._target import ConnectionPool
+from currantline.lazy import import_lazily
+
+if TYPE_CHECKING:
+    from currantline.forwarding._caller import CallerOptions, CallerServer, Guidance
+    from currantline.forwarding._carrier import Carrier, CarrierOptions
+    from currantline.forwarding._progress import Completion
+    from currantline.forwarding._target import ConnectionPool
 
 __all__ = [
     "AttemptObservation",
@@ -41,3 +46,23 @@
     "Step",
     "share_connections",
 ]
+
+# Tasks and sockets are imported on first use, so that the decision cores of the
+# slice can be used without them. With a `__getattr__`, mypy would accept any name.
+if not TYPE_CHECKING:
+    __getattr__ = import_lazily(
+        __name__,
+        {
+            "_caller": (
+                "CallerOptions",
+                "CallerServer",
+                "Guidance",
+            ),
+            "_carrier": (
+                "Carrier",
+                "CarrierOptions",
+            ),
+            "_progress": ("Completion",),
+            "_target": ("ConnectionPool",),
+        },
+    )
--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -1,5 +1,8 @@
 """What is known of each target, and the probes that find it out."""
 
+from typing import TYPE_CHECKING
+
+from currantline.lazy import import_lazily
 from currantline.load._book import TargetBelief, TargetBook
 from currantline.load._budget import ProbeBudget, count_share_holders
 from currantline.load._notices import NoticeSchedule, TargetNotice
@@ -11,7 +14,9 @@
     parse_load,
 )
 from currantline.load._options import LoadOptions
-from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
+
+if TYPE_CHECKING:
+    from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
 
 __all__ = [
     "LoadOptions",
@@ -31,3 +36,18 @@
     "fetch_health",
     "parse_load",
 ]
+
+# Tasks and sockets are imported on first use, so that the decision cores of the
+# slice can be used without them. With a `__getattr__`, mypy would accept any name.
+if not TYPE_CHECKING:
+    __getattr__ = import_lazily(
+        __name__,
+        {
+            "_prober": (
+                "ProbeFetch",
+                "ProbePlan",
+                "Prober",
+                "fetch_health",
+            ),
+        },
+    )
--- a/src/currantline/membership/__init__.py
+++ b/src/currantline/membership/__init__.py
@@ -1,5 +1,8 @@
 """Which instances are live, and who looks after what."""
 
+from typing import TYPE_CHECKING
+
+from currantline.lazy import import_lazily
 from currantline.membership._contact import Contact
 from currantline.membership._entry import InstanceEntry, Status, View
 from currantline.membership._gossip import (
@@ -11,18 +14,20 @@
 )
 from currantline.membership._lease import ViewLease, combine_digest
 from currantline.membership._options import MembershipOptions
-from currantline.membership._published import (
-    ListedInstance,
-    ListedTarget,
-    ListMemory,
-    ListReader,
-    PublishedList,
-    parse_list,
-)
 from currantline.membership._readiness import Decision, Readiness
 from currantline.membership._rendezvous import rank, rendezvous_score
 from currantline.membership._table import GossipTable
-from currantline.membership._task import Exchange, MembershipTask, ViewChanged
+
+if TYPE_CHECKING:
+    from currantline.membership._published import (
+        ListedInstance,
+        ListedTarget,
+        ListMemory,
+        ListReader,
+        PublishedList,
+        parse_list,
+    )
+    from currantline.membership._task import Exchange, MembershipTask, ViewChanged
 
 __all__ = [
     "Contact",
@@ -52,3 +57,25 @@
     "rendezvous_score",
     "row_key",
 ]
+
+# Tasks and sockets are imported on first use, so that the decision cores of the
+# slice can be used without them. With a `__getattr__`, mypy would accept any name.
+if not TYPE_CHECKING:
+    __getattr__ = import_lazily(
+        __name__,
+        {
+            "_published": (
+                "ListedInstance",
+                "ListedTarget",
+                "ListMemory",
+                "ListReader",
+                "PublishedList",
+                "parse_list",
+            ),
+            "_task": (
+                "Exchange",
+                "MembershipTask",
+                "ViewChanged",
+            ),
+        },
+    )
--- /dev/null
+++ b/src/currantline/tests/test_embedding.py
@@ -0,0 +1,54 @@
+"""Tests of decision cores used alone."""
+
+import doctest
+import importlib
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+import currantline
+
+ROOT = Path(__file__).parents[3]
+CORES = """
+from currantline.admission import LengthEstimator, WaitingQueue
+from currantline.configuration import History, judge
+from currantline.directory import assign_owners, build_answer
+from currantline.dispatch import Dispatcher, RetryBudget
+from currantline.forwarding import Exchange
+from currantline.load import ProbeBudget, TargetBook
+from currantline.membership import GossipTable, Readiness, ViewLease
+import sys
+print(*{"asyncio", "eliot", "google.protobuf", "grpclib", "h11"} & set(sys.modules))
+"""
+SLICES = ("configuration", "dispatch", "forwarding", "load", "membership")
+
+
+class TestEmbedding:
+    """Decision cores in another program."""
+
+    def test_example(self) -> None:
+        """Guards against an example on the page that does not run."""
+        result = doctest.testfile(
+            str(ROOT / "docs" / "embedding.md"), module_relative=False
+        )
+        assert (result.failed, result.attempted > 10) == (0, True)
+
+    def test_imports(self) -> None:
+        """Guards against a core that brings the sockets and tasks along."""
+        source = str(Path(currantline.__file__).parents[1])
+        command = [sys.executable, "-c", CORES]
+        found = subprocess.run(
+            command, env={"PYTHONPATH": source}, capture_output=True, check=True
+        )
+        assert found.stdout.split() == []
+
+    @pytest.mark.parametrize("name", SLICES)
+    def test_public_names(self, name: str) -> None:
+        """Guards against a public name whose lazy import was left out."""
+        module = importlib.import_module(f"currantline.{name}")
+        for public in module.__all__:
+            assert getattr(module, public) is not None
+        with pytest.raises(AttributeError):
+            _ = module.no_such_name
