--- a/src/currantline/cli/_status.py
+++ b/src/currantline/cli/_status.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
+from absl import flags
+
 from currantline.cli._command import Command, ExitCode, Invocation, Report
 from currantline.cli._instances import (
     Reading,
@@ -52,12 +54,14 @@
         )
     )
     message = describe_unreachable(readings)
+    service = str(invocation.read("service"))
+    queues, targets = _list_queues(readings), _list_targets(readings)
     return Report(
         document={"instances": [_render(reading) for reading in readings]},
         rows=tuple(_list_instance(reading) for reading in readings),
         tables={
-            "queues": tuple(_list_queues(readings)),
-            "targets": tuple(_list_targets(readings)),
+            "queues": _select(queues, service),
+            "targets": _select(targets, service),
         },
         code=ExitCode.UNREACHABLE if message else ExitCode.OK,
         message=message,
@@ -116,6 +120,10 @@
             yield {"instance": instance, **found, "claim": _claim(target.get("claim"))}
 
 
+def _select(rows: Iterator[dict[str, Any]], service: str) -> tuple[dict[str, Any], ...]:
+    return tuple(row for row in rows if service in ("", row["service"]))
+
+
 def _claim(claim: Any) -> str:
     if not isinstance(claim, dict):
         return "-"
@@ -130,11 +138,21 @@
     return "-" if value is None else "yes" if value else "no"
 
 
+def _define_flags(values: flags.FlagValues) -> None:
+    define_instance_flags(values)
+    flags.DEFINE_string(
+        "service",
+        "",
+        "Service whose queues and targets the tables show; all if not given.",
+        flag_values=values,
+    )
+
+
 COMMAND = Command(
     name="status",
     arguments=(),
     summary="Show version, readiness, queues, lease and targets of instances.",
     details=DETAILS,
     perform=show_status,
-    define_flags=define_instance_flags,
+    define_flags=_define_flags,
 )
--- a/src/currantline/cli/tests/test_instances.py
+++ b/src/currantline/cli/tests/test_instances.py
@@ -88,6 +88,15 @@
         for word in ("LEASE", "SHORT_WAITING", "EVIDENCE_AGE_MS"):
             assert word in text
 
+    def test_one_service(self, capsys: pytest.CaptureFixture[str]) -> None:
+        """Guards against a table of all targets when one service is asked for."""
+        status = make_status("i1", 3)
+        status["targets"][0]["service"] = "ordering"
+        for service, shown in [("ordering", True), ("archive", False)]:
+            words = ["status", f"--service={service}"]
+            assert asyncio.run(run([{"/status": status}], *words)) == 0
+            assert ("t0" in capsys.readouterr().out) is shown
+
     @pytest.mark.parametrize("body", [b"[]", b"no", b'{"queues": 3, "view": [2]}'])
     def test_odd_answer(self, body: bytes, capsys: pytest.CaptureFixture[str]) -> None:
         """Guards against a stack trace over an address of another program."""
