--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -1,5 +1,8 @@
 """What is known of each target, and the probes that find it out."""
 
+from typing import TYPE_CHECKING
+
+from currantline.lazy import import_lazily
 from currantline.load._asked import AskedTargets
 from currantline.load._asking import Asking
 from currantline.load._book import TargetBelief, TargetBook
@@ -13,9 +16,11 @@
     parse_load,
 )
 from currantline.load._options import LoadOptions
-from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
 from currantline.load._share import ShareRights
 
+if TYPE_CHECKING:
+    from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
+
 __all__ = [
     "AskedTargets",
     "Asking",
@@ -37,3 +42,18 @@
     "fetch_health",
     "parse_load",
 ]
+
+# Tasks and sockets are imported on first use, so that the decision cores of the
+# slice can be used without them. With a `__getattr__`, mypy would accept any name.
+if not TYPE_CHECKING:
+    __getattr__ = import_lazily(
+        __name__,
+        {
+            "_prober": (
+                "ProbeFetch",
+                "ProbePlan",
+                "Prober",
+                "fetch_health",
+            ),
+        },
+    )
