Measure added time through the instance as composed

The measurement ran the carrier with a local choice of targets only, so the costs of dispatch, observers, log records and metrics did not show. The paths take turns in short rounds; the figures are medians over rounds, with CPU time per call read around each round. One platform for all instances was ruled out, because they would form a fleet.

--- a/src/currantline/bench/added.py
+++ b/src/currantline/bench/added.py
@@ -1,106 +1,115 @@
 """Time that an instance adds to a request, against a direct request.
 
-One process each for the target, the instance's request path and the caller, on
-loopback. The caller alternates between the two ways in one run, so noise of the
-host meets both.
+One process each for the targets, the request paths and the caller, on loopback.
+The request paths are the carrier with a local choice of targets (``thin``), a
+whole instance wired as in the daemon (``composed``) and, with ``--before``, a
+whole instance of an earlier version. The caller alternates between a direct
+request and one through a path, and the paths take turns in short rounds, so
+noise of the host meets all of them.
 """
 
 import asyncio
-import random
-import resource
+import os
 import signal
+import statistics
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
 
 import attrs
-import eliot
 from absl import app, flags
 
+from currantline.bench._roles import (
+    BODY,
+    SERVICE,
+    serve_composed,
+    serve_site,
+    serve_thin,
+)
 from currantline.clock import MonotonicClock
-from currantline.configuration import Configuration, Service, Target
-from currantline.directory import AddressAnswer
-from currantline.dispatch import LocalPlacement
-from currantline.exceptions import PlatformError, UnknownServiceError
-from currantline.forwarding import CallerServer, Carrier, Guidance
-from currantline.wire import Answer, HttpConnection, HttpService, Request, connect
+from currantline.exceptions import PlatformError, WireError
+from currantline.wire import HttpConnection, Request, connect, fetch
 
 __all__ = ["main"]
 
-HOST = "127.0.0.1"
 MAX_BODY_BYTES = 1 << 20
-BODY = b"x" * 512
-WARM_UP = 200
-
-
-@attrs.define
-class Samples:
-    """Durations of one way."""
-
-    durations_ms: list[float] = attrs.field(factory=list)
-
-    def quantile(self, share: float) -> float:
-        """Return a quantile in milliseconds."""
-        ordered = sorted(self.durations_ms)
-        return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
-
-
-async def serve_target() -> None:
-    """Answer every request at once."""
-
-    async def answer(request: Request) -> Answer:
-        return Answer(status=200, body=BODY)
-
-    service = HttpService(answer)
-    await service.start(f"{HOST}:0")
-    await serve_until_end(service.address)
-
+PATH = f"/services/{SERVICE}/x"
+# A slow start of ten targets with six slots ends after 8 good answers a slot.
+WARM_UP = 1000
+READY_TIMEOUT_S = 60.0
+READY_POLL_S = 0.1
+FETCH_TIMEOUT_MS = 2000.0
+MICROSECONDS = 1e6
+
+
+@attrs.frozen(kw_only=True)
+class Round:
+    """What one round measured of one path.
+
+    Parameters
+    ----------
+    direct_ms, through_ms : list of float
+        Durations of direct requests and of those through the path.
+    cpu_us : float
+        CPU time of the path's process per request, background work included.
+    """
+
+    direct_ms: list[float]
+    through_ms: list[float]
+    cpu_us: float
+
+    def find_added(self, share: float) -> float:
+        """Return the difference of a quantile in milliseconds."""
+        return find_quantile(self.through_ms, share) - find_quantile(
+            self.direct_ms, share
+        )
 
-async def serve_instance(target_address: str, log: Path) -> None:
-    """Run the request path of an instance with the local choice of targets."""
-    target = Target(name="target", address=target_address, data_centre="here", slots=64)
-    service = Service(name="bench", targets=(target,))
-    configuration = Configuration(
-        version=1, max_instances=4, services={service.name: service}
-    )
 
-    def refuse(name: str) -> AddressAnswer:
-        raise UnknownServiceError(name)
+class Child:
+    """A process of this measurement.
+
+    Parameters
+    ----------
+    role : str
+        What it runs.
+    source : str
+        Folder of the package's source; empty for the one that runs now.
+    *arguments : str
+        Further flags.
+    """
+
+    def __init__(self, role: str, *arguments: str, source: str = "") -> None:
+        command = [sys.executable, "-m", __spec__.name, f"--role={role}", *arguments]
+        environment = dict(os.environ)
+        if source:
+            environment["PYTHONPATH"] = source
+        self._process = subprocess.Popen(
+            command, stdout=subprocess.PIPE, text=True, env=environment
+        )
+        self.line = self._read_line()
+        if not self.line:
+            raise PlatformError(f"the process for {role} did not start")
 
-    clock = MonotonicClock()
-    eliot.to_file(log.open("ab", buffering=0))
-    server = CallerServer(
-        "instance",
-        carrier=Carrier(
-            LocalPlacement(lambda: configuration, random.Random(1)), clock=clock
-        ),
-        guidance=Guidance(
-            read_configuration=lambda: configuration,
-            answer_addresses=refuse,
-            needs_refresh=lambda name: False,
-            is_leaving=lambda: False,
-        ),
-        clock=clock,
-    )
-    await server.start(f"{HOST}:0")
-    await serve_until_end(server.address)
+    def read_cpu_s(self) -> float:
+        """Return the CPU seconds that the process has used."""
+        self._process.send_signal(signal.SIGUSR1)
+        return float(self._read_line())
 
+    def stop(self) -> None:
+        """End the process."""
+        self._process.terminate()
+        self._process.wait()
 
-async def serve_until_end(address: str) -> None:
-    """Print an address, wait for SIGTERM and print the CPU seconds used since."""
-    before_s = read_cpu_s()
-    stopping = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
-    print(address, flush=True)
-    await stopping.wait()
-    print(read_cpu_s() - before_s, flush=True)
+    def _read_line(self) -> str:
+        assert self._process.stdout is not None
+        return self._process.stdout.readline().strip()
 
 
-def read_cpu_s() -> float:
-    """Return the CPU seconds that this process has used."""
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
+def find_quantile(durations_ms: list[float], share: float) -> float:
+    """Return a quantile in milliseconds."""
+    ordered = sorted(durations_ms)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
 
 
 async def exchange(connection: HttpConnection, path: str) -> float:
@@ -119,101 +128,148 @@
 async def call(
     pair: tuple[HttpConnection, HttpConnection], count: int
 ) -> tuple[list[float], list[float]]:
-    """Alternate between the two ways."""
+    """Alternate between a direct request and one through a path."""
     times: tuple[list[float], list[float]] = ([], [])
     for _ in range(count):
         times[0].append(await exchange(pair[0], "/x"))
-        times[1].append(await exchange(pair[1], "/services/bench/x"))
+        times[1].append(await exchange(pair[1], PATH))
     return times
 
 
-async def measure(
-    direct: str, through: str, concurrency: int, count: int
-) -> tuple[Samples, Samples]:
-    """Return the samples of both ways with several callers at once."""
+async def measure_round(
+    path: Child, pairs: list[tuple[HttpConnection, HttpConnection]], count: int
+) -> Round:
+    """Measure one path with one caller for each pair of connections."""
+    share = max(1, count // len(pairs))
+    before_s = path.read_cpu_s()
+    results = await asyncio.gather(*(call(pair, share) for pair in pairs))
+    used_s = path.read_cpu_s() - before_s
+    return Round(
+        direct_ms=[each for result in results for each in result[0]],
+        through_ms=[each for result in results for each in result[1]],
+        cpu_us=used_s * MICROSECONDS / (share * len(pairs)),
+    )
+
+
+async def connect_pairs(
+    direct: str, path: Child, concurrency: int
+) -> list[tuple[HttpConnection, HttpConnection]]:
+    """Open connections once the path answers, and warm it up."""
+    await wait_until_served(path.line)
     pairs = [
         (
             await connect(direct, max_body_bytes=MAX_BODY_BYTES),
-            await connect(through, max_body_bytes=MAX_BODY_BYTES),
+            await connect(path.line, max_body_bytes=MAX_BODY_BYTES),
         )
         for _ in range(concurrency)
     ]
-    for pair in pairs:
-        await call(pair, WARM_UP // concurrency)
-    results = await asyncio.gather(
-        *(call(pair, count // concurrency) for pair in pairs)
-    )
-    for pair in pairs:
-        for connection in pair:
-            connection.close()
-    samples = (Samples(), Samples())
-    for result in results:
-        for sample, times in zip(samples, result, strict=True):
-            sample.durations_ms += times
-    return samples
+    await asyncio.gather(*(call(pair, WARM_UP // concurrency) for pair in pairs))
+    return pairs
+
 
+async def wait_until_served(address: str) -> None:
+    """Wait until a path forwards requests; an instance first needs evidence."""
+    request = Request(method="GET", target=PATH, headers=(("host", "bench"),))
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            try:
+                answer = await fetch(address, request, timeout_ms=FETCH_TIMEOUT_MS)
+            except WireError:
+                continue
+            if answer.status == 200:
+                return
+            await asyncio.sleep(READY_POLL_S)
 
-def start(role: str, *arguments: str) -> tuple[str, subprocess.Popen[str]]:
-    """Start a process and return its address."""
-    command = [sys.executable, "-m", __spec__.name, f"--role={role}", *arguments]
-    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
-    address = _read_line(process)
-    if not address:
-        raise PlatformError(f"the process for {role} did not start")
-    return address, process
 
+async def measure(
+    paths: dict[str, tuple[str, Child]], concurrency: int, rounds: int, count: int
+) -> dict[str, list[Round]]:
+    """Return the rounds of every path, which take turns."""
+    pairs = {
+        name: await connect_pairs(direct, path, concurrency)
+        for name, (direct, path) in paths.items()
+    }
+    found: dict[str, list[Round]] = {name: [] for name in paths}
+    for _ in range(rounds):
+        for name, (_, path) in paths.items():
+            found[name].append(await measure_round(path, pairs[name], count))
+    for pair in (pair for each in pairs.values() for pair in each):
+        for connection in pair:
+            connection.close()
+    return found
 
-def stop(process: subprocess.Popen[str]) -> float:
-    """End a process and return the CPU seconds that it used."""
-    process.terminate()
-    used = float(_read_line(process))
-    process.wait()
-    return used
 
+def report(name: str, concurrency: int, rounds: list[Round]) -> str:
+    """Return one line with the medians over the rounds."""
+    line = f"{name:10} concurrency {concurrency:3}"
+    for label, share in (("p50", 0.5), ("p99", 0.99)):
+        direct_ms = statistics.median(
+            find_quantile(each.direct_ms, share) for each in rounds
+        )
+        added_ms = statistics.median(each.find_added(share) for each in rounds)
+        line += f"  {label} direct {direct_ms:.3f} added {added_ms:.3f} ms"
+    cpu_us = statistics.median(each.cpu_us for each in rounds)
+    return f"{line}  CPU {cpu_us:.0f} us per call"
 
-def _read_line(process: subprocess.Popen[str]) -> str:
-    assert process.stdout is not None
-    return process.stdout.readline().strip()
 
+def start_paths(folder: Path, started: list[Child]) -> dict[str, tuple[str, Child]]:
+    """Start each path and targets of its own; return both by name.
 
-def run(folder: Path, concurrency: int, count: int) -> None:
-    """Measure at one concurrency with fresh processes and print a line."""
-    direct, target = start("target")
-    arguments = (f"--target={direct}", f"--log={folder / 'log'}")
-    through, instance = start("instance", *arguments)
+    Instances that shared a platform would form a fleet.
+    """
+    given = flags.FLAGS
+    sources = {"before": given.before} if given.before else {}
+    found: dict[str, tuple[str, Child]] = {}
+    for name, source in {"thin": "", **sources, "composed": ""}.items():
+        started.append(Child("site", f"--services={given.services}"))
+        direct, platform = started[-1].line.split()
+        is_thin = name == "thin"
+        role, address = ("thin", direct) if is_thin else ("composed", platform)
+        arguments = (f"--address={address}", f"--log={folder / name}")
+        started.append(Child(role, *arguments, source=source))
+        found[name] = (direct, started[-1])
+    return found
+
+
+def run(folder: Path) -> None:
+    """Measure all paths at each concurrency and print a line for each."""
+    given = flags.FLAGS
+    started: list[Child] = []
     try:
-        samples = asyncio.run(measure(direct, through, concurrency, count))
+        paths = start_paths(folder, started)
+        print(f"load {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores", flush=True)
+        for concurrency in (1, 16):
+            found = asyncio.run(measure(paths, concurrency, given.rounds, given.count))
+            for name, rounds in found.items():
+                print(report(name, concurrency, rounds), flush=True)
+        print(f"load {os.getloadavg()[0]:.1f}, {given.rounds} rounds", flush=True)
     finally:
-        cpu_s = stop(instance)
-        stop(target)
-    calls = len(samples[1].durations_ms) + WARM_UP
-    line = f"concurrency {concurrency:3}  calls {calls:6}"
-    for name, share in (("p50", 0.5), ("p99", 0.99)):
-        before, after = (sample.quantile(share) for sample in samples)
-        line += (
-            f"  {name} direct {before:.3f} through {after:.3f}"
-            f" added {after - before:.3f} ms ratio {after / before:.2f}"
-        )
-    print(f"{line}  {calls / cpu_s:.0f} calls per second of CPU", flush=True)
+        for child in reversed(started):
+            child.stop()
 
 
 def main(_: list[str]) -> None:
     """Run a role, or start the others and measure."""
     given = flags.FLAGS
-    if given.role == "target":
-        asyncio.run(serve_target())
+    if given.role == "site":
+        asyncio.run(serve_site(given.services))
         return
-    if given.role == "instance":
-        asyncio.run(serve_instance(given.target, Path(given.log)))
+    if given.role == "thin":
+        asyncio.run(serve_thin(given.address, Path(given.log)))
+        return
+    if given.role == "composed":
+        asyncio.run(serve_composed(given.address, Path(given.log)))
         return
     with tempfile.TemporaryDirectory(prefix="currantline-added-") as name:
-        for concurrency in (1, 16):
-            run(Path(name), concurrency, given.count)
+        run(Path(name))
 
 
 if __name__ == "__main__":
     flags.DEFINE_string("role", "", "Role of a child process.")
-    flags.DEFINE_string("target", "", "Address of the target.")
+    flags.DEFINE_string("address", "", "Address of the target or the platform.")
     flags.DEFINE_string("log", "", "File for log records of the instance.")
-    flags.DEFINE_integer("count", 5000, "Calls for each way and concurrency.")
+    flags.DEFINE_string("before", "", "Source folder of a version to compare with.")
+    flags.DEFINE_integer("services", 4, "Services configured.")
+    flags.DEFINE_integer("rounds", 15, "Rounds of each path and concurrency.")
+    flags.DEFINE_integer("count", 400, "Calls of each way in one round.")
     app.run(main)
