Look for new drains only after a drain began or ended

LimitKeeper reported to the composition root after every attempt, which listed the notices of all targets to find new drains. The book now counts the changes of the drains that the instance observed itself, and the notices are listed only when the count moved. Changes from the published list, a configuration or a reset always count, so a drain that a probe or the list told is passed on at the next attempt as before. Looking only at the target of the attempt was ruled out, because these drains would then wait for gossip.

The cost that is gone grew with the number of targets.

--- a/src/currantline/bench/added.py
+++ b/src/currantline/bench/added.py
@@ -238,7 +238,7 @@
     try:
         paths = start_paths(folder, started)
         print(f"load {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores", flush=True)
-        for concurrency in (1, 16):
+        for concurrency in map(int, given.concurrency):
             found = asyncio.run(measure(paths, concurrency, given.rounds, given.count))
             for name, rounds in found.items():
                 print(report(name, concurrency, rounds), flush=True)
@@ -270,6 +270,7 @@
     flags.DEFINE_string("log", "", "File for log records of the instance.")
     flags.DEFINE_string("before", "", "Source folder of a version to compare with.")
     flags.DEFINE_integer("services", 4, "Services configured.")
+    flags.DEFINE_list("concurrency", "1,16", "Callers at once.")
     flags.DEFINE_integer("rounds", 15, "Rounds of each path and concurrency.")
     flags.DEFINE_integer("count", 400, "Calls of each way in one round.")
     app.run(main)
--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -205,6 +205,7 @@
     def _build_load(self) -> None:
         self.book = TargetBook(self._rng)
         self._notices = NoticeSchedule()
+        self._told_changes = 0
         self.budget = ProbeBudget(EMPTY.max_instances)
         self._plan = OwnedTargets(
             self._settings.name, self._owners, self._membership.holds_lease
@@ -355,6 +356,11 @@
         self._limits.refresh()
 
     def _tell_drains(self) -> None:
+        # Runs after every attempt, and the notices of all targets cost more than
+        # the rest of it.
+        if self.book.drain_changes == self._told_changes:
+            return
+        self._told_changes = self.book.drain_changes
         drains = self._notices.take_drains(self.book.notices(self._clock.read()))
         if not drains:
             return
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -92,9 +92,16 @@
         Source of the jitter of the circuit breakers.
     options : LoadOptions, optional
         Options of the slice.
+
+    Attributes
+    ----------
+    drain_changes : int
+        Rises whenever the drains that this instance observed itself may have
+        changed. Reading it costs nothing; `notices` looks at every target.
     """
 
     def __init__(self, rng: random.Random, options: LoadOptions | None = None) -> None:
+        self.drain_changes = 0
         self._rng = rng
         self._options = options or LoadOptions()
         self._entries: dict[str, Entry] = {}
@@ -114,6 +121,7 @@
                 entries[target.name] = entry
                 pool.append(entry)
         self._entries = entries
+        self.drain_changes += 1
 
     def set_listed(
         self, *, live: Iterable[str], leaving: Iterable[str], now: float
@@ -131,6 +139,7 @@
         now : float
             Time of reading, in milliseconds of the clock.
         """
+        self.drain_changes += 1
         for name in live:
             if (entry := self._entries.get(name)) is not None:
                 entry.evidence.list_as(is_leaving=False)
@@ -247,6 +256,7 @@
 
     def reset(self) -> None:
         """Discard all evidence that allows new work, as after a pause."""
+        self.drain_changes += 1
         for entry in self._entries.values():
             entry.evidence.discard_alive()
             entry.own.discard_alive()
@@ -262,7 +272,9 @@
     def _hear(self, entry: Entry, report: LoadReport, sent: float, now: float) -> None:
         if sent >= entry.heard:
             entry.report = report
+        was_draining = entry.own.is_draining
         entry.own.add(report.state, sent=sent, received=now)
+        self.drain_changes += entry.own.is_draining is not was_draining
         self._take(entry, report.state, sent=sent, received=now)
 
     def _take(
--- a/src/currantline/load/tests/test_book.py
+++ b/src/currantline/load/tests/test_book.py
@@ -1,6 +1,7 @@
 """Tests of what is believed of targets."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 import pytest
@@ -351,3 +352,43 @@
 
 class TestDrainMachine(DrainMachine.TestCase):  # type: ignore[misc, valid-type]
     """Guarantee 5 under late, reordered and repeated news."""
+
+
+class TestDrainChanges:
+    """When the drains that an instance observed itself are looked at again."""
+
+    def test_every_begin_and_end_of_a_drain_counts(self) -> None:
+        """A second drain of a target would not be told to peers at once."""
+        book = make_book()
+        counts = []
+        for sent, state in enumerate(("ready", "draining", "ready", "draining")):
+            book.observe("t0", make_observation(sent=sent, state=state), sent)
+            counts.append(book.drain_changes)
+        assert counts == [counts[0] + number for number in range(4)]
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            lambda book: book.set_listed(live=[], leaving=["t1"], now=2.0),
+            lambda book: book.set_listed(live=["t0"], leaving=[], now=2.0),
+            lambda book: book.set_services([make_service(1)]),
+            lambda book: book.reset(),
+        ],
+    )
+    def test_a_change_without_an_attempt_counts(
+        self, change: Callable[[TargetBook], None]
+    ) -> None:
+        """A drain known from the list alone would not be told to peers."""
+        book = make_book()
+        book.set_listed(live=[], leaving=["t0"], now=1.0)
+        before = book.drain_changes
+        change(book)
+        assert book.drain_changes > before
+
+    def test_answers_without_a_drain_do_not_count(self) -> None:
+        """Each attempt would list the notices of all targets."""
+        book = make_book()
+        before = book.drain_changes
+        for sent, state in enumerate(("starting", "ready", "ready")):
+            book.observe("t0", make_observation(sent=sent, state=state), sent)
+        assert book.drain_changes == before
