Measure state, memory and processor time by size

Cause: the size to design for is 1,300 services, 6,700 targets and 1.3 million calls/s, and no command told what an instance costs there.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: test lint demo faults measure clean
+.PHONY: test lint demo faults measure capacity clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,5 +28,9 @@
 measure: $(STAMP)
 	$(BIN)/python -m currantline.bench.measure
 
+capacity: $(STAMP)
+	$(BIN)/python -m currantline.bench.capacity
+	$(BIN)/python -m currantline.bench.added
+
 clean:
 	rm -rf $(VENV)
