--- a/src/currantline/bench/_capacity_cores.py
+++ b/src/currantline/bench/_capacity_cores.py
@@ -213,7 +213,7 @@
     instance = _make_instance(clock)
     _take(instance, configuration)
     instance._owners.update(configuration.services, [NAME])
-    instance._plan.update(configuration)
+    instance._plan.update(configuration, 0)
     names = itertools.cycle(
         [t.name for s in configuration.services.values() for t in s.targets]
     )
