Escape what cannot be printed, and test made-up input

Input made up by Hypothesis for HTTP of callers and targets, load headers, files, the published list, records and peers' messages found one fault: a file with the key "\ud800" ended `currantline check` with a UnicodeEncodeError, since messages repeat keys as they are. The same way a line break in a key made two lines, and an author in a published record could forge lines of `audit` or send escape sequences to the terminal. Messages and table cells are now escaped; JSON output escapes already.

--- a/src/currantline/cli/_program.py
+++ b/src/currantline/cli/_program.py
@@ -10,6 +10,7 @@
 from currantline.cli._command import Command, ExitCode, Invocation, Report
 from currantline.cli._commands import COMMANDS
 from currantline.exceptions import CommandError
+from currantline.lines import escape_line
 
 __all__ = ["main", "run"]
 
@@ -52,7 +53,7 @@
     else:
         print(render_report(report))
     if report.message:
-        print(f"{PROGRAM} {name}: {report.message}", file=sys.stderr)
+        print(f"{PROGRAM} {name}: {escape_line(report.message)}", file=sys.stderr)
     return report.code
 
 
@@ -79,7 +80,9 @@
     a      2
     bcdef  1
     """
-    found = [{key: str(value) for key, value in row.items()} for row in rows]
+    found = [
+        {key: escape_line(str(value)) for key, value in row.items()} for row in rows
+    ]
     if not found:
         return "nothing to show"
     headings = {key: key.upper() for key in found[0]}
@@ -180,5 +183,5 @@
         document = {"result": result.name.lower(), "message": error.message}
         print(json.dumps(document, indent=2))
     program = f"{PROGRAM} {name}" if name in COMMANDS else PROGRAM
-    print(f"{program}: {error.message}", file=sys.stderr)
+    print(f"{program}: {escape_line(error.message)}", file=sys.stderr)
     return result
--- a/src/currantline/cli/tests/test_instances.py
+++ b/src/currantline/cli/tests/test_instances.py
@@ -212,6 +212,14 @@
         assert second["when"] == "2023-11-14T22:13:20.000Z"
         assert document["trails"][0]["missing"] == 4
 
+    def test_odd_author(self, capsys: pytest.CaptureFixture[str]) -> None:
+        """Guards against a published author who forges lines of the trail."""
+        event = {**EVENT, "author": "ann\nPATCH\x1b[2J\ud800"}
+        answers = [{"/health": {"instance": "i1"}, "/audit": {"events": [event]}}]
+        assert asyncio.run(run(answers, "audit")) == 0
+        printed = capsys.readouterr().out
+        assert r"ann\nPATCH\x1b[2J\ud800" in printed
+
     @pytest.mark.parametrize("event", [{"when_ms": "x"}, {"sequence": True}])
     def test_wrong_event(
         self, event: dict[str, Any], capsys: pytest.CaptureFixture[str]
--- a/src/currantline/daemon.py
+++ b/src/currantline/daemon.py
@@ -17,6 +17,7 @@
 from currantline.clock import MonotonicClock
 from currantline.compose import Instance
 from currantline.exceptions import AddressInUseError, SettingsError
+from currantline.lines import escape_line
 from currantline.settings import Settings, read_settings
 
 __all__ = ["main", "run", "serve"]
@@ -161,7 +162,7 @@
 
 
 def _print_failure(reason: str) -> int:
-    print(f"{PROGRAM}: {reason}", file=sys.stderr)
+    print(f"{PROGRAM}: {escape_line(reason)}", file=sys.stderr)
     return EXIT_USAGE
 
 
--- a/src/currantline/tests/test_daemon.py
+++ b/src/currantline/tests/test_daemon.py
@@ -80,6 +80,7 @@
         ("changes", "key"),
         [
             ({"name": 3}, "name"),
+            ({"a\nb": 3}, r"a\nb"),
             ({"log_path": "/none/folder/log"}, "log_path"),
             ({"log_path": "/"}, "log_path"),
             ({"log_path": "a\0b"}, "log_path"),
--- /dev/null
+++ b/src/currantline/tests/test_malformed.py
@@ -0,0 +1,265 @@
+"""Tests with made-up input of callers, files, the platform and peers."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import h11
+import pytest
+import yaml
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from currantline.cli import main
+from currantline.configuration import parse_configuration, read_record
+from currantline.exceptions import (
+    ConfigurationError,
+    PlatformError,
+    RecordError,
+    SettingsError,
+    WireError,
+)
+from currantline.load import parse_load
+from currantline.membership import parse_list
+from currantline.peer import (
+    LimitedCodec,
+    decode_envelope,
+    decode_gossip,
+    decode_records,
+)
+from currantline.peer._generated import peer_pb2 as pb
+from currantline.settings import read_settings
+from currantline.wire import HttpConnection, Request
+
+CONFIGURATION = """
+version: 1
+services:
+  ordering:
+    routes: [{name: order, method: POST, path_prefix: /orders}]
+    targets: [{name: a, address: "127.0.0.1:7000", data_centre: north, slots: 2}]
+"""
+BOUNDED = settings(derandomize=True, max_examples=150, deadline=None)
+MAX_BODY_BYTES = 1000
+REQUEST = Request(method="GET", target="/", headers=(("host", "a"),))
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=8)
+)
+JSON = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+HTTP_PARTS = st.sampled_from(
+    [
+        b"GET / HTTP/1.1\r\n",
+        b"POST /a HTTP/1.1\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 100 Continue\r\n",
+        b"HTTP/1.1 204 No Content\r\n",
+        b"host: a\r\n",
+        b"content-length: 3\r\n",
+        b"content-length: 4\r\n",
+        b"content-length: -1\r\n",
+        b"content-length: 99999999999999999999\r\n",
+        b"transfer-encoding: chunked\r\n",
+        b"expect: 100-continue\r\n",
+        b"connection: close\r\n",
+        b"\r\n",
+        b"\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"ffffffffffffffff\r\n",
+        b"abc",
+        b"\x00",
+        b" : \r\n",
+    ]
+)
+HTTP_BYTES = st.lists(HTTP_PARTS | st.binary(max_size=12), max_size=10)
+
+
+class Sink(asyncio.Transport):
+    """A transport that takes all bytes and carries none."""
+
+    def write(self, data: Any) -> None:
+        """Drop the bytes."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0, since bytes leave at once."""
+        return 0
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return an address where one is asked for."""
+        return ("127.0.0.1", 1) if name == "peername" else default
+
+    def is_closing(self) -> bool:
+        """Return False: it stays open."""
+        return False
+
+    def pause_reading(self) -> None:
+        """Do nothing: no bytes come on their own."""
+
+    def resume_reading(self) -> None:
+        """Do nothing: no bytes come on their own."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+
+async def read_parts(role: Any, parts: list[bytes]) -> list[Any]:
+    """Return the messages in bytes that arrive in parts and then end."""
+    connection = HttpConnection(role, max_body_bytes=MAX_BODY_BYTES)
+    connection.connection_made(Sink())
+    if role is h11.CLIENT:
+        connection.write_request(REQUEST)
+    for part in parts:
+        connection.data_received(part)
+    connection.eof_received()
+    connection.connection_lost(None)
+    found: list[Any] = []
+    with contextlib.suppress(WireError):
+        if role is h11.CLIENT:
+            found.append(await connection.read_answer())
+        elif (request := await connection.read_request()) is not None:
+            found.append(request)
+    return found
+
+
+class TestHttp:
+    """HTTP of callers and targets."""
+
+    @pytest.mark.parametrize("role", [h11.SERVER, h11.CLIENT])
+    def test_any_bytes(self, role: Any) -> None:
+        """Guards against bytes that end a connection's task with a foreign error."""
+
+        @BOUNDED
+        @given(parts=HTTP_BYTES)
+        def check(parts: list[bytes]) -> None:
+            for message in asyncio.run(read_parts(role, parts)):
+                assert len(message.body) <= MAX_BODY_BYTES
+
+        check()
+
+    @BOUNDED
+    @given(value=st.none() | st.text(max_size=60))
+    def test_any_load(self, value: str | None) -> None:
+        """Guards against a load header that fails the request that carried it."""
+        report = parse_load(value)
+        assert report is None or report.slots >= 0
+
+
+class TestFiles:
+    """Files that operators write."""
+
+    @BOUNDED
+    @given(data=st.data())
+    def test_any_configuration(self, data: st.DataObject) -> None:
+        """Guards against a configuration that fails without naming its fault."""
+        document = yaml.safe_load(CONFIGURATION)
+        place, keys = document, ["version", "max_instances", "services"]
+        if data.draw(st.booleans()):
+            place = document["services"]["ordering"]
+            keys = [*place, "queue_limit", "retry_ratio"]
+        if data.draw(st.booleans()):
+            place = document["services"]["ordering"]["targets"][0]
+            keys = list(place)
+        place[data.draw(st.sampled_from(keys))] = data.draw(JSON)
+        with contextlib.suppress(ConfigurationError):
+            parse_configuration(yaml.safe_dump(document), source="a")
+
+    @pytest.mark.parametrize("read", [read_settings, parse_configuration])
+    def test_any_text(self, read: Callable[..., Any], tmp_path: Path) -> None:
+        """Guards against a stack trace over a file that is not YAML."""
+        path = tmp_path / "a.yaml"
+
+        @BOUNDED
+        @given(text=st.text(max_size=30))
+        def check(text: str) -> None:
+            path.write_text(text, encoding="utf-8", newline="")
+            with contextlib.suppress(SettingsError, ConfigurationError):
+                if read is read_settings:
+                    read(str(path))
+                else:
+                    read(text, source="a")
+
+        check()
+
+    def test_any_file(self, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+        """Guards against a file that ends the tool with a stack trace."""
+        path = tmp_path / "a"
+
+        @BOUNDED
+        @given(content=st.binary(max_size=30) | JSON.map(json.dumps).map(str.encode))
+        def check(content: bytes) -> None:
+            path.write_bytes(content)
+            for words in (["check", str(path)], ["explain", "r", str(path)]):
+                assert main(["currantline", *words]) in (0, 3, 8)
+                assert capsys.readouterr().err.count("\n") <= 1
+
+        check()
+
+
+class TestPlatform:
+    """Answers of the platform."""
+
+    @BOUNDED
+    @given(value=JSON | st.lists(JSON).map(lambda entries: {"entries": entries}))
+    def test_any_list(self, value: Any) -> None:
+        """Guards against a published list that ends its reader."""
+        with contextlib.suppress(PlatformError):
+            parse_list(json.dumps(value).encode())
+
+    @BOUNDED
+    @given(value=JSON)
+    def test_any_record(self, value: Any) -> None:
+        """Guards against a record that ends the reader of the log."""
+        with contextlib.suppress(RecordError):
+            read_record(value)
+
+
+class TestPeers:
+    """Messages of other instances."""
+
+    @pytest.mark.parametrize(
+        ("kind", "decode"),
+        [
+            (pb.Gossip, decode_gossip),
+            (pb.Envelope, decode_envelope),
+            (pb.Records, decode_records),
+        ],
+    )
+    def test_any_message(self, kind: Any, decode: Callable[[Any], Any]) -> None:
+        """Guards against a message that ends a peer's task with a foreign error."""
+        sizes = st.integers(0, 40)
+        field = st.builds(
+            _encode_field, st.integers(1, 9), sizes, st.binary(max_size=9)
+        )
+        data = st.binary(max_size=30) | st.lists(field, max_size=5).map(b"".join)
+
+        @BOUNDED
+        @given(content=data)
+        def check(content: bytes) -> None:
+            with contextlib.suppress(WireError):
+                decode(LimitedCodec().decode(content, kind))
+
+        check()
+
+
+def _encode_field(number: int, value: int, content: bytes) -> bytes:
+    """Return a field of a protobuf message, a number or a string."""
+    if value % 2:
+        return bytes([number << 3, value])
+    return bytes([(number << 3) | 2, len(content)]) + content
