--- a/src/currantline/control/_handler.py
+++ b/src/currantline/control/_handler.py
@@ -7,7 +7,7 @@
 from currantline.clock import Clock
 from currantline.configuration import History, encode_record
 from currantline.dispatch import Message
-from currantline.load import TargetBook
+from currantline.load import AskedTargets, TargetBook, TargetNotice
 from currantline.membership import Gossip, MembershipTask
 from currantline.peer import Envelope, RecordMessage
 
@@ -25,7 +25,9 @@
     history : History
         Has configuration records.
     book : TargetBook
-        Takes target notices.
+        Takes and gives target notices.
+    asked : AskedTargets
+        Notes the targets that evidence is asked for.
     receive : callable
         Takes the sender and a slot message.
     clock : Clock
@@ -35,6 +37,7 @@
     membership: MembershipTask
     history: History
     book: TargetBook
+    asked: AskedTargets
     receive: Callable[[str, Message], None]
     clock: Clock
 
@@ -49,10 +52,13 @@
             for record in self.history.records_after(after)
         )
 
-    def take_envelope(self, envelope: Envelope) -> None:
-        """Take over a batch of messages."""
+    def take_envelope(self, envelope: Envelope) -> tuple[TargetNotice, ...]:
+        """Take over a batch of messages and return evidence that it asks for."""
         now = self.clock.read()
         for notice in envelope.notices:
             self.book.merge_notice(notice, now)
         for message in envelope.messages:
             self.receive(envelope.sender, message)
+        if envelope.asked:
+            self.asked.add(envelope.asked, now)
+        return self.book.answer(envelope.asked, now)
--- a/src/currantline/load/__init__.py
+++ b/src/currantline/load/__init__.py
@@ -3,6 +3,8 @@
 from typing import TYPE_CHECKING
 
 from currantline.lazy import import_lazily
+from currantline.load._asked import AskedTargets
+from currantline.load._asking import Asking
 from currantline.load._book import TargetBelief, TargetBook
 from currantline.load._budget import ProbeBudget, count_share_holders
 from currantline.load._notices import NoticeSchedule, TargetNotice
@@ -14,11 +16,14 @@
     parse_load,
 )
 from currantline.load._options import LoadOptions
+from currantline.load._share import ShareRights
 
 if TYPE_CHECKING:
     from currantline.load._prober import ProbeFetch, ProbePlan, Prober, fetch_health
 
 __all__ = [
+    "AskedTargets",
+    "Asking",
     "LoadOptions",
     "LoadReport",
     "NoticeSchedule",
@@ -27,6 +32,7 @@
     "ProbeFetch",
     "ProbePlan",
     "Prober",
+    "ShareRights",
     "Signal",
     "TargetBelief",
     "TargetBook",
