Let explain place one-record requests by their start

Requests are logged today as an eliot action with a beginning and an end. Such a record was placed at its end and shown without a duration; both forms are read now.

--- a/src/currantline/cli/_explain.py
+++ b/src/currantline/cli/_explain.py
@@ -26,7 +26,7 @@
 standard input. One request id shows up more than once if the caller tried again
 at another instance. An outcome of `abandoned` says that the caller closed its
 connection, `no end` that the instance ended, or that the log ends, before the
-request did."""
+request did. Requests that no service can take are not logged."""
 
 
 @attrs.define(kw_only=True)
@@ -94,9 +94,7 @@
         if "action_status" in record:
             _add_action(steps, record)
         else:
-            kind = str(record.get("message_type", "-"))
-            step = Step(kind=kind, started=_read_time(record), fields=record)
-            steps[(str(number),)] = step
+            steps[(str(number),)] = _read_message(record)
     return sorted(steps.values(), key=lambda step: step.started)
 
 
@@ -188,6 +186,16 @@
     return record if is_record else None
 
 
+def _read_message(record: dict[str, Any]) -> Step:
+    kind = str(record.get("message_type", "-"))
+    when, duration_ms = _read_time(record), record.get("duration_ms")
+    if isinstance(duration_ms, int | float) and duration_ms >= 0:
+        # A record that states a duration is written at the end.
+        started = when - duration_ms / MS_PER_SECOND
+        return Step(kind=kind, started=started, ended=when, fields=record)
+    return Step(kind=kind, started=when, fields=record)
+
+
 def _add_action(steps: dict[tuple[str, ...], Step], record: dict[str, Any]) -> None:
     level = record.get("task_level")
     parents = level[:-1] if isinstance(level, list) else []
--- a/src/currantline/cli/tests/test_instances.py
+++ b/src/currantline/cli/tests/test_instances.py
@@ -288,6 +288,20 @@
         assert [step["duration_ms"] for step in steps] == [8.0, 8.0, None]
         assert steps[1]["target"] == "t0"
 
+    def test_one_record(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """Guards against a record written at the end that is placed as a start."""
+        path = tmp_path / "a.log"
+        late = {"task_uuid": "a", "timestamp": 5.0, "instance": "i1"}
+        late |= {"message_type": "currantline:request", "duration_ms": 4000.0}
+        early = {"task_uuid": "b", "timestamp": 2.0, "instance": "i2"}
+        records = [{**record, "request_id": "r1"} for record in (early, late)]
+        path.write_text("\n".join(map(json.dumps, records)))
+        steps = self.explain([str(path)], capsys)
+        found = [(step["instance"], step["duration_ms"]) for step in steps]
+        assert found == [("i1", 4000.0), ("i2", None)]
+
     def test_standard_input(
         self, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
     ) -> None:
