Return loans that answer a report of demand of 500 ms ago

Cause: a Lend that sat in a buffer during a pause or a cut let the borrower start work on a target long after the owner knew it to be free and not draining. Neither the message nor its lease says how old it is.

Evidence of a target may be 2,500 ms old at the owner, and new work must end 3,000 ms after the target starts to leave. Numbers start at random, so that loans to a former life of an instance are not taken. A pause forgets all reports.

Ruled out: a time of sending in Lend, because instances share no clock.

--- a/src/currantline/dispatch/_ledger.py
+++ b/src/currantline/dispatch/_ledger.py
@@ -63,6 +63,8 @@
     lease_ms: float
     granted: float
     renewed: float
+    # No request starts on the slot from this time on.
+    usable_until: float
     request_id: str | None = None
 
     @property
@@ -76,7 +78,8 @@
         Renewals serve the request that runs. The slot goes back after the first
         lease, so that it is given out anew by need.
         """
-        return self.request_id is None and now < self.granted + self.lease_ms
+        until = min(self.granted + self.lease_ms, self.usable_until)
+        return self.request_id is None and now < until
 
 
 @attrs.define
--- a/src/currantline/dispatch/_lender.py
+++ b/src/currantline/dispatch/_lender.py
@@ -96,7 +96,7 @@
             expires=now + self.options.lease_ms,
         )
         self.ledger.lend(lent)
-        self.demands.count_loan(borrower, is_short=is_short, now=now)
+        number = self.demands.count_loan(borrower, is_short=is_short, now=now)
         self.lent += 1
         message = Lend(
             loan_id=lent.loan_id,
@@ -104,5 +104,6 @@
             target=target,
             lease_ms=self.options.lease_ms,
             allow_long=allow_long,
+            number=number,
         )
         return Send(borrower, message)
--- a/src/currantline/dispatch/_lending.py
+++ b/src/currantline/dispatch/_lending.py
@@ -1,5 +1,6 @@
 """Who waits for slots elsewhere, and whom to ask for one."""
 
+import itertools
 import random
 
 import attrs
@@ -8,7 +9,11 @@
 from currantline.dispatch._messages import Demand
 from currantline.dispatch._options import DispatchOptions
 
-__all__ = ["DemandReports", "PeerDemands"]
+__all__ = ["DemandReports", "PeerDemands", "SentDemands"]
+
+
+# Numbers of this size take four bytes in a message.
+NUMBER_BITS = 24
 
 
 @attrs.define
@@ -21,6 +26,7 @@
     short_since: float
     other_since: float
     received: float
+    number: int
 
     def lend_short(self, now: float) -> None:
         # The ages of the younger requests are unknown; an even spacing is assumed.
@@ -56,6 +62,7 @@
             short_since=now - demand.oldest_short_ms,
             other_since=now - demand.oldest_long_ms,
             received=now,
+            number=demand.number,
         )
 
     def forget(self) -> None:
@@ -90,13 +97,72 @@
         waits = [(n.other_since, name) for name, n in self._needs.items() if n.other]
         return min(waits) if waits else None
 
-    def count_loan(self, instance: str, *, is_short: bool, now: float) -> None:
-        """Subtract one loan from what an instance waits for."""
+    def count_loan(self, instance: str, *, is_short: bool, now: float) -> int:
+        """Subtract one loan from what an instance waits for.
+
+        Returns
+        -------
+        int
+            Number of the report that the loan answers.
+        """
         need = self._needs[instance]
         if is_short:
             need.lend_short(now)
         else:
             need.lend_other(now)
+        return need.number
+
+
+class SentDemands:
+    """When the reports of this instance were sent.
+
+    A loan may sit in a buffer while a process is paused or a path is cut, and
+    says nothing of its age. The report that it answers bounds the age.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the first number. A random one keeps loans that answer reports of
+        a former life apart.
+    age_ms : float
+        Time after which a report is forgotten.
+    """
+
+    def __init__(self, rng: random.Random, age_ms: float) -> None:
+        self._numbers = itertools.count(1 + rng.getrandbits(NUMBER_BITS))
+        self._age_ms = age_ms
+        self._sent: dict[int, float] = {}
+
+    def add(self, now: float) -> int:
+        """Return the number of a report that is sent now."""
+        self._expire(now)
+        number = next(self._numbers)
+        self._sent[number] = now
+        return number
+
+    def find_end(self, number: int, now: float) -> float | None:
+        """Return until when loans that answer a report may be used.
+
+        Returns
+        -------
+        float or None
+            Time in ms; None if the time is over or the report is unknown.
+        """
+        self._expire(now)
+        sent = self._sent.get(number)
+        return None if sent is None else sent + self._age_ms
+
+    def forget(self) -> None:
+        """Drop all reports, so that no loan that answers them is used."""
+        self._sent.clear()
+
+    def _expire(self, now: float) -> None:
+        # Reports are kept in the order in which they were sent.
+        while self._sent:
+            number, sent = next(iter(self._sent.items()))
+            if now < sent + self._age_ms:
+                return
+            del self._sent[number]
 
 
 @attrs.define
--- a/src/currantline/dispatch/_loans.py
+++ b/src/currantline/dispatch/_loans.py
@@ -31,7 +31,7 @@
         """Return whether a loan is still held."""
         return loan is not None and (loan.owner, loan.loan_id) in self._loans
 
-    def add(self, owner: str, lend: Lend, now: float) -> None:
+    def add(self, owner: str, lend: Lend, now: float, usable_until: float) -> None:
         """Take over a loan, idle."""
         loan = Borrowed(
             owner=owner,
@@ -41,6 +41,7 @@
             lease_ms=lend.lease_ms,
             granted=now,
             renewed=now,
+            usable_until=usable_until,
         )
         self._loans[owner, lend.loan_id] = loan
         self._idle.append(loan)
--- a/src/currantline/dispatch/_messages.py
+++ b/src/currantline/dispatch/_messages.py
@@ -34,6 +34,8 @@
         How long the oldest other request has waited.
     free_slots : int
         Free slots of targets that the sender owns.
+    number : int
+        Number of the report, rising for the sender.
     """
 
     service: str
@@ -42,6 +44,7 @@
     oldest_short_ms: float
     oldest_long_ms: float
     free_slots: int
+    number: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +63,8 @@
         Time from receipt after which the slot may not be used without a renewal.
     allow_long : bool
         Whether long work may run on the slot.
+    number : int
+        Number of the report that the loan answers.
     """
 
     loan_id: int
@@ -67,6 +72,7 @@
     target: str
     lease_ms: float
     allow_long: bool = False
+    number: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/currantline/dispatch/_options.py
+++ b/src/currantline/dispatch/_options.py
@@ -25,6 +25,10 @@
         A slot is lent rather than used if the borrower's short work has waited
         longer than the owner's by this much. A loan leaves the slot idle for a
         round trip, so small differences are not worth one.
+    loan_age_ms : float
+        Time from a report of demand within which a loan that answers it may be
+        used. Evidence that a target is not draining may be 2,500 ms old at its
+        owner, and new work must end 3,000 ms after a target starts to leave.
     owner_patience_ms : float
         Wait without word from an owner after which the local choice is used.
     fairness_interval : int
@@ -40,6 +44,7 @@
     demand_expiry_ms: float = 60.0
     ask_all_ms: float = 4.0
     lend_margin_ms: float = 10.0
+    loan_age_ms: float = 500.0
     owner_patience_ms: float = 50.0
     fairness_interval: int = 64
     long_factor: float = 8.0
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -16,7 +16,7 @@
 from currantline.directory import Ownership
 from currantline.dispatch._ledger import Borrowed, Lent, Running, SlotLedger
 from currantline.dispatch._lender import Lender
-from currantline.dispatch._lending import DemandReports
+from currantline.dispatch._lending import DemandReports, SentDemands
 from currantline.dispatch._loans import BorrowedLoans, UsageReports
 from currantline.dispatch._messages import (
     Demand,
@@ -91,6 +91,7 @@
             next_loan=next_loan,
         )
         self._reports = DemandReports(options, rng)
+        self._sent_demands = SentDemands(rng, options.loan_age_ms)
         self._usage = UsageReports(service.name, options.lease_ms / 3)
         self._ownership = Ownership(owners=(), targets={})
         self._owners: list[str] = []
@@ -162,9 +163,11 @@
         if sender in self._owners:
             self._heard = now
         self._reports.note_loan(sender)
-        if self._ownership.targets.get(lend.target) != sender:
+        usable_until = self._sent_demands.find_end(lend.number, now)
+        is_owned = self._ownership.targets.get(lend.target) == sender
+        if usable_until is None or not is_owned:
             return [self.loans.decline(sender, lend, now)]
-        self.loans.add(sender, lend, now)
+        self.loans.add(sender, lend, now, usable_until)
         self.counts.borrowed += 1
         return self.advance(now)
 
@@ -193,6 +196,7 @@
         effects: list[Effect] = [*self.loans.drop(now)]
         self.lender.demands.forget()
         self._reports.forget()
+        self._sent_demands.forget()
         self._heard = now
         return effects + self.advance(now)
 
@@ -361,6 +365,7 @@
             oldest_short_ms=waiting.oldest_short_ms,
             oldest_long_ms=waiting.oldest_long_ms,
             free_slots=self.ledger.count_free(),
+            number=self._sent_demands.add(now),
         )
         return Send(instance, message)
 
--- a/src/currantline/dispatch/tests/support.py
+++ b/src/currantline/dispatch/tests/support.py
@@ -23,6 +23,7 @@
 SERVICE = Service(name="s", targets=TARGETS, slots_per_owner=4, queue_limit=20)
 OWNED_BY_A = Ownership(owners=("a",), targets={t.name: "a" for t in TARGETS})
 LEASE_MS = DispatchOptions().lease_ms
+LOAN_AGE_MS = DispatchOptions().loan_age_ms
 
 
 def make_work(
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from currantline.dispatch import Demand, Lend, Refuse, Return, Send, Start, Usage
 from currantline.dispatch.tests.support import (
     LEASE_MS,
+    LOAN_AGE_MS,
     TARGETS,
     make_dispatcher,
     make_work,
@@ -48,6 +49,21 @@
         assert starts(effects) == []
         assert Send("a", Return(loan_id=lend.loan_id)) in effects
 
+    @pytest.mark.parametrize("delay_ms", [499.0, 500.0])
+    def test_late_loan(self, delay_ms: float) -> None:
+        """Guards against new work on a target that its owner knew long ago."""
+        owner, other = make_dispatcher("a"), make_dispatcher("b")
+        demand = messages(other.submit(make_work("1", 0.0), 0.0))[0]
+        lend = messages(owner.receive("b", demand, 1.0))[0]
+        other.cancel("1", 1.0)
+        other.submit(make_work("2", delay_ms), delay_ms)
+        is_late = delay_ms >= LOAN_AGE_MS
+        effects = other.receive("a", lend, delay_ms)
+        assert starts(effects) == ([] if is_late else ["2"])
+        ended = other.finish("2", AttemptResult.ANSWERED, 500.0) if not is_late else []
+        other.submit(make_work("3", 500.0), 500.0)
+        assert starts(ended + other.tick(500.0)) == []
+
     def test_lost_return(self) -> None:
         """Guards against a slot that stays idle after a message was lost."""
         owner = make_dispatcher("a")
--- a/src/currantline/dispatch/tests/test_fleet.py
+++ b/src/currantline/dispatch/tests/test_fleet.py
@@ -13,9 +13,10 @@
 
 from currantline.configuration import Priority, Target
 from currantline.directory import assign_owners
-from currantline.dispatch import Effect, Message, Send, Start
+from currantline.dispatch import Demand, Effect, Lend, Message, Return, Send, Start
 from currantline.dispatch.tests.support import (
     LEASE_MS,
+    LOAN_AGE_MS,
     NAMES,
     SERVICE,
     SLOTS,
@@ -38,6 +39,8 @@
             name: make_dispatcher(name, assign_owners(SERVICE, NAMES)) for name in NAMES
         }
         self.mail: list[tuple[str, str, Message]] = []
+        self.asked: dict[tuple[str, int], float] = {}
+        self.lent: set[tuple[str, int]] = set()
         self.deadlines: dict[str, float] = {}
         self.waiting: dict[str, str] = {}
         self.running: dict[str, str] = {}
@@ -47,6 +50,8 @@
         for effect in effects:
             if isinstance(effect, Send):
                 assert effect.instance != name
+                if isinstance(effect.message, Demand):
+                    self.asked[name, effect.message.number] = self.now
                 self.mail.append((name, effect.instance, effect.message))
                 continue
             assert self.waiting.pop(effect.request_id) == name
@@ -103,10 +108,22 @@
             del self.mail[index]
         if fate != "lost":
             effects = self.fleet[name].receive(sender, message, self.now)
+            if isinstance(message, Lend):
+                self.check_age(sender, name, message, effects)
             self.carry_out(name, effects)
 
+    def check_age(
+        self, sender: str, name: str, lend: Lend, effects: list[Effect]
+    ) -> None:
+        """Expect a loan back at once whose demand was sent long ago."""
+        is_old = self.now >= self.asked[name, lend.number] + LOAN_AGE_MS
+        is_first = (name, lend.loan_id) not in self.lent
+        self.lent.add((name, lend.loan_id))
+        if is_old and is_first:
+            assert Send(sender, Return(loan_id=lend.loan_id)) in effects
+
     @rule(
-        duration_ms=st.sampled_from([1.0, 10.0, 60.0, 400.0]),
+        duration_ms=st.sampled_from([1.0, 10.0, 60.0, 400.0, 3000.0]),
         awake=st.sets(st.sampled_from(NAMES)),
     )
     def wait(self, duration_ms: float, awake: set[str]) -> None:
