Let retries pass over targets that have failed them

Cause: the dispatcher ignored Work.avoid. The slot that a failed attempt frees is often the only free one, so a retry went back to the target that had just shed or failed it.

A retry waits for another target for up to 20 ms, or half of the time left to start if that is less, while any other target takes work; requests behind it start meanwhile. After that it takes any target. Borrowed slots and the local choice follow the same preference.

Ruled out: taking the retry out of the queue while it waits, because its owners would then not hear of it.

The new tests fail on the code before, but for the one in which no other target takes work.

--- a/src/currantline/admission/_queue.py
+++ b/src/currantline/admission/_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 
 import attrs
 
@@ -12,6 +13,9 @@
 __all__ = ["Admitted", "QueueOptions", "QueueSummary", "Rejected", "WaitingQueue"]
 
 
+Fits = Callable[[Work], bool]
+
+
 @attrs.frozen(kw_only=True)
 class QueueOptions:
     """Limits of a queue.
@@ -109,19 +113,25 @@
         self._live[work.request_id] = order
         heapq.heappush(self._heap, (work.arrived, order, work))
 
-    def peek(self) -> Work | None:
-        while self._heap:
+    def peek(self, fits: Fits | None = None) -> Work | None:
+        passed = []
+        found = None
+        while self._heap and found is None:
             _, order, work = self._heap[0]
-            if self._live.get(work.request_id) == order:
-                return work
-            heapq.heappop(self._heap)
-        return None
-
-    def pop(self, now: float) -> Work:
-        work = heapq.heappop(self._heap)[2]
+            if self._live.get(work.request_id) != order:
+                heapq.heappop(self._heap)
+            elif fits is None or fits(work):
+                found = work
+            else:
+                passed.append(heapq.heappop(self._heap))
+        for entry in passed:
+            heapq.heappush(self._heap, entry)
+        return found
+
+    def take(self, work: Work, now: float) -> None:
+        # Its place in the heap is dropped by a later look at the head.
         del self._live[work.request_id]
         self.pace.count(now)
-        return work
 
     def discard(self, request_id: str) -> None:
         del self._live[request_id]
@@ -213,6 +223,7 @@
         *,
         allow_fair_long: bool | None = None,
         peers_wait: bool = False,
+        fits: Fits | None = None,
     ) -> Work | None:
         """Take the request that starts next.
 
@@ -227,6 +238,8 @@
         peers_wait : bool
             Whether other instances wait with work that is not short, which the
             fairness start counts too.
+        fits : callable, optional
+            Returns whether a request may start now; others are passed over.
 
         Returns
         -------
@@ -235,16 +248,17 @@
         """
         if allow_fair_long is None:
             allow_fair_long = allow_long
-        other = self._find_oldest_other(allow_long)
         if self.is_fair_due:
-            fair = self._find_oldest_other(allow_fair_long)
+            fair = self._find_oldest_other(allow_fair_long, fits)
             if fair is not None:
                 self._starts_since_fair = 0
                 return self._take(fair, now)
         has_others = peers_wait or len(self._deferrable) + len(self._long) > 0
-        if self._short.peek() is not None:
+        short = self._short.peek(fits)
+        if short is not None:
             self._starts_since_fair += has_others
-            return self._take(self._short, now)
+            return self._take((short, self._short), now)
+        other = self._find_oldest_other(allow_long, fits)
         if other is None:
             return None
         self._starts_since_fair = 0
@@ -298,7 +312,7 @@
         """
         short = self._short.peek()
         other = self._find_oldest_other(True)
-        oldest = other.peek() if other else None
+        oldest = other[0] if other else None
         return QueueSummary(
             short_waiting=len(self._short),
             long_waiting=len(self._deferrable) + len(self._long),
@@ -324,15 +338,17 @@
             return 0.0
         return lane.pace.estimate_wait(len(lane) + 1, now)
 
-    def _find_oldest_other(self, allow_long: bool) -> _Lane | None:
+    def _find_oldest_other(
+        self, allow_long: bool, fits: Fits | None = None
+    ) -> tuple[Work, _Lane] | None:
         lanes = (self._deferrable, self._long) if allow_long else (self._deferrable,)
-        heads = [(lane.peek(), lane) for lane in lanes]
-        filled = [(work.arrived, lane) for work, lane in heads if work is not None]
-        return min(filled, key=lambda pair: pair[0])[1] if filled else None
+        heads = [(lane.peek(fits), lane) for lane in lanes]
+        filled = [(work, lane) for work, lane in heads if work is not None]
+        return min(filled, key=lambda pair: pair[0].arrived) if filled else None
 
-    def _take(self, lane: _Lane, now: float) -> Work:
-        lane.peek()
-        work = lane.pop(now)
+    def _take(self, found: tuple[Work, _Lane], now: float) -> Work:
+        work, lane = found
+        lane.take(work, now)
         del self._waiting[work.request_id]
         self._counts[work.priority] -= 1
         return work
--- a/src/currantline/dispatch/__init__.py
+++ b/src/currantline/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Which slot of which target a request gets."""
 
-from currantline.dispatch._dispatcher import Dispatcher, ServiceCounts
+from currantline.dispatch._counts import PoolCounts, ServiceCounts
+from currantline.dispatch._dispatcher import Dispatcher
 from currantline.dispatch._local import LocalPlacement
 from currantline.dispatch._messages import (
     Demand,
@@ -15,7 +16,6 @@
     Usage,
 )
 from currantline.dispatch._options import DispatchOptions
-from currantline.dispatch._pool import PoolCounts
 from currantline.dispatch._retry import RetryBudget
 from currantline.dispatch._task import DispatchTask
 
--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -9,6 +9,7 @@
 from currantline.admission import Work
 from currantline.configuration import Service
 from currantline.directory import Ownership
+from currantline.dispatch._counts import ServiceCounts
 from currantline.dispatch._messages import (
     Demand,
     Effect,
@@ -19,45 +20,11 @@
     Return,
 )
 from currantline.dispatch._options import DispatchOptions
-from currantline.dispatch._pool import PoolCounts, ServicePool
+from currantline.dispatch._pool import ServicePool
 from currantline.exceptions import InvariantError
 from currantline.forwarding import AttemptResult
 
-__all__ = ["Dispatcher", "ServiceCounts"]
-
-
-@attrs.frozen(kw_only=True)
-class ServiceCounts:
-    """State of one service at one instance, for metrics.
-
-    Parameters
-    ----------
-    short_waiting : int
-        Short requests that wait.
-    long_waiting : int
-        Other requests that wait.
-    running : int
-        Requests that run.
-    free_slots : int
-        Free slots of owned targets.
-    lent_slots : int
-        Slots lent to other instances.
-    borrowed_slots : int
-        Slots borrowed from other instances.
-    loans_made : int
-        Loans made since the start.
-    totals : PoolCounts
-        Counters since the start.
-    """
-
-    short_waiting: int
-    long_waiting: int
-    running: int
-    free_slots: int
-    lent_slots: int
-    borrowed_slots: int
-    loans_made: int
-    totals: PoolCounts
+__all__ = ["Dispatcher"]
 
 
 class Dispatcher:
@@ -157,8 +124,7 @@
         if request_id in pool.running:
             return self.finish(request_id, AttemptResult.CANCELLED, now)
         del self._requests[request_id]
-        pool.queue.remove(request_id)
-        return self._note(pool.advance(now))
+        return self._note(pool.cancel(request_id, now))
 
     def receive(self, sender: str, message: Message, now: float) -> list[Effect]:
         """Take a message from another instance."""
--- a/src/currantline/dispatch/_ledger.py
+++ b/src/currantline/dispatch/_ledger.py
@@ -263,6 +263,10 @@
         """Return how many slots are lent."""
         return sum(len(target.lent) for target in self._owned)
 
+    def list_free(self) -> list[str]:
+        """Return the owned targets with free slots."""
+        return [target.name for target in self._owned if target.free > 0]
+
     def count_free(self) -> int:
         """Return how many slots of owned targets are free."""
         return sum(target.free for target in self._owned)
@@ -280,12 +284,25 @@
         """Whether any owned target takes work."""
         return any(target.limit > 0 for target in self._owned)
 
-    def choose(self) -> str | None:
+    def takes_work_outside(self, avoid: frozenset[str]) -> bool:
+        """Return whether any other target takes work as far as is known here."""
+        return any(
+            target.limit > 0 and name not in avoid
+            for name, target in self._targets.items()
+        )
+
+    def choose(self, avoid: frozenset[str] = frozenset()) -> str | None:
         """Choose an owned target with a free slot, fewest in use first."""
-        return self._pick([target for target in self._owned if target.free > 0])
+        free = [target for target in self._owned if target.free > 0]
+        return self._pick([target for target in free if target.name not in avoid])
 
     def choose_for_long(
-        self, now: float, threshold_ms: float, *, spare: int = 1
+        self,
+        now: float,
+        threshold_ms: float,
+        *,
+        spare: int = 1,
+        avoid: frozenset[str] = frozenset(),
     ) -> str | None:
         """Choose an owned target for long work.
 
@@ -297,6 +314,8 @@
             Running time from which a running request counts as long.
         spare : int
             Free slots that must remain, except on a target with one slot.
+        avoid : frozenset of str
+            Targets that are not chosen.
 
         Returns
         -------
@@ -309,6 +328,7 @@
             if target.free > 0
             and (target.free > spare or target.limit == 1)
             and target.has_long_room(now, threshold_ms)
+            and target.name not in avoid
         ]
         return self._pick(fits)
 
@@ -317,13 +337,19 @@
         return self._targets[name].has_long_room(now, threshold_ms)
 
     def choose_local(
-        self, *, is_long: bool, now: float, threshold_ms: float
+        self,
+        *,
+        is_long: bool,
+        now: float,
+        threshold_ms: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> str | None:
         """Choose by power of two choices on own in-flight requests."""
         fits = [
             (name, target)
             for name, target in self._targets.items()
             if len(target.running) < target.limit
+            and name not in avoid
             and (not is_long or target.has_long_room(now, threshold_ms))
         ]
         if not fits:
--- a/src/currantline/dispatch/_lender.py
+++ b/src/currantline/dispatch/_lender.py
@@ -79,10 +79,12 @@
             return None
         return self._lend(oldest[1], target, now, is_short=False)
 
-    def choose_long(self, now: float, *, spare: int) -> str | None:
+    def choose_long(
+        self, now: float, *, spare: int, avoid: frozenset[str] = frozenset()
+    ) -> str | None:
         """Choose an owned target for long work, see `SlotLedger`."""
         threshold_ms = self.lengths.threshold_ms
-        return self.ledger.choose_for_long(now, threshold_ms, spare=spare)
+        return self.ledger.choose_for_long(now, threshold_ms, spare=spare, avoid=avoid)
 
     def _lend(self, borrower: str, target: str, now: float, *, is_short: bool) -> Send:
         threshold_ms = self.lengths.threshold_ms
--- a/src/currantline/dispatch/_options.py
+++ b/src/currantline/dispatch/_options.py
@@ -31,6 +31,10 @@
         owner, and new work must end 3,000 ms after a target starts to leave.
     owner_patience_ms : float
         Wait without word from an owner after which the local choice is used.
+    avoid_patience_ms : float
+        Longest wait of a retry for a target that has not failed it, if one takes
+        work. It is a few times the mean of short work, after which a slot of
+        another target is likely to have become free.
     fairness_interval : int
         See `QueueOptions`. At 8, long work took every slot open to it at load
         0.95 and the p99 of short work was 5 times the bound.
@@ -46,5 +50,6 @@
     lend_margin_ms: float = 10.0
     loan_age_ms: float = 500.0
     owner_patience_ms: float = 50.0
+    avoid_patience_ms: float = 20.0
     fairness_interval: int = 64
     long_factor: float = 8.0
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -3,8 +3,6 @@
 import random
 from collections.abc import Callable
 
-import attrs
-
 from currantline.admission import (
     LengthEstimator,
     QueueOptions,
@@ -14,40 +12,28 @@
 )
 from currantline.configuration import Service
 from currantline.directory import Ownership
+from currantline.dispatch._avoidance import Avoidance
+from currantline.dispatch._counts import PoolCounts
 from currantline.dispatch._ledger import Borrowed, Lent, Running, SlotLedger
 from currantline.dispatch._lender import Lender
-from currantline.dispatch._lending import DemandReports, SentDemands
 from currantline.dispatch._loans import BorrowedLoans, UsageReports
 from currantline.dispatch._messages import (
     Demand,
     Effect,
     Lend,
     Refuse,
-    Send,
     Start,
     Usage,
 )
 from currantline.dispatch._options import DispatchOptions
+from currantline.dispatch._reporting import DemandReporter
 from currantline.forwarding import AttemptResult
 
-__all__ = ["PoolCounts", "ServicePool"]
+__all__ = ["ServicePool"]
 
 FOREVER = float("inf")
 
 
-@attrs.define
-class PoolCounts:
-    """Counters since the start, for metrics."""
-
-    owned_starts: int = 0
-    loan_starts: int = 0
-    local_starts: int = 0
-    refused: int = 0
-    borrowed: int = 0
-    reverted: int = 0
-    demands_sent: int = 0
-
-
 class ServicePool:
     """Decides which waiting request gets which slot of one service.
 
@@ -79,6 +65,7 @@
         self.lengths = LengthEstimator(long_factor=options.long_factor)
         self.queue = WaitingQueue(self.lengths, _queue_options(service, options))
         self.ledger = SlotLedger(rng)
+        self._avoidance = Avoidance(self.ledger, options.avoid_patience_ms)
         self.counts = PoolCounts()
         self.running: dict[str, Running] = {}
         self.loans = BorrowedLoans()
@@ -90,13 +77,18 @@
             options=options,
             next_loan=next_loan,
         )
-        self._reports = DemandReports(options, rng)
-        self._sent_demands = SentDemands(rng, options.loan_age_ms)
+        self._reports = DemandReporter(
+            service=service.name,
+            queue=self.queue,
+            ledger=self.ledger,
+            counts=self.counts,
+            options=options,
+            rng=rng,
+        )
         self._usage = UsageReports(service.name, options.lease_ms / 3)
         self._ownership = Ownership(owners=(), targets={})
         self._owners: list[str] = []
         self._heard = -FOREVER
-        self._answered: dict[str, float] = {}
         self._has_foreign = False
         self.ledger.set_targets({t.name: t.slots for t in service.targets})
 
@@ -117,7 +109,7 @@
         self._owners = [name for name in ownership.owners if name != self._name]
         self.ledger.set_owned(self._find_owned())
         self.lender.demands.forget()
-        self._reports.forget()
+        self._reports.plan.forget()
         self._heard = now
         self._has_foreign = True
         effects: list[Effect] = [*self.loans.drop(now, dict(ownership.targets))]
@@ -129,6 +121,13 @@
         if isinstance(result, Rejected):
             self.counts.refused += 1
             return [Refuse(work.request_id, result.reason)]
+        self._avoidance.add(work, now, self.queue.start_by(work))
+        return self.advance(now)
+
+    def cancel(self, request_id: str, now: float) -> list[Effect]:
+        """Forget a request that waits."""
+        self.queue.remove(request_id)
+        self._avoidance.remove(request_id)
         return self.advance(now)
 
     def finish(
@@ -147,13 +146,13 @@
         """Take note of what waits and is free at another instance."""
         if sender in self._owners:
             self._heard = now
-            self._reports.note_free(sender, demand.free_slots, now)
+            self._reports.plan.note_free(sender, demand.free_slots, now)
         if not self.ledger.has_usable:
             return []
         self.lender.demands.note(sender, demand, now)
         effects = self.advance(now)
         if self.lender.demands.needs(sender):
-            effects += self._answer_demand(sender, now)
+            effects += self._reports.answer(sender, now)
         return effects
 
     def receive_lend(self, sender: str, lend: Lend, now: float) -> list[Effect]:
@@ -162,8 +161,8 @@
             return []
         if sender in self._owners:
             self._heard = now
-        self._reports.note_loan(sender)
-        usable_until = self._sent_demands.find_end(lend.number, now)
+        self._reports.plan.note_loan(sender)
+        usable_until = self._reports.sent.find_end(lend.number, now)
         is_owned = self._ownership.targets.get(lend.target) == sender
         if usable_until is None or not is_owned:
             return [self.loans.decline(sender, lend, now)]
@@ -195,8 +194,8 @@
         self._has_foreign = True
         effects: list[Effect] = [*self.loans.drop(now)]
         self.lender.demands.forget()
-        self._reports.forget()
-        self._sent_demands.forget()
+        self._reports.plan.forget()
+        self._reports.sent.forget()
         self._heard = now
         return effects + self.advance(now)
 
@@ -216,6 +215,7 @@
         effects: list[Effect] = []
         for work in self.queue.expire(now):
             self.counts.refused += 1
+            self._avoidance.remove(work.request_id)
             effects.append(Refuse(work.request_id, "deadline"))
         self.counts.reverted += len(self.ledger.expire(now))
         self.lender.demands.expire(now)
@@ -226,7 +226,7 @@
         while self._step(now, effects):
             pass
         effects += self.loans.return_idle(now)
-        self._report_demand(now, effects)
+        effects += self._reports.report(self._owners, now)
         self._report_usage(now, effects)
         return effects
 
@@ -237,9 +237,10 @@
             self.ledger.next_expiry(),
             self.loans.next_due(),
             self._usage.next_due(),
+            self._avoidance.next_due(now),
         )
         if self._owners:
-            due = min(due, self._reports.next_due(self.queue.summary(now), now))
+            due = min(due, self._reports.next_due(now))
         return due
 
     def _step(self, now: float, effects: list[Effect]) -> bool:
@@ -274,26 +275,40 @@
             now,
             allow_fair_long=for_fair is not None,
             peers_wait=self.lender.demands.has_other,
+            fits=self._avoidance.filter(now, self.ledger.list_free()),
         )
         if work is None:
             return False
-        chosen = for_long or for_fair if self.queue.is_long(work) else target
+        if self.queue.is_long(work):
+            chosen = self._choose_owned_long(work, now) or for_long or for_fair
+        else:
+            chosen = self.ledger.choose(work.avoid) if work.avoid else target
         self._start(work, chosen or target, now, effects)
         self.counts.owned_starts += 1
         return True
 
+    def _choose_owned_long(self, work: Work, now: float) -> str | None:
+        if not work.avoid:
+            return None
+        choose = self.lender.choose_long
+        spared = choose(now, spare=1, avoid=work.avoid)
+        return spared or choose(now, spare=0, avoid=work.avoid)
+
     def _start_on_loan(self, now: float, effects: list[Effect]) -> bool:
         # An owner may not know yet that a target is leaving.
         idle = self.loans.find_idle(now)
         usable = [loan for loan in idle if self.ledger.takes_work(loan.target)]
         if not usable:
             return False
-        loan = next((loan for loan in usable if loan.allow_long), usable[0])
-        work = self.queue.pop(loan.allow_long, now)
+        allow_long = any(loan.allow_long for loan in usable)
+        fits = self._avoidance.filter(now, [loan.target for loan in usable])
+        work = self.queue.pop(allow_long, now, fits=fits)
         if work is None:
             return False
-        if not self.queue.is_long(work):
-            loan = next((loan for loan in usable if not loan.allow_long), loan)
+        is_long, avoid = self.queue.is_long(work), work.avoid
+        suitable = [loan for loan in usable if loan.allow_long or not is_long]
+        # Short work leaves the loans for long work alone if it can.
+        loan = min(suitable, key=lambda each: (each.target in avoid, each.allow_long))
         self.loans.use(loan)
         self._start(work, loan.target, now, effects, loan)
         self.counts.loan_starts += 1
@@ -313,7 +328,11 @@
         work = self.queue.pop(for_long is not None, now)
         if work is None:
             return False
-        chosen = for_long if self.queue.is_long(work) else target
+        is_long = self.queue.is_long(work)
+        chosen = for_long if is_long else target
+        if work.avoid:
+            other = self._choose_local(now, is_long=is_long, avoid=work.avoid)
+            chosen = other or chosen
         self._start(work, chosen or target, now, effects)
         self._has_foreign = True
         self.counts.local_starts += 1
@@ -336,39 +355,10 @@
             loan=loan,
         )
         self.ledger.start(running)
+        self._avoidance.remove(work.request_id)
         self.running[work.request_id] = running
         effects.append(Start(work.request_id, target, running.is_long))
 
-    def _report_demand(self, now: float, effects: list[Effect]) -> None:
-        if not self._owners:
-            return
-        waiting = self.queue.summary(now)
-        for owner, short, other in self._reports.plan(self._owners, waiting, now):
-            effects.append(self._tell(owner, short, other, now))
-
-    def _answer_demand(self, sender: str, now: float) -> list[Effect]:
-        """Tell a waiting instance that its report was heard."""
-        last = self._answered.get(sender, -FOREVER)
-        if now - last < self._options.demand_refresh_ms:
-            return []
-        self._answered[sender] = now
-        short, other = self._reports.find_told(sender)
-        return [self._tell(sender, short, other, now)]
-
-    def _tell(self, instance: str, short: int, other: int, now: float) -> Send:
-        waiting = self.queue.summary(now)
-        self.counts.demands_sent += 1
-        message = Demand(
-            service=self._service.name,
-            short_waiting=short,
-            long_waiting=other,
-            oldest_short_ms=waiting.oldest_short_ms,
-            oldest_long_ms=waiting.oldest_long_ms,
-            free_slots=self.ledger.count_free(),
-            number=self._sent_demands.add(now),
-        )
-        return Send(instance, message)
-
     def _report_usage(self, now: float, effects: list[Effect]) -> None:
         if not self._has_foreign:
             return
@@ -381,9 +371,12 @@
         effects += self._usage.plan(in_use, owners, now)
         self._has_foreign = bool(in_use)
 
-    def _choose_local(self, now: float, *, is_long: bool) -> str | None:
+    def _choose_local(
+        self, now: float, *, is_long: bool, avoid: frozenset[str] = frozenset()
+    ) -> str | None:
+        threshold_ms = self.lengths.threshold_ms
         return self.ledger.choose_local(
-            is_long=is_long, now=now, threshold_ms=self.lengths.threshold_ms
+            is_long=is_long, now=now, threshold_ms=threshold_ms, avoid=avoid
         )
 
     def _find_owned(self) -> list[str]:
--- a/src/currantline/dispatch/_task.py
+++ b/src/currantline/dispatch/_task.py
@@ -13,7 +13,8 @@
 from currantline.clock import Clock
 from currantline.configuration import Configuration, Target
 from currantline.directory import Ownership
-from currantline.dispatch._dispatcher import Dispatcher, ServiceCounts
+from currantline.dispatch._counts import ServiceCounts
+from currantline.dispatch._dispatcher import Dispatcher
 from currantline.dispatch._messages import Effect, Message, Send, Start
 from currantline.exceptions import NotRunError
 from currantline.forwarding import AttemptResult, Permit, share_connections
--- a/src/currantline/dispatch/tests/support.py
+++ b/src/currantline/dispatch/tests/support.py
@@ -32,6 +32,7 @@
     *,
     timeout_ms: float = 1000.0,
     priority: Priority = Priority.INTERACTIVE,
+    avoid: frozenset[str] = frozenset(),
 ) -> Work:
     """Return a request."""
     return Work(
@@ -41,6 +42,7 @@
         priority=priority,
         deadline=now + timeout_ms,
         arrived=now,
+        avoid=avoid,
     )
 
 
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -176,3 +176,56 @@
         dispatcher.finish("1", AttemptResult.ANSWERED, 1.0)
         with pytest.raises(InvariantError):
             dispatcher.finish("1", AttemptResult.ANSWERED, 1.0)
+
+
+class TestRetries:
+    """Requests that some targets have failed already."""
+
+    def test_other_target(self) -> None:
+        """Guards against a retry on the target that has just failed it."""
+        dispatcher = make_dispatcher("a")
+        avoid = frozenset({"t0", "t2"})
+        effects = dispatcher.submit(make_work("1", 0.0, avoid=avoid), 0.0)
+        assert [e.target for e in effects if isinstance(e, Start)] == ["t1"]
+
+    @pytest.mark.parametrize(("timeout_ms", "until"), [(10.0, 5.0), (1000.0, 20.0)])
+    def test_short_wait(self, timeout_ms: float, until: float) -> None:
+        """Guards against a retry that blocks others or waits past its deadline."""
+        dispatcher = make_dispatcher("a")
+        on_target: dict[str, list[str]] = {}
+        for count in range(6):
+            for effect in dispatcher.submit(make_work(f"{count}", 0.0), 0.0):
+                assert isinstance(effect, Start)
+                on_target.setdefault(effect.target, []).append(effect.request_id)
+        avoid = frozenset({"t0"})
+        retry = make_work("retry", 0.0, timeout_ms=timeout_ms, avoid=avoid)
+        dispatcher.submit(retry, 0.0)
+        dispatcher.submit(make_work("next", 0.5), 0.5)
+        first, second = on_target["t0"]
+        answered = AttemptResult.ANSWERED
+        assert starts(dispatcher.finish(first, answered, 1.0)) == ["next"]
+        assert starts(dispatcher.finish(second, answered, 2.0)) == []
+        assert dispatcher.next_due(2.0) <= until
+        assert starts(dispatcher.tick(until)) == ["retry"]
+
+    def test_no_other_target(self) -> None:
+        """Guards against a wait for a target that takes no work."""
+        dispatcher = make_dispatcher("a")
+        for name in ("t1", "t2"):
+            dispatcher.set_limit(name, 0, 0.0)
+        retry = make_work("retry", 0.0, avoid=frozenset({"t0"}))
+        assert starts(dispatcher.submit(retry, 0.0)) == ["retry"]
+
+    def test_loan_of_other_target(self) -> None:
+        """Guards against a retry on a borrowed slot of the target that failed it."""
+        owner, other = make_dispatcher("a"), make_dispatcher("b")
+        work = make_work("1", 0.0)
+        demand = messages(other.submit(work, 0.0))[0]
+        lend = messages(owner.receive("b", demand, 1.0))[0]
+        assert isinstance(lend, Lend)
+        other.cancel("1", 1.5)
+        retry = make_work("retry", 1.5, avoid=frozenset({lend.target}))
+        other.submit(retry, 1.5)
+        effects = other.receive("a", lend, 2.0)
+        assert starts(effects) == []
+        assert Send("a", Return(loan_id=lend.loan_id)) in effects
