Forget removed services and targets once nothing of theirs runs

Cause: the dispatcher and its task kept every service and target that a configuration had ever named. Requests that waited for a removed service stayed until their deadline, and new ones were queued.

Waiting requests of a removed service are refused at once as no-target, because they can never start; requests that run go on, and the last one to end removes the service. A service that is added again meanwhile is taken up as it is. A removed target goes with the last of its requests.

A permit takes the address of its target when the request starts, not when its waiter runs: the target may have left the configuration in between.

--- a/src/currantline/admission/_queue.py
+++ b/src/currantline/admission/_queue.py
@@ -297,6 +297,13 @@
         self._counts[work.priority] -= 1
         return work
 
+    def clear(self) -> list[Work]:
+        """Remove and return all requests."""
+        removed = [work for _, work, _ in self._waiting.values()]
+        for work in removed:
+            self.remove(work.request_id)
+        return removed
+
     def summary(self, now: float) -> QueueSummary:
         """Return how much waits and for how long.
 
--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -51,6 +51,8 @@
         self._options = options or DispatchOptions()
         self._pools: dict[str, ServicePool] = {}
         self._targets: dict[str, ServicePool] = {}
+        # Services that were removed while some of their requests run.
+        self._retired: set[str] = set()
         self._requests: dict[str, ServicePool] = {}
         # A random start keeps the identifiers of a restarted instance apart from
         # those of its former life.
@@ -66,9 +68,25 @@
             self._pools[service.name] = pool
         else:
             pool.set_service(service)
+        self._retired.discard(service.name)
+        self._forget_targets(pool)
         for target in service.targets:
             self._targets[target.name] = pool
 
+    def keep_services(self, names: Collection[str], now: float) -> list[Effect]:
+        """Remove all other services once nothing of theirs runs.
+
+        Their waiting requests are refused.
+        """
+        effects: list[Effect] = []
+        for name in sorted(self._pools.keys() - set(names) - self._retired):
+            pool = self._pools[name]
+            self._retired.add(name)
+            self._forget_targets(pool)
+            effects += self._note(pool.retire(now))
+        self._sweep()
+        return effects
+
     def set_ownership(
         self, service: str, ownership: Ownership, now: float
     ) -> list[Effect]:
@@ -95,7 +113,7 @@
         if work.request_id in self._requests:
             raise InvariantError(f"request {work.request_id} is already present")
         pool = self._pools.get(work.service)
-        if pool is None:
+        if pool is None or work.service in self._retired:
             return [Refuse(work.request_id, "no-target")]
         self._requests[work.request_id] = pool
         return self._note(pool.submit(work, now))
@@ -114,7 +132,9 @@
         if pool is None or request_id not in pool.running:
             raise InvariantError(f"request {request_id} does not run")
         del self._requests[request_id]
-        return self._note(pool.finish(request_id, result, now))
+        effects = self._note(pool.finish(request_id, result, now))
+        self._sweep()
+        return effects
 
     def cancel(self, request_id: str, now: float) -> list[Effect]:
         """Forget a request whose caller has gone, whether it waits or runs."""
@@ -186,6 +206,15 @@
         # The lease has ended or the target has another owner.
         return []
 
+    def _forget_targets(self, pool: ServicePool) -> None:
+        kept = {name: other for name, other in self._targets.items() if other != pool}
+        self._targets = kept
+
+    def _sweep(self) -> None:
+        for name in [n for n in self._retired if self._pools[n].is_idle]:
+            del self._pools[name]
+            self._retired.remove(name)
+
     def _note(self, effects: list[Effect]) -> list[Effect]:
         for effect in effects:
             if isinstance(effect, Refuse):
--- a/src/currantline/dispatch/_ledger.py
+++ b/src/currantline/dispatch/_ledger.py
@@ -88,6 +88,7 @@
     slots: int
     limit: int = 0
     is_owned: bool = False
+    is_configured: bool = True
     running: dict[str, Running] = attrs.field(factory=dict)
     lent: dict[int, Lent] = attrs.field(factory=dict)
     # Slots that others use without a loan, and when that report is forgotten.
@@ -133,11 +134,12 @@
         for name, count in slots.items():
             known = self._targets.setdefault(name, _TargetSlots(name, count))
             known.slots = count
+            known.is_configured = True
             known.limit = min(known.limit, count)
         for name in set(self._targets) - set(slots):
             known = self._targets[name]
             known.limit = 0
-            known.is_owned = False
+            known.is_owned = known.is_configured = False
             if not known.running:
                 del self._targets[name]
         self._refresh()
@@ -147,7 +149,7 @@
         owned = set(names)
         dropped: list[Lent] = []
         for name, target in self._targets.items():
-            target.is_owned = name in owned
+            target.is_owned = name in owned and target.is_configured
             if not target.is_owned:
                 dropped += target.lent.values()
                 target.lent.clear()
@@ -194,6 +196,9 @@
         if target.running.pop(running.request_id, None) is None:
             raise InvariantError(f"request {running.request_id} does not run")
         target.recount()
+        if not target.is_configured and not target.running:
+            del self._targets[target.name]
+            self._refresh()
         if running.loan is not None:
             running.loan.request_id = None
 
--- a/src/currantline/dispatch/_options.py
+++ b/src/currantline/dispatch/_options.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-__all__ = ["DispatchOptions"]
+from currantline.admission import QueueOptions
+from currantline.configuration import Service
+
+__all__ = ["DispatchOptions", "make_queue_options"]
 
 
 @attrs.frozen(kw_only=True)
@@ -53,3 +56,10 @@
     avoid_patience_ms: float = 20.0
     fairness_interval: int = 64
     long_factor: float = 8.0
+
+
+def make_queue_options(service: Service, options: DispatchOptions) -> QueueOptions:
+    """Return the limits of the queue of a service."""
+    return QueueOptions(
+        limit=service.queue_limit, fairness_interval=options.fairness_interval
+    )
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -3,9 +3,10 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from currantline.admission import (
     LengthEstimator,
-    QueueOptions,
     Rejected,
     WaitingQueue,
     Work,
@@ -25,13 +26,14 @@
     Start,
     Usage,
 )
-from currantline.dispatch._options import DispatchOptions
+from currantline.dispatch._options import DispatchOptions, make_queue_options
 from currantline.dispatch._reporting import DemandReporter
 from currantline.forwarding import AttemptResult
 
 __all__ = ["ServicePool"]
 
 FOREVER = float("inf")
+NO_OWNERS = Ownership(owners=(), targets={})
 
 
 class ServicePool:
@@ -63,7 +65,7 @@
         self._service = service
         self._options = options
         self.lengths = LengthEstimator(long_factor=options.long_factor)
-        self.queue = WaitingQueue(self.lengths, _queue_options(service, options))
+        self.queue = WaitingQueue(self.lengths, make_queue_options(service, options))
         self.ledger = SlotLedger(rng)
         self._avoidance = Avoidance(self.ledger, options.avoid_patience_ms)
         self.counts = PoolCounts()
@@ -86,7 +88,7 @@
             rng=rng,
         )
         self._usage = UsageReports(service.name, options.lease_ms / 3)
-        self._ownership = Ownership(owners=(), targets={})
+        self._ownership = NO_OWNERS
         self._owners: list[str] = []
         self._heard = -FOREVER
         self._has_foreign = False
@@ -95,10 +97,23 @@
     def set_service(self, service: Service) -> None:
         """Take over a changed configuration of the service."""
         self._service = service
-        self.queue.set_options(_queue_options(service, self._options))
+        self.queue.set_options(make_queue_options(service, self._options))
         self.ledger.set_targets({t.name: t.slots for t in service.targets})
         self.ledger.set_owned(self._find_owned())
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits, runs or is borrowed."""
+        return not (self.running or len(self.queue) or len(self.loans))
+
+    def retire(self, now: float) -> list[Effect]:
+        """Refuse what waits after the service was removed; what runs goes on."""
+        waiting = self.queue.clear()
+        self.counts.refused += len(waiting)
+        self.set_service(attrs.evolve(self._service, targets=()))
+        effects: list[Effect] = [Refuse(w.request_id, "no-target") for w in waiting]
+        return effects + self.set_ownership(NO_OWNERS, now)
+
     def set_ownership(self, ownership: Ownership, now: float) -> list[Effect]:
         """Take over new owners.
 
@@ -381,9 +396,3 @@
 
     def _find_owned(self) -> list[str]:
         return [t for t, o in self._ownership.targets.items() if o == self._name]
-
-
-def _queue_options(service: Service, options: DispatchOptions) -> QueueOptions:
-    return QueueOptions(
-        limit=service.queue_limit, fairness_interval=options.fairness_interval
-    )
--- a/src/currantline/dispatch/_task.py
+++ b/src/currantline/dispatch/_task.py
@@ -54,7 +54,7 @@
         self._pause_ms = pause_ms
         self._targets: dict[str, Target] = {}
         self._max_instances = 1
-        self._futures: dict[str, asyncio.Future[Start]] = {}
+        self._futures: dict[str, asyncio.Future[tuple[Start, Target]]] = {}
         # Callers choose request identifiers, and two of them may choose the same.
         self._numbers = itertools.count()
         self._permits: dict[int, tuple[Permit, str]] = {}
@@ -88,13 +88,14 @@
             If the request is refused.
         """
         key = f"{next(self._numbers)}"
-        future: asyncio.Future[Start] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[tuple[Start, Target]] = loop.create_future()
         self._futures[key] = future
         now = self._look()
         inner = attrs.evolve(work, request_id=key)
         self._carry_out(self._dispatcher.submit(inner, now))
         try:
-            start = await future
+            start, target = await future
         except (asyncio.CancelledError, NotRunError):
             self._carry_out(self._dispatcher.cancel(key, self._look()))
             raise
@@ -103,10 +104,8 @@
         permit = Permit(
             request_id=work.request_id,
             target=start.target,
-            address=self._targets[start.target].address,
-            connections=share_connections(
-                self._targets[start.target].connections, self._max_instances
-            ),
+            address=target.address,
+            connections=share_connections(target.connections, self._max_instances),
             is_long=start.is_long,
         )
         # Equal permits may exist at the same time, so identity tells them apart.
@@ -127,10 +126,12 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Take over the services of a configuration."""
         self._max_instances = configuration.max_instances
-        for service in configuration.services.values():
+        services = configuration.services
+        self._targets = {t.name: t for s in services.values() for t in s.targets}
+        for service in services.values():
             self._dispatcher.set_service(service)
-            for target in service.targets:
-                self._targets[target.name] = target
+        kept = self._dispatcher.keep_services(services.keys(), self._look())
+        self._carry_out(kept)
 
     def set_ownership(self, service: str, ownership: Ownership) -> None:
         """Take over the owners of a service."""
@@ -168,7 +169,8 @@
             if future is None or future.done():
                 continue
             if isinstance(effect, Start):
-                future.set_result(effect)
+                # The target may leave the configuration before the waiter runs.
+                future.set_result((effect, self._targets[effect.target]))
             else:
                 reason = effect.reason
                 future.set_exception(NotRunError(f"refused: {reason}", reason=reason))
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from currantline.configuration import Priority
@@ -10,6 +11,9 @@
 from currantline.dispatch.tests.support import (
     LEASE_MS,
     LOAN_AGE_MS,
+    OWNED_BY_A,
+    SERVICE,
+    SLOTS,
     TARGETS,
     make_dispatcher,
     make_work,
@@ -177,6 +181,51 @@
         with pytest.raises(InvariantError):
             dispatcher.finish("1", AttemptResult.ANSWERED, 1.0)
 
+    def test_removed_service(self) -> None:
+        """Guards against state of removed services, and requests lost with it."""
+        dispatcher = make_dispatcher("a")
+        for count in range(7):
+            dispatcher.submit(make_work(f"{count}", 0.0), 0.0)
+        assert Refuse("6", "no-target") in dispatcher.keep_services((), 1.0)
+        assert dispatcher.counts(1.0)["s"].running == 6
+        late = make_work("late", 1.0)
+        assert dispatcher.submit(late, 1.0) == [Refuse("late", "no-target")]
+        for count in range(6):
+            dispatcher.check()
+            dispatcher.finish(f"{count}", AttemptResult.ANSWERED, 2.0)
+        assert dispatcher.counts(2.0) == {}
+
+    def test_removed_and_added_service(self) -> None:
+        """Guards against a service that stays closed after it was added again."""
+        dispatcher = make_dispatcher("a")
+        dispatcher.submit(make_work("1", 0.0), 0.0)
+        dispatcher.keep_services((), 1.0)
+        dispatcher.set_service(SERVICE)
+        dispatcher.set_ownership("s", OWNED_BY_A, 2.0)
+        dispatcher.set_limit("t1", SLOTS, 2.0)
+        assert starts(dispatcher.submit(make_work("2", 2.0), 2.0)) == ["2"]
+        dispatcher.finish("1", AttemptResult.ANSWERED, 3.0)
+        assert dispatcher.counts(3.0)["s"].running == 1
+
+    def test_removed_target(self) -> None:
+        """Guards against a target that is kept after its last request."""
+        dispatcher = make_dispatcher("a")
+        effects = [
+            effect
+            for count in range(6)
+            for effect in dispatcher.submit(make_work(f"{count}", 0.0), 0.0)
+        ]
+        started = [e.request_id for e in effects if isinstance(e, Start)]
+        dispatcher.set_service(attrs.evolve(SERVICE, targets=TARGETS[1:]))
+        dispatcher.set_limit("t0", SLOTS, 1.0)
+        for request_id in started:
+            dispatcher.finish(request_id, AttemptResult.ANSWERED, 2.0)
+            dispatcher.check()
+        assert dispatcher.counts(2.0)["s"].free_slots == 4
+        dispatcher.set_service(SERVICE)
+        dispatcher.set_ownership("s", OWNED_BY_A, 3.0)
+        assert dispatcher.counts(3.0)["s"].free_slots == 4
+
 
 class TestRetries:
     """Requests that some targets have failed already."""
--- a/src/currantline/dispatch/tests/test_task.py
+++ b/src/currantline/dispatch/tests/test_task.py
@@ -123,6 +123,22 @@
 
         run(steps())
 
+    def test_target_removed_after_start(self) -> None:
+        """Guards against a request that fails because its target was removed."""
+
+        async def steps() -> None:
+            task = make_task(ManualClock())
+            first = await task.acquire(make_work())
+            waiter = await acquire_later(task)
+            task.release(first, AttemptResult.ANSWERED, duration_ms=1.0)
+            task.set_configuration(Configuration(version=2, services={}))
+            permit = await waiter
+            assert permit.address == TARGET.address
+            task.release(permit, AttemptResult.ANSWERED, duration_ms=1.0)
+            assert task.counts() == {}
+
+        run(steps())
+
     def test_stop(self) -> None:
         """Guards against waiting requests that outlive the instance unanswered."""
 
