Start work on any loan if its route is found long after queueing

Work keeps the lane that it had when it was queued, so work for which no loan is long enough could be popped, and the choice failed with ValueError.

The new test failed before the fix.

--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -321,7 +321,8 @@
         if work is None:
             return False
         is_long, avoid = self.queue.is_long(work), work.avoid
-        suitable = [loan for loan in usable if loan.allow_long or not is_long]
+        # A route may have been found to be long after its request was queued.
+        suitable = [one for one in usable if one.allow_long or not is_long] or usable
         # Short work leaves the loans for long work alone if it can.
         loan = min(suitable, key=lambda each: (each.target in avoid, each.allow_long))
         self.loans.use(loan)
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -7,7 +7,17 @@
 
 from currantline.configuration import Priority
 from currantline.directory import Ownership
-from currantline.dispatch import Demand, Lend, Refuse, Return, Send, Start, Usage
+from currantline.dispatch import (
+    Demand,
+    DispatchOptions,
+    Lend,
+    Refuse,
+    Return,
+    Send,
+    Start,
+    Usage,
+)
+from currantline.dispatch._pool import ServicePool
 from currantline.dispatch.tests.support import (
     LEASE_MS,
     LOAN_AGE_MS,
@@ -278,3 +288,22 @@
         effects = other.receive("a", lend, 2.0)
         assert starts(effects) == []
         assert Send("a", Return(loan_id=lend.loan_id)) in effects
+
+    def test_route_found_long_while_waiting(self) -> None:
+        """Guards against a failure on work that was short when it was queued."""
+        pool = ServicePool(
+            "b", SERVICE, random.Random(1), DispatchOptions(), iter(range(9)).__next__
+        )
+        pool.set_ownership(OWNED_BY_A, 0.0)
+        pool.ledger.set_limit("t0", SLOTS)
+        demand = messages(pool.submit(make_work("1", 0.0), 0.0))[0]
+        assert isinstance(demand, Demand)
+        for _ in range(20):
+            pool.lengths.observe("brief", 1.0)
+        for _ in range(10):
+            pool.lengths.observe("interactive", 100.0)
+        assert pool.lengths.is_long("interactive")
+        lend = Lend(
+            loan_id=1, service="s", target="t0", lease_ms=100.0, number=demand.number
+        )
+        assert starts(pool.receive_lend("a", lend, 1.0)) == ["1"]
