Compare placements with two margins of lending

Cause: a loan between data centres costs a round trip of 3 ms and two longer paths, so the margin of 10 ms, found without distance, may not suit owners near their targets.

--compare now weighs two placements with margins of 10 and 40 ms.

--- a/src/currantline/bench/measure.py
+++ b/src/currantline/bench/measure.py
@@ -33,12 +33,13 @@
 flags.DEFINE_integer("workers", 4, "Processes that simulate.", lower_bound=1)
 flags.DEFINE_integer("slots_per_owner", 20, "Slots per owner.", lower_bound=1)
 flags.DEFINE_enum_class("placement", Placement.ANYWHERE, Placement, "Where owners are.")
-flags.DEFINE_bool("compare", False, "Compare all placements and sizes of owners.")
+flags.DEFINE_bool("compare", False, "Compare placements and margins.")
 flags.DEFINE_float("lease_ms", None, "Lease of a loan, if not the default.")
 flags.DEFINE_integer("fairness_interval", None, "Interval, if not the default.")
 
 LOADS = (0.6, 0.8, 0.95)
-COMPARED_SLOTS = (20, 40, 80)
+COMPARED_PLACEMENTS = (Placement.ANYWHERE, Placement.NEAR_TARGET)
+COMPARED_MARGINS_MS = (10.0, 40.0)
 OVERLOAD = 2.0
 WARM_UP_MS = 3000.0
 # Short enough for the whole command, long enough for 10,000 short requests.
@@ -213,33 +214,35 @@
 
 
 def _list_comparison(deployment: Deployment, make: Callable[..., Run]) -> list[Run]:
-    """Return runs of all placements and sizes of owners."""
+    """Return runs of two placements with several margins of lending."""
     runs = []
     for load in LOADS:
         runs.append(make(deployment=deployment, policy="bound", load=load))
         runs += [
-            attrs.evolve(
-                make(deployment=deployment, policy="ours", load=load),
-                placement=placement,
-                slots_per_owner=slots,
-            )
-            for placement in Placement
-            for slots in COMPARED_SLOTS
+            _vary(make(deployment=deployment, policy="ours", load=load), place, margin)
+            for place in COMPARED_PLACEMENTS
+            for margin in COMPARED_MARGINS_MS
         ]
     return runs
 
 
+def _vary(run: Run, placement: Placement, lend_margin_ms: float) -> Run:
+    options = attrs.evolve(run.options, lend_margin_ms=lend_margin_ms)
+    return attrs.evolve(run, placement=placement, options=options)
+
+
 def _describe(run: Run) -> str:
     load = f"{STEP_FROM}->{run.load}" if run.is_step else f"{run.load}"
     policy = run.policy if run.with_long else f"{run.policy}, no long"
-    owners = f"{run.placement.value}, {run.slots_per_owner}"
+    margin = run.options.lend_margin_ms
+    owners = f"{run.placement.value}, {run.slots_per_owner}, {margin:.0f} ms"
     owners = owners if run.policy in ("ours", "no lending") else ""
-    return f"{run.deployment.name:<11}{load:>10}  {policy:<16}{owners:<27}"
+    return f"{run.deployment.name:<11}{load:>10}  {policy:<16}{owners:<33}"
 
 
 def _print_table(figures: dict[Run, Figures]) -> None:
     print(
-        "deployment       load  policy          owners                     "
+        "deployment       load  policy          owners, slots, margin            "
         "  short p99  at caller   long p99   useful  not-run  unknown"
         "  messages/s  /request     B/s mean     B/s most  B/request"
     )
