Let one owner look after 40 slots of a data centre

Cause: slots_per_owner was 20, chosen without distance. Two owners in one data centre lend to each other what one could use.

Ruled out: 80. No example has a data centre with more than 30 slots, so nothing shows that one instance can look after more.

--- a/src/currantline/configuration/_model.py
+++ b/src/currantline/configuration/_model.py
@@ -91,7 +91,7 @@
     queue_limit : int
         Requests that may wait at one instance.
     slots_per_owner : int
-        Slots that one owner instance is meant to look after.
+        Slots of one data centre that one owner is meant to look after.
     probe_budget : float
         Probes per second for each target, over all instances.
     retry_ratio : float
@@ -103,7 +103,7 @@
     routes: tuple[Route, ...] = ()
     timeout_ms: float = attrs.field(default=5000.0, validator=check_at_least(1))
     queue_limit: int = attrs.field(default=1000, validator=check_at_least(1))
-    slots_per_owner: int = attrs.field(default=20, validator=check_at_least(1))
+    slots_per_owner: int = attrs.field(default=40, validator=check_at_least(1))
     probe_budget: float = attrs.field(default=2.0, validator=check_at_least(0))
     retry_ratio: float = attrs.field(default=0.1, validator=check_at_least(0))
 
