--- a/src/currantline/bench/_capacity_cores.py
+++ b/src/currantline/bench/_capacity_cores.py
@@ -48,6 +48,7 @@
 MIB = 1024 * 1024
 ADDRESS = "127.0.0.1:7000"
 NAME = "instance-0"
+PLACE = (NAME, "north")
 
 Row = dict[str, float]
 
@@ -72,11 +73,11 @@
     configuration = make_configuration(*SIZES[-1])
     rows: list[tuple[float, Row]] = []
     for count in INSTANCES:
-        names = [f"instance-{number}" for number in range(count)]
+        places = [(e.name, e.data_centre) for e in _make_view(count).instances]
 
-        def assign(names: list[str] = names) -> None:
+        def assign(places: list[tuple[str, str]] = places) -> None:
             for service in configuration.services.values():
-                assign_owners(service, names)
+                assign_owners(service, places)
 
         rows.append((count, {"owners of all services, ms": time_call(assign)}))
     return _collect(rows)
@@ -88,7 +89,8 @@
     rows: list[tuple[float, Row]] = []
     for count in INSTANCES:
         view = _make_view(count)
-        ownership = assign_owners(service, view.names)
+        places = [(e.name, e.data_centre) for e in view.instances]
+        ownership = assign_owners(service, places)
 
         def answer(view: View = view, ownership: object = ownership) -> bytes:
             built = build_answer(
@@ -181,7 +183,7 @@
     dispatcher = Dispatcher(NAME, random.Random(1))
     for service in configuration.services.values():
         dispatcher.set_service(service)
-        dispatcher.set_ownership(service.name, assign_owners(service, [NAME]), 0.0)
+        dispatcher.set_ownership(service.name, assign_owners(service, [PLACE]), 0.0)
         for target in service.targets:
             dispatcher.set_limit(target.name, target.slots, 0.0)
     numbers = itertools.count()
@@ -212,7 +214,7 @@
     clock = ManualClock()
     instance = _make_instance(clock)
     _take(instance, configuration)
-    instance._owners.update(configuration.services, [NAME])
+    instance._owners.update(configuration.services, [PLACE])
     instance._plan.update(configuration, 0)
     names = itertools.cycle(
         [t.name for s in configuration.services.values() for t in s.targets]
--- /dev/null
+++ b/src/currantline/bench/_placement.py
@@ -0,0 +1,46 @@
+"""Ways to choose owners that the measurement compares."""
+
+import enum
+from collections.abc import Mapping
+
+import attrs
+
+from currantline.configuration import Service
+from currantline.directory import Ownership, assign_owners
+
+__all__ = ["Placement", "place_owners"]
+
+
+class Placement(enum.Enum):
+    """Where owners are, and which of them callers are steered to."""
+
+    ANYWHERE = "anywhere"
+    NEAR_TARGET = "near-target"
+    NEAR_CALLER = "near-target-and-caller"
+
+
+def place_owners(
+    service: Service, instances: Mapping[str, str], placement: Placement
+) -> Ownership:
+    """Assign the targets of a service to owners.
+
+    Parameters
+    ----------
+    service : Service
+        The service.
+    instances : mapping of str to str
+        Data centre of each live instance.
+    placement : Placement
+        Where owners are.
+
+    Returns
+    -------
+    Ownership
+        Owners of all targets.
+    """
+    if placement is not Placement.ANYWHERE:
+        return assign_owners(service, instances.items())
+    # Owners anywhere follow from a view in which all is in one data centre.
+    targets = [attrs.evolve(t, data_centre="one") for t in service.targets]
+    together = attrs.evolve(service, targets=tuple(targets))
+    return assign_owners(together, [(name, "one") for name in instances])
--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -361,8 +361,9 @@
         self._reader.set_reading(is_alone or self._settings.name in readers)
 
     def _update_owners(self, view: View) -> None:
-        ready = [e.name for e in view.instances if e.status is Status.READY]
-        self._may_own = self._settings.name in ready
+        instances = view.instances
+        ready = [(e.name, e.data_centre) for e in instances if e.status is Status.READY]
+        self._may_own = any(name == self._settings.name for name, _ in ready)
         configuration = self.configuration
         changed = self._owners.update(configuration.services, ready)
         digest = combine_digest(view, configuration.version)
--- a/src/currantline/control/_limits.py
+++ b/src/currantline/control/_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from currantline.clock import Clock
 from currantline.forwarding import AttemptObservation, AttemptResult
@@ -21,6 +22,14 @@
 }
 
 
+class SetLimit(Protocol):
+    """Takes the limit of a target."""
+
+    def __call__(self, target: str, slots: int, *, accepts_loans: bool) -> None:
+        """Set how many slots may be used, and whether lent ones may be."""
+        ...
+
+
 class LimitKeeper:
     """Feeds attempts to the book and limits to dispatch.
 
@@ -31,7 +40,8 @@
     clock : Clock
         Source of time.
     set_limit : callable
-        Takes a target and how many of its slots may be used.
+        Takes a target, how many of its slots may be used, and whether slots lent
+        by its owner may be.
     on_drain : callable
         Called after an attempt was observed, to tell peers of drains at once.
     """
@@ -41,18 +51,18 @@
         book: TargetBook,
         *,
         clock: Clock,
-        set_limit: Callable[[str, int], None],
+        set_limit: SetLimit,
         on_drain: Callable[[], None],
     ) -> None:
         self._book = book
         self._clock = clock
         self._set_limit = set_limit
         self._on_drain = on_drain
-        self._limits: dict[str, int] = {}
+        self._limits: dict[str, tuple[int, bool]] = {}
 
     def set_targets(self, names: Iterable[str]) -> None:
         """Take over the targets of a configuration."""
-        self._limits = {name: self._limits.get(name, 0) for name in names}
+        self._limits = {name: self._limits.get(name, (0, False)) for name in names}
 
     def observe(self, target: str, observation: AttemptObservation) -> None:
         """Take note of an attempt."""
@@ -77,10 +87,13 @@
 
     def refresh_one(self, target: str, now: float) -> None:
         """Pass on the limit of one target if it changed."""
+        if target not in self._limits:
+            return
         limit = self._book.limit(target, now)
-        if target in self._limits and limit != self._limits[target]:
-            self._limits[target] = limit
-            self._set_limit(target, limit)
+        accepts_loans = limit > 0 or self._book.accepts_loans(target, now)
+        if (limit, accepts_loans) != self._limits[target]:
+            self._limits[target] = (limit, accepts_loans)
+            self._set_limit(target, limit, accepts_loans=accepts_loans)
 
     def refresh(self) -> None:
         """Pass on all limits that changed."""
--- a/src/currantline/control/_sources.py
+++ b/src/currantline/control/_sources.py
@@ -31,17 +31,19 @@
         self._previous: dict[str, str] = {}
         self._others: dict[str, tuple[str, ...]] = {}
 
-    def update(self, services: Mapping[str, Service], ready: Iterable[str]) -> None:
+    def update(
+        self, services: Mapping[str, Service], ready: Iterable[tuple[str, str]]
+    ) -> None:
         """Take over the owners in force.
 
         Parameters
         ----------
         services : mapping of str to Service
             Services in force.
-        ready : iterable of str
-            Live instances that take work.
+        ready : iterable of tuple
+            Name and data centre of the live instances that take work.
         """
-        others = [name for name in ready if name != self._name]
+        others = [place for place in ready if place[0] != self._name]
         owner: dict[str, str] = {}
         self._others = {}
         for service in services.values():
--- a/src/currantline/control/tests/test_plan.py
+++ b/src/currantline/control/tests/test_plan.py
@@ -21,6 +21,11 @@
 DIGEST = 7
 
 
+def place(*names: str) -> list[tuple[str, str]]:
+    """Return instances of the data centre of all targets."""
+    return [(name, "a") for name in names]
+
+
 class Bench:
     """Instance a, which owns all targets of a service."""
 
@@ -47,9 +52,9 @@
 
     def set_ready(self, ready: tuple[str, ...]) -> None:
         """Take over a view."""
-        self.owners.update(self.configuration.services, ready)
+        self.owners.update(self.configuration.services, place(*ready))
         self.plan.update(self.configuration, DIGEST)
-        self.sources.update(self.configuration.services, ready)
+        self.sources.update(self.configuration.services, place(*ready))
 
     def make_asker(
         self,
@@ -109,11 +114,11 @@
     def test_after_a_change(self) -> None:
         """Guards against the previous owner, which leaves, not being asked."""
         bench = Bench(("a", "b", "c"))
-        before = assign_owners(bench.service, ("a", "b", "c")).targets["t0"]
+        before = assign_owners(bench.service, place("a", "b", "c")).targets["t0"]
         others = [name for name in ("b", "c") if name != before]
         bench.set_ready(("a", *others))
         bench.set_ready(("a",))
-        previous = assign_owners(bench.service, ("a", *others)).targets["t0"]
+        previous = assign_owners(bench.service, place("a", *others)).targets["t0"]
         expected = [previous] if previous != "a" else [before]
         assert bench.sources.find("t0") == [*expected, "holder"]
 
@@ -121,7 +126,7 @@
         """Guards against a new owner that does not ask the one before."""
         bench = Bench()
         bench.set_ready(("a", "b"))
-        owner = assign_owners(bench.service, ("a", "b")).targets["t0"]
+        owner = assign_owners(bench.service, place("a", "b")).targets["t0"]
         found = bench.sources.find("t0")
         assert found == (["b", "holder"] if owner == "a" else ["holder"])
 
--- a/src/currantline/dispatch/__init__.py
+++ b/src/currantline/dispatch/__init__.py
@@ -2,7 +2,8 @@
 
 from typing import TYPE_CHECKING
 
-from currantline.dispatch._dispatcher import Dispatcher, ServiceCounts
+from currantline.dispatch._counts import PoolCounts, ServiceCounts
+from currantline.dispatch._dispatcher import Dispatcher
 from currantline.dispatch._messages import (
     Demand,
     Effect,
@@ -16,7 +17,6 @@
     Usage,
 )
 from currantline.dispatch._options import DispatchOptions
-from currantline.dispatch._pool import PoolCounts
 from currantline.dispatch._retry import RetryBudget
 from currantline.lazy import import_lazily
 
--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -2,13 +2,14 @@
 
 import itertools
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
 from currantline.admission import Work
 from currantline.configuration import Service
 from currantline.directory import Ownership
+from currantline.dispatch._counts import ServiceCounts
 from currantline.dispatch._messages import (
     Demand,
     Effect,
@@ -19,45 +20,11 @@
     Return,
 )
 from currantline.dispatch._options import DispatchOptions
-from currantline.dispatch._pool import PoolCounts, ServicePool
+from currantline.dispatch._pool import ServicePool
 from currantline.exceptions import InvariantError
 from currantline.forwarding import AttemptResult
 
-__all__ = ["Dispatcher", "ServiceCounts"]
-
-
-@attrs.frozen(kw_only=True)
-class ServiceCounts:
-    """State of one service at one instance, for metrics.
-
-    Parameters
-    ----------
-    short_waiting : int
-        Short requests that wait.
-    long_waiting : int
-        Other requests that wait.
-    running : int
-        Requests that run.
-    free_slots : int
-        Free slots of owned targets.
-    lent_slots : int
-        Slots lent to other instances.
-    borrowed_slots : int
-        Slots borrowed from other instances.
-    loans_made : int
-        Loans made since the start.
-    totals : PoolCounts
-        Counters since the start.
-    """
-
-    short_waiting: int
-    long_waiting: int
-    running: int
-    free_slots: int
-    lent_slots: int
-    borrowed_slots: int
-    loans_made: int
-    totals: PoolCounts
+__all__ = ["Dispatcher"]
 
 
 class Dispatcher:
@@ -84,6 +51,8 @@
         self._options = options or DispatchOptions()
         self._pools: dict[str, ServicePool] = {}
         self._targets: dict[str, ServicePool] = {}
+        # Services that were removed while some of their requests run.
+        self._retired: set[str] = set()
         self._requests: dict[str, ServicePool] = {}
         # A random start keeps the identifiers of a restarted instance apart from
         # those of its former life.
@@ -99,9 +68,25 @@
             self._pools[service.name] = pool
         else:
             pool.set_service(service)
+        self._retired.discard(service.name)
+        self._forget_targets(pool)
         for target in service.targets:
             self._targets[target.name] = pool
 
+    def keep_services(self, names: Collection[str], now: float) -> list[Effect]:
+        """Remove all other services once nothing of theirs runs.
+
+        Their waiting requests are refused.
+        """
+        effects: list[Effect] = []
+        for name in sorted(self._pools.keys() - set(names) - self._retired):
+            pool = self._pools[name]
+            self._retired.add(name)
+            self._forget_targets(pool)
+            effects += self._note(pool.retire(now))
+        self._sweep()
+        return effects
+
     def set_ownership(
         self, service: str, ownership: Ownership, now: float
     ) -> list[Effect]:
@@ -109,12 +94,28 @@
         pool = self._pools.get(service)
         return self._note(pool.set_ownership(ownership, now)) if pool else []
 
-    def set_limit(self, target: str, slots: int, now: float) -> list[Effect]:
-        """Set how many slots of a target may be used now; 0 until it is set."""
+    def set_limit(
+        self, target: str, slots: int, now: float, *, accepts_loans: bool | None = None
+    ) -> list[Effect]:
+        """Set how many slots of a target may be used now; 0 until it is set.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        slots : int
+            Slots to use on this instance's own evidence.
+        now : float
+            Time in ms.
+        accepts_loans : bool, optional
+            Whether a slot may be used on the evidence of an owner that lends it;
+            by default if ``slots`` is not 0.
+        """
         pool = self._targets.get(target)
         if pool is None:
             return []
-        pool.ledger.set_limit(target, slots)
+        accepts = slots > 0 if accepts_loans is None else accepts_loans
+        pool.ledger.set_limit(target, slots, accepts_loans=accepts)
         return self._note(pool.advance(now))
 
     def submit(self, work: Work, now: float) -> list[Effect]:
@@ -128,7 +129,7 @@
         if work.request_id in self._requests:
             raise InvariantError(f"request {work.request_id} is already present")
         pool = self._pools.get(work.service)
-        if pool is None:
+        if pool is None or work.service in self._retired:
             return [Refuse(work.request_id, "no-target")]
         self._requests[work.request_id] = pool
         return self._note(pool.submit(work, now))
@@ -147,7 +148,9 @@
         if pool is None or request_id not in pool.running:
             raise InvariantError(f"request {request_id} does not run")
         del self._requests[request_id]
-        return self._note(pool.finish(request_id, result, now))
+        effects = self._note(pool.finish(request_id, result, now))
+        self._sweep()
+        return effects
 
     def cancel(self, request_id: str, now: float) -> list[Effect]:
         """Forget a request whose caller has gone, whether it waits or runs."""
@@ -157,8 +160,7 @@
         if request_id in pool.running:
             return self.finish(request_id, AttemptResult.CANCELLED, now)
         del self._requests[request_id]
-        pool.queue.remove(request_id)
-        return self._note(pool.advance(now))
+        return self._note(pool.cancel(request_id, now))
 
     def receive(self, sender: str, message: Message, now: float) -> list[Effect]:
         """Take a message from another instance."""
@@ -224,6 +226,15 @@
         # The lease has ended or the target has another owner.
         return []
 
+    def _forget_targets(self, pool: ServicePool) -> None:
+        kept = {name: other for name, other in self._targets.items() if other != pool}
+        self._targets = kept
+
+    def _sweep(self) -> None:
+        for name in [n for n in self._retired if self._pools[n].is_idle]:
+            del self._pools[name]
+            self._retired.remove(name)
+
     def _note(self, effects: list[Effect]) -> list[Effect]:
         for effect in effects:
             if isinstance(effect, Refuse):
--- a/src/currantline/dispatch/_ledger.py
+++ b/src/currantline/dispatch/_ledger.py
@@ -63,6 +63,8 @@
     lease_ms: float
     granted: float
     renewed: float
+    # No request starts on the slot from this time on.
+    usable_until: float
     request_id: str | None = None
 
     @property
@@ -76,7 +78,8 @@
         Renewals serve the request that runs. The slot goes back after the first
         lease, so that it is given out anew by need.
         """
-        return self.request_id is None and now < self.granted + self.lease_ms
+        until = min(self.granted + self.lease_ms, self.usable_until)
+        return self.request_id is None and now < until
 
 
 @attrs.define
@@ -84,7 +87,9 @@
     name: str
     slots: int
     limit: int = 0
+    accepts_loans: bool = False
     is_owned: bool = False
+    is_configured: bool = True
     running: dict[str, Running] = attrs.field(factory=dict)
     lent: dict[int, Lent] = attrs.field(factory=dict)
     # Slots that others use without a loan, and when that report is forgotten.
@@ -130,11 +135,13 @@
         for name, count in slots.items():
             known = self._targets.setdefault(name, _TargetSlots(name, count))
             known.slots = count
+            known.is_configured = True
             known.limit = min(known.limit, count)
         for name in set(self._targets) - set(slots):
             known = self._targets[name]
             known.limit = 0
-            known.is_owned = False
+            known.accepts_loans = False
+            known.is_owned = known.is_configured = False
             if not known.running:
                 del self._targets[name]
         self._refresh()
@@ -144,7 +151,7 @@
         owned = set(names)
         dropped: list[Lent] = []
         for name, target in self._targets.items():
-            target.is_owned = name in owned
+            target.is_owned = name in owned and target.is_configured
             if not target.is_owned:
                 dropped += target.lent.values()
                 target.lent.clear()
@@ -152,10 +159,11 @@
         self._refresh()
         return dropped
 
-    def set_limit(self, name: str, slots: int) -> None:
-        """Set how many slots of a target may be used now."""
+    def set_limit(self, name: str, slots: int, *, accepts_loans: bool) -> None:
+        """Set how many slots of a target may be used now, and whether on loan."""
         if name in self._targets:
             target = self._targets[name]
+            target.accepts_loans = accepts_loans
             target.limit = max(0, min(slots, target.slots))
             target.recount()
 
@@ -191,6 +199,9 @@
         if target.running.pop(running.request_id, None) is None:
             raise InvariantError(f"request {running.request_id} does not run")
         target.recount()
+        if not target.is_configured and not target.running:
+            del self._targets[target.name]
+            self._refresh()
         if running.loan is not None:
             running.loan.request_id = None
 
@@ -260,6 +271,10 @@
         """Return how many slots are lent."""
         return sum(len(target.lent) for target in self._owned)
 
+    def list_free(self) -> list[str]:
+        """Return the owned targets with free slots."""
+        return [target.name for target in self._owned if target.free > 0]
+
     def count_free(self) -> int:
         """Return how many slots of owned targets are free."""
         return sum(target.free for target in self._owned)
@@ -268,21 +283,34 @@
         """Return whether this instance owns a target."""
         return name in self._targets and self._targets[name].is_owned
 
-    def takes_work(self, name: str) -> bool:
-        """Return whether a target takes work as far as this instance knows."""
-        return name in self._targets and self._targets[name].limit > 0
+    def accepts_loans(self, name: str) -> bool:
+        """Return whether work may start on a loan of a target's slot."""
+        return name in self._targets and self._targets[name].accepts_loans
 
     @property
     def has_usable(self) -> bool:
         """Whether any owned target takes work."""
         return any(target.limit > 0 for target in self._owned)
 
-    def choose(self) -> str | None:
+    def takes_work_outside(self, avoid: frozenset[str]) -> bool:
+        """Return whether any other target takes work as far as is known here."""
+        return any(
+            target.limit > 0 and name not in avoid
+            for name, target in self._targets.items()
+        )
+
+    def choose(self, avoid: frozenset[str] = frozenset()) -> str | None:
         """Choose an owned target with a free slot, fewest in use first."""
-        return self._pick([target for target in self._owned if target.free > 0])
+        free = [target for target in self._owned if target.free > 0]
+        return self._pick([target for target in free if target.name not in avoid])
 
     def choose_for_long(
-        self, now: float, threshold_ms: float, *, spare: int = 1
+        self,
+        now: float,
+        threshold_ms: float,
+        *,
+        spare: int = 1,
+        avoid: frozenset[str] = frozenset(),
     ) -> str | None:
         """Choose an owned target for long work.
 
@@ -294,6 +322,8 @@
             Running time from which a running request counts as long.
         spare : int
             Free slots that must remain, except on a target with one slot.
+        avoid : frozenset of str
+            Targets that are not chosen.
 
         Returns
         -------
@@ -306,6 +336,7 @@
             if target.free > 0
             and (target.free > spare or target.limit == 1)
             and target.has_long_room(now, threshold_ms)
+            and target.name not in avoid
         ]
         return self._pick(fits)
 
@@ -314,13 +345,19 @@
         return self._targets[name].has_long_room(now, threshold_ms)
 
     def choose_local(
-        self, *, is_long: bool, now: float, threshold_ms: float
+        self,
+        *,
+        is_long: bool,
+        now: float,
+        threshold_ms: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> str | None:
         """Choose by power of two choices on own in-flight requests."""
         fits = [
             (name, target)
             for name, target in self._targets.items()
             if len(target.running) < target.limit
+            and name not in avoid
             and (not is_long or target.has_long_room(now, threshold_ms))
         ]
         if not fits:
--- a/src/currantline/dispatch/_lender.py
+++ b/src/currantline/dispatch/_lender.py
@@ -79,10 +79,12 @@
             return None
         return self._lend(oldest[1], target, now, is_short=False)
 
-    def choose_long(self, now: float, *, spare: int) -> str | None:
+    def choose_long(
+        self, now: float, *, spare: int, avoid: frozenset[str] = frozenset()
+    ) -> str | None:
         """Choose an owned target for long work, see `SlotLedger`."""
         threshold_ms = self.lengths.threshold_ms
-        return self.ledger.choose_for_long(now, threshold_ms, spare=spare)
+        return self.ledger.choose_for_long(now, threshold_ms, spare=spare, avoid=avoid)
 
     def _lend(self, borrower: str, target: str, now: float, *, is_short: bool) -> Send:
         threshold_ms = self.lengths.threshold_ms
@@ -96,7 +98,7 @@
             expires=now + self.options.lease_ms,
         )
         self.ledger.lend(lent)
-        self.demands.count_loan(borrower, is_short=is_short, now=now)
+        number = self.demands.count_loan(borrower, is_short=is_short, now=now)
         self.lent += 1
         message = Lend(
             loan_id=lent.loan_id,
@@ -104,5 +106,6 @@
             target=target,
             lease_ms=self.options.lease_ms,
             allow_long=allow_long,
+            number=number,
         )
         return Send(borrower, message)
--- a/src/currantline/dispatch/_loans.py
+++ b/src/currantline/dispatch/_loans.py
@@ -31,7 +31,7 @@
         """Return whether a loan is still held."""
         return loan is not None and (loan.owner, loan.loan_id) in self._loans
 
-    def add(self, owner: str, lend: Lend, now: float) -> None:
+    def add(self, owner: str, lend: Lend, now: float, usable_until: float) -> None:
         """Take over a loan, idle."""
         loan = Borrowed(
             owner=owner,
@@ -41,6 +41,7 @@
             lease_ms=lend.lease_ms,
             granted=now,
             renewed=now,
+            usable_until=usable_until,
         )
         self._loans[owner, lend.loan_id] = loan
         self._idle.append(loan)
@@ -84,14 +85,23 @@
             elif now >= loan.renewed + loan.lease_ms / 2:
                 loan.renewed = now
                 sends.append(Send(loan.owner, Renew(loan_id=loan.loan_id)))
-        for key in [key for key, until in self._ended.items() if until <= now]:
-            del self._ended[key]
+        self._forget_ended(now)
         return sends
 
     def next_due(self) -> float:
         """Return when `renew` is needed next, or infinity."""
         ends = [loan.renewed + loan.lease_ms / 2 for loan in self._loans.values()]
-        return min([*ends, *self._ended.values()], default=INFINITY)
+        # Ended loans need no waking up: they are looked at with the next message.
+        return min(ends, default=INFINITY)
+
+    def _forget_ended(self, now: float) -> None:
+        # Loans have equal leases and end in order, so that only the first ones
+        # can be due. A scan of all cost half of the time when many loans ended.
+        while self._ended:
+            key, until = next(iter(self._ended.items()))
+            if until > now:
+                return
+            del self._ended[key]
 
     def _end(self, loan: Borrowed, now: float) -> Send:
         del self._loans[loan.owner, loan.loan_id]
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -1,252 +1,38 @@
-"""Tests of several dispatchers under faults of messages and instances."""
+"""Tests of the decisions of dispatchers."""
 
 import random
 
-import hypothesis.strategies as st
+import attrs
 import pytest
-from hypothesis import settings
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-    run_state_machine_as_test,
-)
 
-from currantline.admission import Work
-from currantline.configuration import Priority, Service, Target
-from currantline.directory import Ownership, assign_owners
+from currantline.configuration import Priority
+from currantline.directory import Ownership
 from currantline.dispatch import (
     Demand,
-    Dispatcher,
     DispatchOptions,
-    Effect,
     Lend,
-    Message,
     Refuse,
     Return,
     Send,
     Start,
     Usage,
 )
+from currantline.dispatch._pool import ServicePool
+from currantline.dispatch.tests.support import (
+    LEASE_MS,
+    LOAN_AGE_MS,
+    OWNED_BY_A,
+    SERVICE,
+    SLOTS,
+    TARGETS,
+    make_dispatcher,
+    make_work,
+    messages,
+    starts,
+)
 from currantline.exceptions import InvariantError
 from currantline.forwarding import AttemptResult
 
-NAMES = ("a", "b", "c")
-SLOTS = 2
-TARGETS = tuple(
-    Target(name=f"t{i}", address="127.0.0.1:7000", data_centre="n", slots=SLOTS)
-    for i in range(3)
-)
-SERVICE = Service(name="s", targets=TARGETS, slots_per_owner=4, queue_limit=20)
-OWNED_BY_A = Ownership(owners=("a",), targets={t.name: "a" for t in TARGETS})
-LEASE_MS = DispatchOptions().lease_ms
-
-
-def make_work(
-    name: str,
-    now: float,
-    *,
-    timeout_ms: float = 1000.0,
-    priority: Priority = Priority.INTERACTIVE,
-) -> Work:
-    """Return a request."""
-    return Work(
-        request_id=name,
-        service="s",
-        route=priority.value,
-        priority=priority,
-        deadline=now + timeout_ms,
-        arrived=now,
-    )
-
-
-def make_dispatcher(name: str, ownership: Ownership = OWNED_BY_A) -> Dispatcher:
-    """Return a dispatcher that may use all slots."""
-    dispatcher = Dispatcher(name, random.Random(name))
-    dispatcher.set_service(SERVICE)
-    dispatcher.set_ownership("s", ownership, 0.0)
-    for target in TARGETS:
-        dispatcher.set_limit(target.name, SLOTS, 0.0)
-    return dispatcher
-
-
-def starts(effects: list[Effect]) -> list[str]:
-    """Return the requests that were started."""
-    return [e.request_id for e in effects if isinstance(e, Start)]
-
-
-def messages(effects: list[Effect]) -> list[Message]:
-    """Return the messages that were sent."""
-    return [e.message for e in effects if isinstance(e, Send)]
-
-
-class FleetMachine(RuleBasedStateMachine):
-    """Dispatchers whose messages are lost, late, repeated and reordered."""
-
-    @initialize()
-    def begin(self) -> None:
-        """Start all instances with the same owners."""
-        self.now = 0.0
-        self.count = 0
-        self.fleet = {
-            name: make_dispatcher(name, assign_owners(SERVICE, NAMES)) for name in NAMES
-        }
-        self.mail: list[tuple[str, str, Message]] = []
-        self.deadlines: dict[str, float] = {}
-        self.waiting: dict[str, str] = {}
-        self.running: dict[str, str] = {}
-
-    def carry_out(self, name: str, effects: list[Effect]) -> None:
-        """Check the ends of requests and post the messages."""
-        for effect in effects:
-            if isinstance(effect, Send):
-                assert effect.instance != name
-                self.mail.append((name, effect.instance, effect.message))
-                continue
-            assert self.waiting.pop(effect.request_id) == name
-            if isinstance(effect, Start):
-                assert self.now < self.deadlines[effect.request_id]
-                self.running[effect.request_id] = name
-
-    @rule(
-        name=st.sampled_from(NAMES),
-        timeout_ms=st.sampled_from([20.0, 300.0]),
-        priority=st.sampled_from(list(Priority)),
-        count=st.integers(1, 6),
-    )
-    def submit(
-        self, name: str, timeout_ms: float, priority: Priority, count: int
-    ) -> None:
-        """Submit requests to an instance."""
-        for _ in range(count):
-            self.count += 1
-            request_id = str(self.count)
-            work = make_work(
-                request_id, self.now, timeout_ms=timeout_ms, priority=priority
-            )
-            self.deadlines[request_id] = work.deadline
-            self.waiting[request_id] = name
-            self.carry_out(name, self.fleet[name].submit(work, self.now))
-
-    @precondition(lambda self: self.running)
-    @rule(data=st.data(), result=st.sampled_from(list(AttemptResult)))
-    def finish(self, data: st.DataObject, result: AttemptResult) -> None:
-        """End a request that runs."""
-        request_id = data.draw(st.sampled_from(sorted(self.running)))
-        name = self.running.pop(request_id)
-        self.carry_out(name, self.fleet[name].finish(request_id, result, self.now))
-
-    @precondition(lambda self: self.running or self.waiting)
-    @rule(data=st.data())
-    def cancel(self, data: st.DataObject) -> None:
-        """Cancel for a caller that has gone."""
-        present = {**self.running, **self.waiting}
-        request_id = data.draw(st.sampled_from(sorted(present)))
-        self.running.pop(request_id, None)
-        self.waiting.pop(request_id, None)
-        name = present[request_id]
-        self.carry_out(name, self.fleet[name].cancel(request_id, self.now))
-
-    @precondition(lambda self: self.mail)
-    @rule(data=st.data(), fate=st.sampled_from(["once", "once", "twice", "lost"]))
-    def deliver(self, data: st.DataObject, fate: str) -> None:
-        """Any message in transit arrives, is repeated or is lost."""
-        index = data.draw(st.integers(0, len(self.mail) - 1))
-        sender, name, message = self.mail[index]
-        if fate != "twice":
-            del self.mail[index]
-        if fate != "lost":
-            effects = self.fleet[name].receive(sender, message, self.now)
-            self.carry_out(name, effects)
-
-    @rule(
-        duration_ms=st.sampled_from([1.0, 10.0, 60.0, 400.0]),
-        awake=st.sets(st.sampled_from(NAMES)),
-    )
-    def wait(self, duration_ms: float, awake: set[str]) -> None:
-        """Time passes; instances that are paused see it later."""
-        self.now += duration_ms
-        for name in sorted(awake):
-            self.carry_out(name, self.fleet[name].tick(self.now))
-
-    @rule(name=st.sampled_from(NAMES), live=st.sets(st.sampled_from(NAMES)))
-    def change_view(self, name: str, live: set[str]) -> None:
-        """One instance sees other owners than the rest."""
-        ownership = assign_owners(SERVICE, live)
-        effects = self.fleet[name].set_ownership("s", ownership, self.now)
-        self.carry_out(name, effects)
-
-    @rule(
-        name=st.sampled_from(NAMES),
-        place=st.sampled_from(TARGETS),
-        slots=st.integers(0, SLOTS),
-    )
-    def change_limit(self, name: str, place: Target, slots: int) -> None:
-        """Change a limit as when a target drains, slows down or recovers."""
-        effects = self.fleet[name].set_limit(place.name, slots, self.now)
-        self.carry_out(name, effects)
-
-    @rule(name=st.sampled_from(NAMES))
-    def resume(self, name: str) -> None:
-        """Reset an instance as after a pause."""
-        self.carry_out(name, self.fleet[name].reset(self.now))
-
-    def end_all(self) -> None:
-        """End all requests that run, and those that start on their slots."""
-        while self.running:
-            request_id, name = self.running.popitem()
-            result = AttemptResult.TIMED_OUT
-            self.carry_out(name, self.fleet[name].finish(request_id, result, self.now))
-
-    @invariant()
-    def counts_agree(self) -> None:
-        """Slots in use are those of the running requests."""
-        for name, dispatcher in self.fleet.items():
-            dispatcher.check()
-            counts = dispatcher.counts(self.now)["s"]
-            mine = [r for r, owner in self.running.items() if owner == name]
-            assert counts.running == len(mine)
-
-    def teardown(self) -> None:
-        """Let all requests and leases end and expect every slot back."""
-        if not hasattr(self, "fleet"):
-            return
-        self.end_all()
-        self.now += 500.0
-        for name, dispatcher in self.fleet.items():
-            self.carry_out(name, dispatcher.tick(self.now))
-        self.end_all()
-        assert not self.waiting
-        self.now += 20 * LEASE_MS
-        ownership = assign_owners(SERVICE, NAMES)
-        free = 0
-        for dispatcher in self.fleet.values():
-            dispatcher.set_ownership("s", ownership, self.now)
-            for target in TARGETS:
-                dispatcher.set_limit(target.name, SLOTS, self.now)
-            counts = dispatcher.counts(self.now)["s"]
-            assert counts.lent_slots == counts.borrowed_slots == 0
-            free += counts.free_slots
-        assert free == SLOTS * len(TARGETS)
-
-
-class TestFleet:
-    """Several dispatchers under faults."""
-
-    def test_any_order_of_events(self) -> None:
-        """Guards against slots lost or used twice and requests without an end."""
-        run_state_machine_as_test(
-            FleetMachine,
-            settings=settings(
-                derandomize=True,
-                max_examples=150,
-                stateful_step_count=40,
-                deadline=None,
-            ),
-        )
-
 
 class TestLending:
     """Loans between an owner and an instance that owns nothing."""
@@ -277,6 +63,21 @@
         assert starts(effects) == []
         assert Send("a", Return(loan_id=lend.loan_id)) in effects
 
+    @pytest.mark.parametrize("delay_ms", [499.0, 500.0])
+    def test_late_loan(self, delay_ms: float) -> None:
+        """Guards against new work on a target that its owner knew long ago."""
+        owner, other = make_dispatcher("a"), make_dispatcher("b")
+        demand = messages(other.submit(make_work("1", 0.0), 0.0))[0]
+        lend = messages(owner.receive("b", demand, 1.0))[0]
+        other.cancel("1", 1.0)
+        other.submit(make_work("2", delay_ms), delay_ms)
+        is_late = delay_ms >= LOAN_AGE_MS
+        effects = other.receive("a", lend, delay_ms)
+        assert starts(effects) == ([] if is_late else ["2"])
+        ended = other.finish("2", AttemptResult.ANSWERED, 500.0) if not is_late else []
+        other.submit(make_work("3", 500.0), 500.0)
+        assert starts(ended + other.tick(500.0)) == []
+
     def test_lost_return(self) -> None:
         """Guards against a slot that stays idle after a message was lost."""
         owner = make_dispatcher("a")
@@ -399,3 +200,120 @@
         dispatcher.finish("1", AttemptResult.ANSWERED, 1.0)
         with pytest.raises(InvariantError):
             dispatcher.finish("1", AttemptResult.ANSWERED, 1.0)
+
+    def test_removed_service(self) -> None:
+        """Guards against state of removed services, and requests lost with it."""
+        dispatcher = make_dispatcher("a")
+        for count in range(7):
+            dispatcher.submit(make_work(f"{count}", 0.0), 0.0)
+        assert Refuse("6", "no-target") in dispatcher.keep_services((), 1.0)
+        assert dispatcher.counts(1.0)["s"].running == 6
+        late = make_work("late", 1.0)
+        assert dispatcher.submit(late, 1.0) == [Refuse("late", "no-target")]
+        for count in range(6):
+            dispatcher.check()
+            dispatcher.finish(f"{count}", AttemptResult.ANSWERED, 2.0)
+        assert dispatcher.counts(2.0) == {}
+
+    def test_removed_and_added_service(self) -> None:
+        """Guards against a service that stays closed after it was added again."""
+        dispatcher = make_dispatcher("a")
+        dispatcher.submit(make_work("1", 0.0), 0.0)
+        dispatcher.keep_services((), 1.0)
+        dispatcher.set_service(SERVICE)
+        dispatcher.set_ownership("s", OWNED_BY_A, 2.0)
+        dispatcher.set_limit("t1", SLOTS, 2.0)
+        assert starts(dispatcher.submit(make_work("2", 2.0), 2.0)) == ["2"]
+        dispatcher.finish("1", AttemptResult.ANSWERED, 3.0)
+        assert dispatcher.counts(3.0)["s"].running == 1
+
+    def test_removed_target(self) -> None:
+        """Guards against a target that is kept after its last request."""
+        dispatcher = make_dispatcher("a")
+        effects = [
+            effect
+            for count in range(6)
+            for effect in dispatcher.submit(make_work(f"{count}", 0.0), 0.0)
+        ]
+        started = [e.request_id for e in effects if isinstance(e, Start)]
+        dispatcher.set_service(attrs.evolve(SERVICE, targets=TARGETS[1:]))
+        dispatcher.set_limit("t0", SLOTS, 1.0)
+        for request_id in started:
+            dispatcher.finish(request_id, AttemptResult.ANSWERED, 2.0)
+            dispatcher.check()
+        assert dispatcher.counts(2.0)["s"].free_slots == 4
+        dispatcher.set_service(SERVICE)
+        dispatcher.set_ownership("s", OWNED_BY_A, 3.0)
+        assert dispatcher.counts(3.0)["s"].free_slots == 4
+
+
+class TestRetries:
+    """Requests that some targets have failed already."""
+
+    def test_other_target(self) -> None:
+        """Guards against a retry on the target that has just failed it."""
+        dispatcher = make_dispatcher("a")
+        avoid = frozenset({"t0", "t2"})
+        effects = dispatcher.submit(make_work("1", 0.0, avoid=avoid), 0.0)
+        assert [e.target for e in effects if isinstance(e, Start)] == ["t1"]
+
+    @pytest.mark.parametrize(("timeout_ms", "until"), [(10.0, 5.0), (1000.0, 20.0)])
+    def test_short_wait(self, timeout_ms: float, until: float) -> None:
+        """Guards against a retry that blocks others or waits past its deadline."""
+        dispatcher = make_dispatcher("a")
+        on_target: dict[str, list[str]] = {}
+        for count in range(6):
+            for effect in dispatcher.submit(make_work(f"{count}", 0.0), 0.0):
+                assert isinstance(effect, Start)
+                on_target.setdefault(effect.target, []).append(effect.request_id)
+        avoid = frozenset({"t0"})
+        retry = make_work("retry", 0.0, timeout_ms=timeout_ms, avoid=avoid)
+        dispatcher.submit(retry, 0.0)
+        dispatcher.submit(make_work("next", 0.5), 0.5)
+        first, second = on_target["t0"]
+        answered = AttemptResult.ANSWERED
+        assert starts(dispatcher.finish(first, answered, 1.0)) == ["next"]
+        assert starts(dispatcher.finish(second, answered, 2.0)) == []
+        assert dispatcher.next_due(2.0) <= until
+        assert starts(dispatcher.tick(until)) == ["retry"]
+
+    def test_no_other_target(self) -> None:
+        """Guards against a wait for a target that takes no work."""
+        dispatcher = make_dispatcher("a")
+        for name in ("t1", "t2"):
+            dispatcher.set_limit(name, 0, 0.0)
+        retry = make_work("retry", 0.0, avoid=frozenset({"t0"}))
+        assert starts(dispatcher.submit(retry, 0.0)) == ["retry"]
+
+    def test_loan_of_other_target(self) -> None:
+        """Guards against a retry on a borrowed slot of the target that failed it."""
+        owner, other = make_dispatcher("a"), make_dispatcher("b")
+        work = make_work("1", 0.0)
+        demand = messages(other.submit(work, 0.0))[0]
+        lend = messages(owner.receive("b", demand, 1.0))[0]
+        assert isinstance(lend, Lend)
+        other.cancel("1", 1.5)
+        retry = make_work("retry", 1.5, avoid=frozenset({lend.target}))
+        other.submit(retry, 1.5)
+        effects = other.receive("a", lend, 2.0)
+        assert starts(effects) == []
+        assert Send("a", Return(loan_id=lend.loan_id)) in effects
+
+    def test_route_found_long_while_waiting(self) -> None:
+        """Guards against a failure on work that was short when it was queued."""
+        pool = ServicePool(
+            "b", SERVICE, random.Random(1), DispatchOptions(), iter(range(9)).__next__
+        )
+        pool.set_ownership(OWNED_BY_A, 0.0)
+        pool.ledger.set_limit("t0", SLOTS, accepts_loans=True)
+        demand = messages(pool.submit(make_work("1", 0.0), 0.0))[0]
+        assert isinstance(demand, Demand)
+        for _ in range(20):
+            pool.lengths.observe("brief", 1.0)
+        for _ in range(10):
+            pool.lengths.observe("interactive", 100.0)
+        assert pool.lengths.is_long("interactive")
+        lend = Lend(
+            loan_id=1, service="s", target="t0", lease_ms=100.0, number=demand.number
+        )
+        assert starts(pool.receive_lend("a", lend, 1.0)) == ["1"]
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -194,6 +194,17 @@
             return 1
         return min(entry.easing.allowed, entry.slots)
 
+    def accepts_loans(self, target: str, now: float) -> bool:
+        """Return whether a slot may be used on the evidence of its owner.
+
+        Without evidence of its own an instance relies on the owner that lends the
+        slot; a drain or an open circuit that it knows of outranks the owner.
+        """
+        entry = self._entries.get(target)
+        if entry is None or entry.evidence.is_draining:
+            return False
+        return not entry.circuit.is_open or entry.circuit.is_half_open(now)
+
     def evidence_age(self, target: str, now: float) -> float:
         """Return the age in ms of the evidence that a target is not draining.
 
--- a/src/currantline/standin/trial.py
+++ b/src/currantline/standin/trial.py
@@ -226,7 +226,8 @@
         ready = sorted(name for name, each in running.items() if each.is_ready)
         free = [name for name in ready if name not in self.busy]
         known = self.site.configuration.services[service]
-        owners = assign_owners(known, ready).owners
+        places = [(name, self.site.settings[name].data_centre) for name in ready]
+        owners = assign_owners(known, places).owners
         return next((name for name in owners if name in free), free[0])
 
     def pick_target(self, service: str) -> str:
