Close a channel that is given up while it is opened

Cause: two calls to a peer wait for one connection. When the first times out, it closes the channel, and the second then opens the connection after all. Nothing referred to that channel any more, so the connection stayed open until garbage collection, with an error in the log.

Ruled out: the killed instance, whose channels are still referred to.

A call that finds its channel given up now closes it.

--- a/src/currantline/peer/_client.py
+++ b/src/currantline/peer/_client.py
@@ -155,6 +155,11 @@
         except WireError:
             self._fail(link, channel)
             raise
+        finally:
+            if link.channel is not channel:
+                # A call that waited for the connection opens it after the channel
+                # was given up, and nothing else refers to it.
+                channel.close()
         link.failures = 0
         return answer
 
--- a/src/currantline/peer/tests/test_peer.py
+++ b/src/currantline/peer/tests/test_peer.py
@@ -40,6 +40,8 @@
     encode_records,
 )
 from currantline.peer._generated import peer_pb2 as pb
+from currantline.standin.alarms import collect_alarms
+from currantline.standin.network import Network, run_on_host, run_session
 
 STATE = GossipState(
     status=Status.READY,
@@ -328,3 +330,34 @@
                     await client.exchange(address, GOSSIP)
 
         asyncio.run(run())
+
+    def test_late_connection(self) -> None:
+        """Guards against a connection that nobody closes.
+
+        Two calls share a channel that is being opened. The first times out and
+        the second opens the connection after all.
+        """
+        network = Network()
+        alarms: list[str] = []
+
+        async def call() -> None:
+            client = PeerClient(clock=ManualClock(), rng=random.Random(1))
+            network.cut(["10.0.0.1"], ["10.0.0.2"])
+            first = asyncio.create_task(client.exchange("10.0.0.1:80", GOSSIP))
+            await asyncio.sleep(0.3)
+            second = asyncio.create_task(client.exchange("10.0.0.1:80", GOSSIP))
+            await asyncio.sleep(0.3)
+            network.heal()
+            with pytest.raises(PeerTimeoutError):
+                await first
+            assert await second == GOSSIP
+            client.close()
+
+        async def session() -> None:
+            server = PeerServer(Handler())
+            await run_on_host("10.0.0.1", server.start("10.0.0.1:80"))
+            with collect_alarms(alarms):
+                await run_on_host("10.0.0.2", call())
+
+        run_session(network, session())
+        assert alarms == []
