Add a long randomised run of faults on a whole deployment

The run draws faults and their times from a seed, at most two at once, and checks the same table of invariants every 5 s of virtual time.

--- /dev/null
+++ b/src/currantline/bench/soak.py
@@ -0,0 +1,119 @@
+"""A long randomised run: faults drawn from a seed over virtual time.
+
+Prints what it does, and the first violation of an invariant with its seed.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+from absl import app, flags
+
+from currantline.standin.incidents import INCIDENTS, cause
+from currantline.standin.journal import Journal
+from currantline.standin.trial import Trial, run_trial
+
+__all__ = ["Soak", "run_soak"]
+
+RATE = 12.0
+CHECK_S = 5.0
+# Time from the start of one fault to the next; faults overlap by it.
+SHORTEST_GAP_S, LONGEST_GAP_S = 1.0, 9.0
+MOST_AT_ONCE = 2
+INSTANCES = 5
+
+
+@attrs.define
+class Soak:
+    """One randomised run.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of faults and load.
+    duration_s : float
+        Virtual seconds of load and faults.
+    say : callable
+        Takes each line of the report.
+    """
+
+    seed: int
+    duration_s: float
+    say: Callable[[str], object] = print
+    _running: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    _rng: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._rng = random.Random(f"{self.seed} soak")
+
+    async def play(self, trial: Trial) -> None:
+        """Cause faults under load until the time is over or something breaks."""
+        load = asyncio.create_task(
+            trial.run_load(rate=RATE, duration_s=self.duration_s)
+        )
+        faults = asyncio.create_task(self._cause_faults(trial))
+        while not load.done():
+            await asyncio.wait([load], timeout=CHECK_S)
+            if trial.journal.find_broken():
+                load.cancel()
+                faults.cancel()
+        await asyncio.gather(load, faults, return_exceptions=True)
+        await asyncio.gather(*self._running.values())
+
+    async def _cause_faults(self, trial: Trial) -> None:
+        end = trial.now + self.duration_s * 1000
+        while trial.now < end:
+            await asyncio.sleep(self._rng.uniform(SHORTEST_GAP_S, LONGEST_GAP_S))
+            self._running = {n: t for n, t in self._running.items() if not t.done()}
+            if len(self._running) >= MOST_AT_ONCE:
+                continue
+            name = self._rng.choice(self._list_possible())
+            self.say(f"{trial.now / 1000:8.1f} s  {name}")
+            self._running[name] = asyncio.create_task(cause(trial, name))
+
+    def _list_possible(self) -> list[str]:
+        is_taken = any(INCIDENTS[name].is_exclusive for name in self._running)
+        return [
+            name
+            for name, incident in INCIDENTS.items()
+            if name not in self._running and not (is_taken and incident.is_exclusive)
+        ]
+
+
+def run_soak(
+    seed: int, duration_s: float, *, say: Callable[[str], object] = print
+) -> Journal:
+    """Run faults from a seed and return the journal.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of faults and load.
+    duration_s : float
+        Virtual seconds of load and faults.
+    say : callable
+        Takes each line of the report.
+    """
+    journal = run_trial(Soak(seed, duration_s, say).play, seed=seed, count=INSTANCES)
+    outcomes = Counter(end.outcome for end in journal.ends)
+    say("  ".join(f"{name} {count}" for name, count in sorted(outcomes.items())))
+    broken = journal.find_broken()
+    if broken:
+        say(f"seed {seed} broke {len(broken)} times, first: {broken[0]}")
+    return journal
+
+
+def main(_: list[str]) -> int:
+    """Run and return 0 if every invariant held."""
+    options = flags.FLAGS
+    print(f"seed {options.seed}, {options.minutes:g} minutes of virtual time")
+    journal = run_soak(options.seed, options.minutes * 60)
+    return 1 if journal.find_broken() else 0
+
+
+if __name__ == "__main__":
+    flags.DEFINE_integer("seed", 1, "Seed of faults and load.")
+    flags.DEFINE_float("minutes", 5.0, "Minutes of virtual time.", lower_bound=0.1)
+    app.run(main)
