--- a/src/currantline/control/_plan.py
+++ b/src/currantline/control/_plan.py
@@ -1,18 +1,20 @@
 """Which targets this instance may probe."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
 from currantline.configuration import Configuration, Target
 from currantline.directory import OwnershipTable
+from currantline.load import AskedTargets, ShareRights
 
 __all__ = ["OwnedTargets"]
 
 
-@attrs.define
+@attrs.define(kw_only=True)
 class OwnedTargets:
-    """Targets that this instance owns, for the prober.
+    """Targets that this instance owns or has the share right of, for the prober.
 
     Parameters
     ----------
@@ -22,41 +24,85 @@
         Owners in this instance's view.
     holds_majority : callable
         Returns whether this instance holds the majority lease of its view.
+    read_digest : callable
+        Returns the digest that the lease is for; 0 if this instance is not in its
+        own view, because it leaves or was replaced.
+    shares : ShareRights
+        Share rights of this instance.
+    asked : AskedTargets
+        Targets that other instances asked for.
     """
 
     name: str
     owners: OwnershipTable
     holds_majority: Callable[[], bool]
+    read_digest: Callable[[], int]
+    shares: ShareRights
+    asked: AskedTargets = attrs.field(factory=AskedTargets)
+    _digest: int = attrs.field(default=0, init=False)
+    _checked: float = attrs.field(default=-math.inf, init=False)
+    _has_lease: bool = attrs.field(default=False, init=False)
     _targets: Mapping[str, Target] = attrs.field(factory=dict, init=False)
     _services: Mapping[str, str] = attrs.field(factory=dict, init=False)
-    _owned: tuple[str, ...] = attrs.field(default=(), init=False)
+    _owned: Mapping[str, Target] = attrs.field(factory=dict, init=False)
 
-    def update(self, configuration: Configuration) -> None:
-        """Take over the configuration and the owners in force."""
+    def update(self, configuration: Configuration, digest: int) -> None:
+        """Take over the configuration, and the owners in force.
+
+        Parameters
+        ----------
+        configuration : Configuration
+            Configuration in force.
+        digest : int
+            Digest of the view and version that the owners follow from.
+        """
         services = configuration.services.values()
+        self._digest = digest
+        self._checked = -math.inf
         self._targets = {t.name: t for s in services for t in s.targets}
         self._services = {t.name: s.name for s in services for t in s.targets}
-        self._owned = self.owners.list_owned(self.name)
+        owned = self.owners.list_owned(self.name)
+        self._owned = {n: self._targets[n] for n in owned if n in self._targets}
 
     def find_service(self, target: str) -> str:
         """Return the service of a target, empty for an unknown one."""
         return self._services.get(target, "")
 
+    def list_targets(self, service: str) -> list[str]:
+        """Return the names of all targets of a service."""
+        return [name for name, each in self._services.items() if each == service]
+
     def list_owned(self) -> Iterable[Target]:
         """Return the targets that this instance owns."""
-        return [self._targets[name] for name in self._owned if name in self._targets]
+        return self._owned.values()
+
+    def list_shared(self, now: float) -> Iterable[Target]:
+        """Return further targets that this instance has the share right of."""
+        return [
+            self._targets[name]
+            for name in self.shares.list_held(now)
+            if name in self._targets and name not in self._owned
+        ]
+
+    def is_asked(self, target: str, now: float) -> bool:
+        """Return whether another instance asked for a target a short while ago."""
+        return self.asked.is_asked(target, now)
 
     def holds_lease(self, target: str, now: float) -> bool:
         """Return whether this instance holds the lease of a target.
 
         Owners follow from the view and the version, which the majority lease
-        covers, so no two instances hold the lease of one target.
+        covers, so no two instances hold the lease of one target. The view may have
+        changed since the owners were derived: then the lease is for other owners.
         """
-        return target in self._owned and self.holds_majority()
+        if target not in self._owned:
+            return False
+        if now != self._checked:
+            # One check is enough for all targets of a tick.
+            self._checked = now
+            self._has_lease = self.holds_majority()
+        return self._has_lease and self.read_digest() == self._digest
 
     def holds_share(self, target: str, now: float) -> bool:
-        """Return False: no instance probes without the lease.
-
-        Without a majority, targets are used on the evidence of their answers.
-        """
-        return False
+        """Return whether this instance has the share right of a target."""
+        return self.read_digest() != 0 and self.shares.holds(target, now)
--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -44,6 +44,8 @@
         Slots lent to other instances.
     borrowed_slots : int
         Slots borrowed from other instances.
+    loans_made : int
+        Loans made since the start.
     totals : PoolCounts
         Counters since the start.
     """
@@ -54,6 +56,7 @@
     free_slots: int
     lent_slots: int
     borrowed_slots: int
+    loans_made: int
     totals: PoolCounts
 
 
@@ -193,6 +196,10 @@
         """Return the state of each service for metrics."""
         return {name: _count(pool, now) for name, pool in self._pools.items()}
 
+    def list_stranded(self, now: float) -> list[str]:
+        """Return services whose requests wait without word from an owner."""
+        return [name for name, pool in self._pools.items() if pool.is_stranded(now)]
+
     def check(self) -> None:
         """Check the counts of all slots.
 
@@ -233,5 +240,6 @@
         free_slots=pool.ledger.count_free(),
         lent_slots=pool.ledger.count_lent(),
         borrowed_slots=len(pool.loans),
+        loans_made=pool.lender.lent,
         totals=attrs.evolve(pool.counts),
     )
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -92,9 +92,16 @@
         Source of the jitter of the circuit breakers.
     options : LoadOptions, optional
         Options of the slice.
+
+    Attributes
+    ----------
+    drain_changes : int
+        Rises whenever the drains that this instance observed itself may have
+        changed. Reading it costs nothing; `notices` looks at every target.
     """
 
     def __init__(self, rng: random.Random, options: LoadOptions | None = None) -> None:
+        self.drain_changes = 0
         self._rng = rng
         self._options = options or LoadOptions()
         self._entries: dict[str, Entry] = {}
@@ -114,6 +121,7 @@
                 entries[target.name] = entry
                 pool.append(entry)
         self._entries = entries
+        self.drain_changes += 1
 
     def set_listed(
         self, *, live: Iterable[str], leaving: Iterable[str], now: float
@@ -131,6 +139,7 @@
         now : float
             Time of reading, in milliseconds of the clock.
         """
+        self.drain_changes += 1
         for name in live:
             if (entry := self._entries.get(name)) is not None:
                 entry.evidence.list_as(is_leaving=False)
@@ -196,6 +205,24 @@
         entry = self._entries.get(target)
         return math.inf if entry is None else entry.evidence.age_ms(now)
 
+    def has_evidence(self, target: str, now: float) -> bool:
+        """Return whether the state of a target is known."""
+        entry = self._entries.get(target)
+        if entry is None:
+            return False
+        state = entry.evidence.state(now, self._options.evidence_ms)
+        return state is not TargetState.UNKNOWN
+
+    def heard_age(self, target: str, now: float) -> float:
+        """Return the time in ms since anything was heard of a target."""
+        entry = self._entries.get(target)
+        return math.inf if entry is None else now - entry.heard
+
+    def own_age(self, target: str, now: float) -> float:
+        """Return the time in ms since this instance observed a target itself."""
+        entry = self._entries.get(target)
+        return math.inf if entry is None else now - entry.own.observed
+
     def needs_probe(self, target: str, now: float) -> bool:
         """Return whether nothing was heard of a target for the probe interval.
 
@@ -204,7 +231,7 @@
         entry = self._entries.get(target)
         if entry is None:
             return False
-        return now - entry.heard >= self._options.probe_interval_ms
+        return self.heard_age(target, now) >= self._options.probe_interval_ms
 
     def notices(self, now: float) -> list[TargetNotice]:
         """Return what this instance observed itself, the freshest first.
@@ -218,6 +245,15 @@
         ]
         return sorted(found, key=lambda notice: notice.age_ms)
 
+    def answer(self, targets: Iterable[str], now: float) -> tuple[TargetNotice, ...]:
+        """Return what this instance observed itself about some targets."""
+        found = (
+            self._make_notice(name, self._entries[name], now)
+            for name in targets
+            if name in self._entries
+        )
+        return tuple(notice for notice in found if notice is not None)
+
     def merge_notice(
         self, notice: TargetNotice, now: float, *, asked: float | None = None
     ) -> None:
@@ -247,6 +283,7 @@
 
     def reset(self) -> None:
         """Discard all evidence that allows new work, as after a pause."""
+        self.drain_changes += 1
         for entry in self._entries.values():
             entry.evidence.discard_alive()
             entry.own.discard_alive()
@@ -262,7 +299,9 @@
     def _hear(self, entry: Entry, report: LoadReport, sent: float, now: float) -> None:
         if sent >= entry.heard:
             entry.report = report
+        was_draining = entry.own.is_draining
         entry.own.add(report.state, sent=sent, received=now)
+        self.drain_changes += entry.own.is_draining is not was_draining
         self._take(entry, report.state, sent=sent, received=now)
 
     def _take(
--- a/src/currantline/standin/target.py
+++ b/src/currantline/standin/target.py
@@ -174,6 +174,7 @@
         self.behaviour = Behaviour()
         self.seen: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
+        self.probed: list[float] = []
         # Called with the path and the identifier of each request that arrives.
         self.on_arrival: Callable[[str, str], None] = lambda path, request_id: None
         self.service = TargetService(self)
@@ -201,6 +202,7 @@
         request_id = find_header(request.headers, "currantline-request-id") or ""
         self.on_arrival(path, request_id)
         if path == "/health":
+            self.probed.append(self._clock.read())
             return self._answer(200, b"")
         if path == "/standin/seen":
             return answer_json(dict(self.seen))
