Look at busy services alone on events and ticks of dispatch

Cause: every submit, finish and message asked all services for their next due time, and every tick advanced all of them. At 1,300 services that is more work than carrying the request.

A service is busy while something waits, runs, is borrowed or due, or a peer asks it for slots.

Ruled out: a change of decisions.

Conclusion: the cost of an event no longer depends on the number of services.

--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -85,6 +85,9 @@
         self._pools: dict[str, ServicePool] = {}
         self._targets: dict[str, ServicePool] = {}
         self._requests: dict[str, ServicePool] = {}
+        # When each pool that is not idle is due. Events and ticks look at these
+        # alone: an instance has far more services than have work at one time.
+        self._dues: dict[ServicePool, float] = {}
         # A random start keeps the identifiers of a restarted instance apart from
         # those of its former life.
         self._loan_ids = itertools.count(rng.getrandbits(48))
@@ -107,7 +110,7 @@
     ) -> list[Effect]:
         """Take over the owners of a service."""
         pool = self._pools.get(service)
-        return self._note(pool.set_ownership(ownership, now)) if pool else []
+        return self._note(pool, pool.set_ownership(ownership, now), now) if pool else []
 
     def set_limit(self, target: str, slots: int, now: float) -> list[Effect]:
         """Set how many slots of a target may be used now; 0 until it is set."""
@@ -115,7 +118,7 @@
         if pool is None:
             return []
         pool.ledger.set_limit(target, slots)
-        return self._note(pool.advance(now))
+        return self._note(pool, pool.advance(now), now)
 
     def submit(self, work: Work, now: float) -> list[Effect]:
         """Take a request; it is started or refused now or later.
@@ -131,7 +134,7 @@
         if pool is None:
             return [Refuse(work.request_id, "no-target")]
         self._requests[work.request_id] = pool
-        return self._note(pool.submit(work, now))
+        return self._note(pool, pool.submit(work, now), now)
 
     def finish(
         self, request_id: str, result: AttemptResult, now: float
@@ -147,7 +150,7 @@
         if pool is None or request_id not in pool.running:
             raise InvariantError(f"request {request_id} does not run")
         del self._requests[request_id]
-        return self._note(pool.finish(request_id, result, now))
+        return self._note(pool, pool.finish(request_id, result, now), now)
 
     def cancel(self, request_id: str, now: float) -> list[Effect]:
         """Forget a request whose caller has gone, whether it waits or runs."""
@@ -158,7 +161,7 @@
             return self.finish(request_id, AttemptResult.CANCELLED, now)
         del self._requests[request_id]
         pool.queue.remove(request_id)
-        return self._note(pool.advance(now))
+        return self._note(pool, pool.advance(now), now)
 
     def receive(self, sender: str, message: Message, now: float) -> list[Effect]:
         """Take a message from another instance."""
@@ -168,28 +171,27 @@
         if pool is None:
             return []
         if isinstance(message, Demand):
-            return self._note(pool.receive_demand(sender, message, now))
+            return self._note(pool, pool.receive_demand(sender, message, now), now)
         if isinstance(message, Lend):
-            return self._note(pool.receive_lend(sender, message, now))
-        return self._note(pool.receive_usage(sender, message, now))
+            return self._note(pool, pool.receive_lend(sender, message, now), now)
+        return self._note(pool, pool.receive_usage(sender, message, now), now)
 
     def tick(self, now: float) -> list[Effect]:
         """Do what is due without an event, see `next_due`."""
         effects: list[Effect] = []
-        for pool in self._pools.values():
-            effects += self._note(pool.advance(now))
+        for pool in list(self._dues):
+            effects += self._note(pool, pool.advance(now), now)
         return effects
 
     def next_due(self, now: float) -> float:
         """Return when `tick` is needed next, or infinity."""
-        dues = [pool.next_due(now) for pool in self._pools.values()]
-        return min(dues, default=float("inf"))
+        return min(self._dues.values(), default=float("inf"))
 
     def reset(self, now: float) -> list[Effect]:
         """Discard loans and reports after this process was paused."""
         effects: list[Effect] = []
         for pool in self._pools.values():
-            effects += self._note(pool.reset(now))
+            effects += self._note(pool, pool.reset(now), now)
         return effects
 
     def counts(self, now: float) -> Mapping[str, ServiceCounts]:
@@ -215,15 +217,22 @@
             if lent is None:
                 continue
             if isinstance(message, Renew):
-                return self._note(pool.receive_renew(sender, lent, now))
-            return self._note(pool.receive_return(sender, lent, now))
+                return self._note(pool, pool.receive_renew(sender, lent, now), now)
+            return self._note(pool, pool.receive_return(sender, lent, now), now)
         # The lease has ended or the target has another owner.
         return []
 
-    def _note(self, effects: list[Effect]) -> list[Effect]:
+    def _note(
+        self, pool: ServicePool, effects: list[Effect], now: float
+    ) -> list[Effect]:
         for effect in effects:
             if isinstance(effect, Refuse):
                 del self._requests[effect.request_id]
+        due = pool.next_due(now)
+        if due < float("inf") or not pool.is_idle:
+            self._dues[pool] = due
+        else:
+            self._dues.pop(pool, None)
         return effects
 
 
--- a/src/currantline/dispatch/_lending.py
+++ b/src/currantline/dispatch/_lending.py
@@ -75,6 +75,11 @@
         need = self._needs.get(instance)
         return need is not None and need.short + need.other > 0
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any instance is known to wait."""
+        return bool(self._needs)
+
     @property
     def has_other(self) -> bool:
         """Whether work that is not short waits at any instance."""
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -99,6 +99,12 @@
         self._has_foreign = False
         self.ledger.set_targets({t.name: t.slots for t in service.targets})
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits, runs or is borrowed, and no peer asks for slots."""
+        is_needed = self.lender.demands.has_any or len(self.loans)
+        return not (self.running or len(self.queue) or is_needed)
+
     def set_service(self, service: Service) -> None:
         """Take over a changed configuration of the service."""
         self._service = service
