Let the gossip benchmark name more than 256 instances

Cause: the number of the instance was the last part of its address, which is not an IP number from 256 on. Addresses of up to 250 instances are unchanged.

Conclusion: fleets of 400 can be measured.

--- a/src/currantline/bench/gossip.py
+++ b/src/currantline/bench/gossip.py
@@ -219,11 +219,12 @@
 
 def _list_instance(number: int) -> ListedInstance:
     centre = ("north", "east", "south", "west")[number % 4]
+    host = f"10.20.{number // 250 * 4 + number % 4}.{number % 250}"
     return ListedInstance(
         name=f"{centre}-{number}",
         data_centre=centre,
-        caller_address=f"10.20.{number % 4}.{number}:7000",
-        peer_address=f"10.20.{number % 4}.{number}:7100",
+        caller_address=f"{host}:7000",
+        peer_address=f"{host}:7100",
     )
 
 
