--- a/src/currantline/bench/_capacity_cores.py
+++ b/src/currantline/bench/_capacity_cores.py
@@ -31,6 +31,7 @@
 from currantline.forwarding import AttemptObservation, AttemptResult
 from currantline.load import LoadReport, Observation, Signal, TargetState
 from currantline.membership import InstanceEntry, Status, View
+from currantline.membership._published import parse_list
 from currantline.settings import Settings
 
 __all__ = [
@@ -235,12 +236,23 @@
         "describe for metrics, ms": time_call(lambda: instance.book.describe(0.0)),
         "prober tick, ms": time_call(tick),
     }
+    text = json.dumps({"entries": _list_entries(configuration)}).encode()
+    row["published list, bytes"] = len(text)
+    row["parse the published list, ms"] = time_call(lambda: parse_list(text))
     row["refresh, share of a core"] = row["refresh all limits, ms"] / 50.0
     row["prober, share of a core"] = row["prober tick, ms"] / 100.0
     await instance.prober.stop()
     return row
 
 
+def _list_entries(configuration: Configuration) -> list[dict[str, str]]:
+    return [
+        {"kind": "target", "state": "live", "name": target.name}
+        for service in configuration.services.values()
+        for target in service.targets
+    ]
+
+
 def _make_observation(now: float) -> AttemptObservation:
     return AttemptObservation(
         result=AttemptResult.ANSWERED,
