Look at draining targets alone when drains are told

Cause: after each attempt the notices of all targets were built and sorted to find the draining ones, so carrying one request cost work for every target.

Ruled out: telling drains only when the report of the attempt drains. Drains that probes and the published list find would be told late, and a second drain of a target not at all. The book keeps the names instead; the state machine of late and repeated news checks that they are those of the draining notices.

Conclusion: the cost no longer depends on the number of targets.

--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -355,7 +355,7 @@
         self._limits.refresh()
 
     def _tell_drains(self) -> None:
-        drains = self._notices.take_drains(self.book.notices(self._clock.read()))
+        drains = self._notices.take_drains(self.book.drains(self._clock.read()))
         if not drains:
             return
         for entry in self.view.instances:
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -99,6 +99,8 @@
         self._options = options or LoadOptions()
         self._entries: dict[str, Entry] = {}
         self._pools: dict[str, list[Entry]] = {}
+        # Names of targets that this instance itself found draining.
+        self._drains: set[str] = set()
 
     def set_services(self, services: Iterable[Service]) -> None:
         """Take over the targets of a configuration and forget all others."""
@@ -114,6 +116,7 @@
                 entries[target.name] = entry
                 pool.append(entry)
         self._entries = entries
+        self._drains = {n for n, e in entries.items() if e.own.is_draining}
 
     def set_listed(
         self, *, live: Iterable[str], leaving: Iterable[str], now: float
@@ -135,12 +138,14 @@
             if (entry := self._entries.get(name)) is not None:
                 entry.evidence.list_as(is_leaving=False)
                 entry.own.list_as(is_leaving=False)
+                self._note_drain(name, entry)
         for name in leaving:
             entry = self._entries.get(name)
             if entry is not None and not entry.evidence.is_listed_leaving:
                 for evidence in (entry.evidence, entry.own):
                     evidence.list_as(is_leaving=True)
                     evidence.add(TargetState.DRAINING, sent=now, received=now)
+                self._note_drain(name, entry)
 
     def observe(self, target: str, observation: Observation, now: float) -> None:
         """Add what an own request or probe told.
@@ -159,6 +164,7 @@
             return
         if observation.report is not None:
             self._hear(entry, observation.report, observation.sent, now)
+            self._note_drain(target, entry)
         if observation.signal in BAD_SIGNALS:
             self._add_bad(entry, observation, now)
         elif observation.signal is Signal.ANSWERED:
@@ -218,6 +224,14 @@
         ]
         return sorted(found, key=lambda notice: notice.age_ms)
 
+    def drains(self, now: float) -> list[TargetNotice]:
+        """Return the notices of draining targets; others are not looked at."""
+        found = (
+            self._make_notice(name, self._entries[name], now)
+            for name in sorted(self._drains)
+        )
+        return [notice for notice in found if notice is not None]
+
     def merge_notice(
         self, notice: TargetNotice, now: float, *, asked: float | None = None
     ) -> None:
@@ -247,10 +261,11 @@
 
     def reset(self) -> None:
         """Discard all evidence that allows new work, as after a pause."""
-        for entry in self._entries.values():
+        for name, entry in self._entries.items():
             entry.evidence.discard_alive()
             entry.own.discard_alive()
             entry.heard = NEVER
+            self._note_drain(name, entry)
 
     def describe(self, now: float) -> list[TargetBelief]:
         """Return what is believed of every target, by name."""
@@ -259,6 +274,12 @@
             for name, entry in sorted(self._entries.items())
         ]
 
+    def _note_drain(self, name: str, entry: Entry) -> None:
+        if entry.own.is_draining:
+            self._drains.add(name)
+        else:
+            self._drains.discard(name)
+
     def _hear(self, entry: Entry, report: LoadReport, sent: float, now: float) -> None:
         if sent >= entry.heard:
             entry.report = report
--- a/src/currantline/load/tests/test_book.py
+++ b/src/currantline/load/tests/test_book.py
@@ -19,6 +19,7 @@
 )
 
 STATES = {state.value: state for state in TargetState}
+DRAINING = TargetState.DRAINING
 LEAVE_MS = 3000.0
 
 
@@ -332,6 +333,13 @@
         elif state is TargetState.READY:
             self.ready_sent[side] = max(self.ready_sent[side], sent)
 
+    @invariant()
+    def drains_are_the_draining_notices(self) -> None:
+        """Guards against a drain that is kept aside and not told to peers."""
+        for book in self.books:
+            told = {n for n in book.notices(self.now) if n.state is DRAINING}
+            assert set(book.drains(self.now)) == told
+
     @invariant()
     def no_work_after_grace(self) -> None:
         """Guards against new work 3 s after a target began to drain."""
