--- a/src/currantline/bench/_capacity_cores.py
+++ b/src/currantline/bench/_capacity_cores.py
@@ -79,7 +79,13 @@
             for service in configuration.services.values():
                 assign_owners(service, names)
 
-        rows.append((count, {"owners of all services, ms": time_call(assign)}))
+        held = _count_slots(configuration, names)
+        row = {
+            "owners of all services, ms": time_call(assign),
+            "largest share of slots over the mean": max(held) * count / sum(held),
+            "instances that own nothing": held.count(0),
+        }
+        rows.append((count, row))
     return _collect(rows)
 
 
@@ -124,6 +130,15 @@
     )
 
 
+def _count_slots(configuration: Configuration, names: list[str]) -> list[int]:
+    held = dict.fromkeys(names, 0)
+    for service in configuration.services.values():
+        owners = assign_owners(service, names).targets
+        for target in service.targets:
+            held[owners[target.name]] += target.slots
+    return list(held.values())
+
+
 def _measure_one_configuration(services: int, targets: int) -> Row:
     configuration = make_configuration(services, targets)
     document = render_configuration(configuration)
