Keep the order of targets when limits are refreshed

Cause: the set of targets to refresh was sorted by name on every refresh, which took back a part of what the smaller set saved when all targets are heard of.

--- a/src/currantline/control/_limits.py
+++ b/src/currantline/control/_limits.py
@@ -90,8 +90,9 @@
         fleet hears of few targets.
         """
         now = self._clock.read()
-        used = {target for target, limit in self._limits.items() if limit}
-        for target in sorted(used | self._book.list_heard(now)):
+        heard = self._book.list_heard(now)
+        due = [name for name, used in self._limits.items() if used or name in heard]
+        for target in due:
             self.refresh_one(target, now)
 
     async def run(self) -> None:
