--- a/src/currantline/bench/_capacity_fleet.py
+++ b/src/currantline/bench/_capacity_fleet.py
@@ -12,10 +12,8 @@
 from currantline.bench._workload import COOP, LONG_FACTOR, LONG_SHARE, SHORT_MEAN_MS
 from currantline.bench.gossip import _Fleet as GossipFleet
 from currantline.bench.gossip import measure_overhead
-from currantline.dispatch import Demand
 from currantline.exceptions import PlatformError
 from currantline.membership import IntroducedRow
-from currantline.peer import Envelope, encode_envelope
 from currantline.standin.fleet import PLATFORM_ADDRESS, Fleet
 
 __all__ = ["measure_gossip", "measure_idle_daemon", "measure_slots"]
@@ -52,11 +50,7 @@
         per_s = COOP.capacity * load / mean_ms * 1000
         points.append((load, figures.messages_per_s / per_s))
     name = "slot messages for each request"
-    size = tuple((load, float(_measure_envelope())) for load in LOADS)
-    return [
-        Series(name=name, points=tuple(points)),
-        Series(name="one message, bytes without HTTP/2", points=size),
-    ]
+    return [Series(name=name, points=tuple(points))]
 
 
 def measure_idle_daemon(configuration: str) -> dict[str, float]:
@@ -81,19 +75,6 @@
             fleet.stop()
 
 
-def _measure_envelope() -> int:
-    demand = Demand(
-        service="service-0001",
-        short_waiting=3,
-        long_waiting=1,
-        oldest_short_ms=2.5,
-        oldest_long_ms=12.5,
-        free_slots=0,
-    )
-    envelope = Envelope(sender="instance-1", messages=(demand,))
-    return int(encode_envelope(envelope).ByteSize())
-
-
 def _measure_fleet(count: int) -> dict[str, float]:
     fleet = GossipFleet(count, seed=1)
     _introduce(fleet)
--- /dev/null
+++ b/src/currantline/bench/_capacity_wire.py
@@ -0,0 +1,117 @@
+"""Processor time of exchanges over loopback, both sides in one process."""
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Awaitable, Callable
+
+from currantline.bench._slopes import Series
+from currantline.clock import ManualClock
+from currantline.dispatch import Demand
+from currantline.load import fetch_health
+from currantline.membership import Gossip
+from currantline.peer import (
+    Envelope,
+    PeerClient,
+    PeerServer,
+    RecordMessage,
+    encode_envelope,
+)
+from currantline.wire import Answer, HttpService, Request
+
+__all__ = ["make_envelope", "measure_wire"]
+
+HOST = "127.0.0.1"
+MESSAGES = (1, 10, 100)
+CALLS = 300
+BATCHES = 3
+PROBE_TIMEOUT_MS = 5000.0
+
+Call = Callable[[], Awaitable[object]]
+
+
+class _Handler:
+    def answer_gossip(self, question: Gossip) -> Gossip:
+        return question
+
+    def list_records(self, after: int) -> tuple[RecordMessage, ...]:
+        return ()
+
+    def take_envelope(self, envelope: Envelope) -> None:
+        pass
+
+
+def make_envelope(count: int) -> Envelope:
+    """Return an envelope with some slot messages."""
+    demand = Demand(
+        service="service-0001",
+        short_waiting=3,
+        long_waiting=1,
+        oldest_short_ms=2.5,
+        oldest_long_ms=12.5,
+        free_slots=0,
+    )
+    return Envelope(sender="instance-1", messages=(demand,) * count)
+
+
+def measure_wire() -> list[Series]:
+    """Measure one envelope by its messages, and one probe."""
+    rows = [(count, asyncio.run(_measure_envelope(count))) for count in MESSAGES]
+    probe_ms = asyncio.run(_measure_probe())
+    sizes = [(n, float(encode_envelope(make_envelope(n)).ByteSize())) for n in MESSAGES]
+    return [
+        Series(name="one envelope, bytes without HTTP/2", points=tuple(sizes)),
+        Series(name="one envelope, both sides, ms", points=tuple(rows)),
+        Series(
+            name="one probe, both sides, ms",
+            points=tuple((count, probe_ms) for count in MESSAGES),
+        ),
+    ]
+
+
+async def _measure_envelope(count: int) -> float:
+    address = f"{HOST}:{_find_port()}"
+    server = PeerServer(_Handler())
+    await server.start(address)
+    client = PeerClient(clock=ManualClock(), rng=random.Random(1))
+    envelope = make_envelope(count)
+    try:
+        return await _time_calls(lambda: client.deliver(address, envelope))
+    finally:
+        client.close()
+        await server.stop()
+
+
+async def _measure_probe() -> float:
+    async def answer(_: Request) -> Answer:
+        return Answer(status=200)
+
+    service = HttpService(answer)
+    await service.start(f"{HOST}:0")
+    try:
+        return await _time_calls(
+            lambda: fetch_health(
+                service.address, lambda: True, timeout_ms=PROBE_TIMEOUT_MS
+            )
+        )
+    finally:
+        await service.stop()
+
+
+async def _time_calls(call: Call) -> float:
+    """Return the processor time of one call in ms, the fastest of some batches."""
+    await call()
+    used_s = []
+    for _ in range(BATCHES):
+        begin = time.process_time()
+        for _ in range(CALLS):
+            await call()
+        used_s.append(time.process_time() - begin)
+    return min(used_s) / CALLS * 1000
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
--- a/src/currantline/bench/capacity.py
+++ b/src/currantline/bench/capacity.py
@@ -21,6 +21,7 @@
     measure_idle_daemon,
     measure_slots,
 )
+from currantline.bench._capacity_wire import measure_wire
 from currantline.bench._slopes import Series
 from currantline.exceptions import PlatformError
 
@@ -36,6 +37,7 @@
     "dispatch": ("services", measure_dispatch),
     "load": ("targets", measure_load),
     "slots": ("load", measure_slots),
+    "wire": ("messages", measure_wire),
     "gossip": ("instances", lambda: measure_gossip(GOSSIP_SIZES)),
 }
 
