Measure the memory of open channels between instances

Cause: gossip meets every instance in turn and no channel is closed while the process runs, so channels grow with the fleet.

--- a/src/currantline/bench/_capacity_wire.py
+++ b/src/currantline/bench/_capacity_wire.py
@@ -1,9 +1,11 @@
 """Processor time of exchanges over loopback, both sides in one process."""
 
 import asyncio
+import gc
 import random
 import socket
 import time
+import tracemalloc
 from collections.abc import Awaitable, Callable
 
 from currantline.bench._slopes import Series
@@ -20,10 +22,12 @@
 )
 from currantline.wire import Answer, HttpService, Request
 
-__all__ = ["make_envelope", "measure_wire"]
+__all__ = ["make_envelope", "measure_channels", "measure_wire"]
 
 HOST = "127.0.0.1"
 MESSAGES = (1, 10, 100)
+CHANNELS = (20, 60, 180)
+KIB = 1024
 CALLS = 300
 BATCHES = 3
 PROBE_TIMEOUT_MS = 5000.0
@@ -70,6 +74,36 @@
     ]
 
 
+def measure_channels() -> list[Series]:
+    """Measure open channels between instances by their number."""
+    points = [(n, asyncio.run(_measure_channels(n))) for n in CHANNELS]
+    name = "memory of open channels, both sides, KiB"
+    return [Series(name=name, points=tuple(points))]
+
+
+async def _measure_channels(count: int) -> float:
+    address = f"{HOST}:{_find_port()}"
+    server = PeerServer(_Handler())
+    await server.start(address)
+    clients = [
+        PeerClient(clock=ManualClock(), rng=random.Random(n)) for n in range(count + 1)
+    ]
+    envelope = make_envelope(1)
+    # The first call fills caches that all channels share.
+    await clients[0].deliver(address, envelope)
+    gc.collect()
+    tracemalloc.start()
+    for client in clients[1:]:
+        await client.deliver(address, envelope)
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    for client in clients:
+        client.close()
+    await server.stop()
+    return held / KIB
+
+
 async def _measure_envelope(count: int) -> float:
     address = f"{HOST}:{_find_port()}"
     server = PeerServer(_Handler())
--- a/src/currantline/bench/capacity.py
+++ b/src/currantline/bench/capacity.py
@@ -21,7 +21,7 @@
     measure_idle_daemon,
     measure_slots,
 )
-from currantline.bench._capacity_wire import measure_wire
+from currantline.bench._capacity_wire import measure_channels, measure_wire
 from currantline.bench._slopes import Series
 from currantline.exceptions import PlatformError
 
@@ -38,6 +38,7 @@
     "load": ("targets", measure_load),
     "slots": ("load", measure_slots),
     "wire": ("messages", measure_wire),
+    "channels": ("channels", measure_channels),
     "gossip": ("instances", lambda: measure_gossip(GOSSIP_SIZES)),
 }
 
