--- a/src/currantline/bench/_capacity_cores.py
+++ b/src/currantline/bench/_capacity_cores.py
@@ -31,6 +31,7 @@
 from currantline.forwarding import AttemptObservation, AttemptResult
 from currantline.load import LoadReport, Observation, Signal, TargetState
 from currantline.membership import InstanceEntry, Status, View
+from currantline.membership._published import parse_list
 from currantline.settings import Settings
 
 __all__ = [
@@ -49,6 +50,7 @@
 ADDRESS = "127.0.0.1:7000"
 NAME = "instance-0"
 PLACE = (NAME, "north")
+EVIDENCE_OVER_MS = 10_000.0
 
 Row = dict[str, float]
 
@@ -79,7 +81,13 @@
             for service in configuration.services.values():
                 assign_owners(service, places)
 
-        rows.append((count, {"owners of all services, ms": time_call(assign)}))
+        held = _count_slots(configuration, places)
+        row = {
+            "owners of all services, ms": time_call(assign),
+            "largest share of slots over the mean": max(held) * count / sum(held),
+            "instances that own nothing": held.count(0),
+        }
+        rows.append((count, row))
     return _collect(rows)
 
 
@@ -125,6 +133,17 @@
     )
 
 
+def _count_slots(
+    configuration: Configuration, places: list[tuple[str, str]]
+) -> list[int]:
+    held = dict.fromkeys((name for name, _ in places), 0)
+    for service in configuration.services.values():
+        owners = assign_owners(service, places).targets
+        for target in service.targets:
+            held[owners[target.name]] += target.slots
+    return list(held.values())
+
+
 def _measure_one_configuration(services: int, targets: int) -> Row:
     configuration = make_configuration(services, targets)
     document = render_configuration(configuration)
@@ -233,16 +252,37 @@
             instance.book.observe(target.name, _READY, 0.0)
     row = {
         "observe an attempt, ms": time_call(observe),
-        "refresh all limits, ms": time_call(instance._limits.refresh),
+        "refresh limits, all heard of, ms": time_call(instance._limits.refresh),
         "describe for metrics, ms": time_call(lambda: instance.book.describe(0.0)),
         "prober tick, ms": time_call(tick),
     }
-    row["refresh, share of a core"] = row["refresh all limits, ms"] / 50.0
+    text = json.dumps({"entries": _list_entries(configuration)}).encode()
+    row["published list, bytes"] = len(text)
+    row["parse the published list, ms"] = time_call(lambda: parse_list(text))
+    row["refresh limits, 1 in 19 heard of, ms"] = _measure_some_heard(instance, clock)
+    row["refresh, share of a core"] = row["refresh limits, all heard of, ms"] / 50.0
     row["prober, share of a core"] = row["prober tick, ms"] / 100.0
     await instance.prober.stop()
     return row
 
 
+def _measure_some_heard(instance: Instance, clock: ManualClock) -> float:
+    clock.advance(EVIDENCE_OVER_MS)
+    fresh = attrs.evolve(_READY, sent=clock.now)
+    for belief in instance.book.describe(clock.now)[::19]:
+        instance.book.observe(belief.target, fresh, clock.now)
+    instance._limits.refresh()
+    return time_call(instance._limits.refresh)
+
+
+def _list_entries(configuration: Configuration) -> list[dict[str, str]]:
+    return [
+        {"kind": "target", "state": "live", "name": target.name}
+        for service in configuration.services.values()
+        for target in service.targets
+    ]
+
+
 def _make_observation(now: float) -> AttemptObservation:
     return AttemptObservation(
         result=AttemptResult.ANSWERED,
--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -258,6 +258,7 @@
             Dispatcher(self._settings.name, self._rng),
             clock=self._clock,
             send=self._outbox.add,
+            on_pause=self._forget_evidence,
         )
         self._limits = LimitKeeper(
             self.book,
@@ -348,9 +349,8 @@
 
     def _take_view(self, change: ViewChanged) -> None:
         if change.was_paused:
-            self.book.reset()
             self._shares.reset()
-            self._limits.refresh()
+            self._forget_evidence()
         self._note_members(change.view)
         self._update_owners(change.view)
         readers = select_readers(
@@ -360,6 +360,10 @@
         is_alone = len(change.view.instances) <= 1
         self._reader.set_reading(is_alone or self._settings.name in readers)
 
+    def _forget_evidence(self) -> None:
+        self.book.reset()
+        self._limits.forget()
+
     def _update_owners(self, view: View) -> None:
         instances = view.instances
         ready = [(e.name, e.data_centre) for e in instances if e.status is Status.READY]
@@ -408,12 +412,11 @@
         self._limits.refresh()
 
     def _tell_drains(self) -> None:
-        # Runs after every attempt, and the notices of all targets cost more than
-        # the rest of it.
+        # Runs after every attempt, and most attempts change no drain.
         if self.book.drain_changes == self._told_changes:
             return
         self._told_changes = self.book.drain_changes
-        drains = self._notices.take_drains(self.book.notices(self._clock.read()))
+        drains = self._notices.take_drains(self.book.drains(self._clock.read()))
         if not drains:
             return
         for entry in self.view.instances:
--- a/src/currantline/control/_limits.py
+++ b/src/currantline/control/_limits.py
@@ -1,7 +1,8 @@
 """What is known of targets, passed on to dispatch."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 from currantline.clock import Clock
@@ -11,6 +12,12 @@
 __all__ = ["LimitKeeper"]
 
 INTERVAL_MS = 50.0
+# A step of this many targets takes about as long as one request.
+STEP_TARGETS = 200
+
+# Without evidence a target is used on loan only, which is also how dispatch starts.
+UNHEARD = (0, True)
+DISCARDED = (0, False)
 FIRST_SERVER_ERROR = 500
 
 SIGNALS = {
@@ -44,6 +51,8 @@
         by its owner may be.
     on_drain : callable
         Called after an attempt was observed, to tell peers of drains at once.
+    sleep : callable
+        Waits for a number of seconds.
     """
 
     def __init__(
@@ -53,7 +62,9 @@
         clock: Clock,
         set_limit: SetLimit,
         on_drain: Callable[[], None],
+        sleep: Callable[[float], Awaitable[object]] = asyncio.sleep,
     ) -> None:
+        self._sleep = sleep
         self._book = book
         self._clock = clock
         self._set_limit = set_limit
@@ -62,7 +73,7 @@
 
     def set_targets(self, names: Iterable[str]) -> None:
         """Take over the targets of a configuration."""
-        self._limits = {name: self._limits.get(name, (0, False)) for name in names}
+        self._limits = {name: self._limits.get(name, UNHEARD) for name in names}
 
     def observe(self, target: str, observation: AttemptObservation) -> None:
         """Take note of an attempt."""
@@ -85,6 +96,11 @@
         self.refresh_one(target, now)
         self._on_drain()
 
+    def forget(self) -> None:
+        """Pass on all limits anew, because dispatch has discarded them."""
+        self._limits = dict.fromkeys(self._limits, DISCARDED)
+        self.refresh()
+
     def refresh_one(self, target: str, now: float) -> None:
         """Pass on the limit of one target if it changed."""
         if target not in self._limits:
@@ -98,11 +114,30 @@
     def refresh(self) -> None:
         """Pass on all limits that changed."""
         now = self._clock.read()
-        for target in tuple(self._limits):
+        for target in self._list_due(now):
             self.refresh_one(target, now)
 
     async def run(self) -> None:
-        """Pass on limits until cancelled; evidence ends without an event."""
+        """Pass on limits until cancelled; evidence ends without an event.
+
+        The looks are spread over the interval, because all targets in one step
+        would delay every request that waits.
+        """
         while True:
-            self.refresh()
-            await asyncio.sleep(INTERVAL_MS / 1000)
+            due = self._list_due(self._clock.read())
+            count = max(1, math.ceil(len(due) / STEP_TARGETS))
+            for number in range(count):
+                now = self._clock.read()
+                for target in due[number::count]:
+                    self.refresh_one(target, now)
+                await self._sleep(INTERVAL_MS / 1000 / count)
+
+    def _list_due(self, now: float) -> list[str]:
+        # Most targets of a large fleet are neither used nor heard of here; their
+        # limit stays as it is without a look at their evidence.
+        heard = self._book.list_heard(now) | self._book.list_draining()
+        return [
+            name
+            for name, passed_on in self._limits.items()
+            if passed_on != UNHEARD or name in heard
+        ]
--- a/src/currantline/control/tests/test_plan.py
+++ b/src/currantline/control/tests/test_plan.py
@@ -97,6 +97,18 @@
         bench.set_ready(("a",))
         assert not bench.plan.holds_lease("t0", 2)
 
+    def test_one_check_of_the_lease_serves_one_instant(self) -> None:
+        """Guards against a check of all instances for each owned target and tick."""
+        bench = Bench()
+        answers = iter([True, False])
+        bench.plan.holds_majority = lambda: next(answers)
+        names = [target.name for target in bench.plan.list_owned()]
+        assert len(names) == 3
+        assert all(bench.plan.holds_lease(name, 1.0) for name in names)
+        # A lease that ended is noticed at the next instant.
+        assert not any(bench.plan.holds_lease(name, 2.0) for name in names)
+        assert not bench.plan.holds_lease("unknown", 3.0)
+
     def test_share_of_a_replaced_instance(self) -> None:
         """Guards against two starts of one name that both hold its share rights."""
         bench = Bench()
--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -54,6 +54,9 @@
         # Services that were removed while some of their requests run.
         self._retired: set[str] = set()
         self._requests: dict[str, ServicePool] = {}
+        # When each pool that is not idle is due. Events and ticks look at these
+        # alone: an instance has far more services than have work at one time.
+        self._dues: dict[ServicePool, float] = {}
         # A random start keeps the identifiers of a restarted instance apart from
         # those of its former life.
         self._loan_ids = itertools.count(rng.getrandbits(48))
@@ -83,7 +86,7 @@
             pool = self._pools[name]
             self._retired.add(name)
             self._forget_targets(pool)
-            effects += self._note(pool.retire(now))
+            effects += self._note(pool, pool.retire(now), now)
         self._sweep()
         return effects
 
@@ -92,7 +95,7 @@
     ) -> list[Effect]:
         """Take over the owners of a service."""
         pool = self._pools.get(service)
-        return self._note(pool.set_ownership(ownership, now)) if pool else []
+        return self._note(pool, pool.set_ownership(ownership, now), now) if pool else []
 
     def set_limit(
         self, target: str, slots: int, now: float, *, accepts_loans: bool | None = None
@@ -116,7 +119,7 @@
             return []
         accepts = slots > 0 if accepts_loans is None else accepts_loans
         pool.ledger.set_limit(target, slots, accepts_loans=accepts)
-        return self._note(pool.advance(now))
+        return self._note(pool, pool.advance(now), now)
 
     def submit(self, work: Work, now: float) -> list[Effect]:
         """Take a request; it is started or refused now or later.
@@ -132,7 +135,7 @@
         if pool is None or work.service in self._retired:
             return [Refuse(work.request_id, "no-target")]
         self._requests[work.request_id] = pool
-        return self._note(pool.submit(work, now))
+        return self._note(pool, pool.submit(work, now), now)
 
     def finish(
         self, request_id: str, result: AttemptResult, now: float
@@ -148,7 +151,7 @@
         if pool is None or request_id not in pool.running:
             raise InvariantError(f"request {request_id} does not run")
         del self._requests[request_id]
-        effects = self._note(pool.finish(request_id, result, now))
+        effects = self._note(pool, pool.finish(request_id, result, now), now)
         self._sweep()
         return effects
 
@@ -160,7 +163,7 @@
         if request_id in pool.running:
             return self.finish(request_id, AttemptResult.CANCELLED, now)
         del self._requests[request_id]
-        return self._note(pool.cancel(request_id, now))
+        return self._note(pool, pool.cancel(request_id, now), now)
 
     def receive(self, sender: str, message: Message, now: float) -> list[Effect]:
         """Take a message from another instance."""
@@ -170,28 +173,27 @@
         if pool is None:
             return []
         if isinstance(message, Demand):
-            return self._note(pool.receive_demand(sender, message, now))
+            return self._note(pool, pool.receive_demand(sender, message, now), now)
         if isinstance(message, Lend):
-            return self._note(pool.receive_lend(sender, message, now))
-        return self._note(pool.receive_usage(sender, message, now))
+            return self._note(pool, pool.receive_lend(sender, message, now), now)
+        return self._note(pool, pool.receive_usage(sender, message, now), now)
 
     def tick(self, now: float) -> list[Effect]:
         """Do what is due without an event, see `next_due`."""
         effects: list[Effect] = []
-        for pool in self._pools.values():
-            effects += self._note(pool.advance(now))
+        for pool in list(self._dues):
+            effects += self._note(pool, pool.advance(now), now)
         return effects
 
     def next_due(self, now: float) -> float:
         """Return when `tick` is needed next, or infinity."""
-        dues = [pool.next_due(now) for pool in self._pools.values()]
-        return min(dues, default=float("inf"))
+        return min(self._dues.values(), default=float("inf"))
 
     def reset(self, now: float) -> list[Effect]:
-        """Discard loans and reports after this process was paused."""
+        """Discard loans, reports and limits after this process was paused."""
         effects: list[Effect] = []
         for pool in self._pools.values():
-            effects += self._note(pool.reset(now))
+            effects += self._note(pool, pool.reset(now), now)
         return effects
 
     def counts(self, now: float) -> Mapping[str, ServiceCounts]:
@@ -221,8 +223,8 @@
             if lent is None:
                 continue
             if isinstance(message, Renew):
-                return self._note(pool.receive_renew(sender, lent, now))
-            return self._note(pool.receive_return(sender, lent, now))
+                return self._note(pool, pool.receive_renew(sender, lent, now), now)
+            return self._note(pool, pool.receive_return(sender, lent, now), now)
         # The lease has ended or the target has another owner.
         return []
 
@@ -231,14 +233,22 @@
         self._targets = kept
 
     def _sweep(self) -> None:
-        for name in [n for n in self._retired if self._pools[n].is_idle]:
+        for name in [n for n in self._retired if self._pools[n].is_empty]:
+            self._dues.pop(self._pools[name], None)
             del self._pools[name]
             self._retired.remove(name)
 
-    def _note(self, effects: list[Effect]) -> list[Effect]:
+    def _note(
+        self, pool: ServicePool, effects: list[Effect], now: float
+    ) -> list[Effect]:
         for effect in effects:
             if isinstance(effect, Refuse):
                 del self._requests[effect.request_id]
+        due = pool.next_due(now)
+        if due < float("inf") or not pool.is_idle:
+            self._dues[pool] = due
+        else:
+            self._dues.pop(pool, None)
         return effects
 
 
--- a/src/currantline/dispatch/_ledger.py
+++ b/src/currantline/dispatch/_ledger.py
@@ -87,7 +87,7 @@
     name: str
     slots: int
     limit: int = 0
-    accepts_loans: bool = False
+    accepts_loans: bool = True
     is_owned: bool = False
     is_configured: bool = True
     running: dict[str, Running] = attrs.field(factory=dict)
@@ -159,6 +159,13 @@
         self._refresh()
         return dropped
 
+    def clear_limits(self) -> None:
+        """Use no target until its limit is set again."""
+        for target in self._targets.values():
+            target.limit = 0
+            target.accepts_loans = False
+            target.recount()
+
     def set_limit(self, name: str, slots: int, *, accepts_loans: bool) -> None:
         """Set how many slots of a target may be used now, and whether on loan."""
         if name in self._targets:
--- a/src/currantline/dispatch/_pool.py
+++ b/src/currantline/dispatch/_pool.py
@@ -94,6 +94,12 @@
         self._has_foreign = False
         self.ledger.set_targets({t.name: t.slots for t in service.targets})
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits, runs or is borrowed, and no peer asks for slots."""
+        is_needed = self.lender.demands.has_any or len(self.loans)
+        return not (self.running or len(self.queue) or is_needed)
+
     def set_service(self, service: Service) -> None:
         """Take over a changed configuration of the service."""
         self._service = service
@@ -102,7 +108,7 @@
         self.ledger.set_owned(self._find_owned())
 
     @property
-    def is_idle(self) -> bool:
+    def is_empty(self) -> bool:
         """Whether nothing waits, runs or is borrowed."""
         return not (self.running or len(self.queue) or len(self.loans))
 
@@ -205,7 +211,8 @@
         return self.advance(now)
 
     def reset(self, now: float) -> list[Effect]:
-        """Discard what is outdated after a pause."""
+        """Discard what is outdated after a pause; all limits are to be set again."""
+        self.ledger.clear_limits()
         self._has_foreign = True
         effects: list[Effect] = [*self.loans.drop(now)]
         self.lender.demands.forget()
--- a/src/currantline/dispatch/_task.py
+++ b/src/currantline/dispatch/_task.py
@@ -25,6 +25,13 @@
 HEARTBEAT_MS = 250.0
 
 
+@attrs.frozen
+class _Grant:
+    start: Start
+    target: Target
+    when: float
+
+
 class DispatchTask:
     """Carries out what a dispatcher decides; a source of permits.
 
@@ -37,7 +44,10 @@
     send : callable
         Takes an instance and a message, and returns at once. Messages may be lost.
     pause_ms : float
-        Gap between two looks at the clock from which loans are discarded.
+        Gap between two looks at the clock from which loans and limits are
+        discarded.
+    on_pause : callable
+        Called after a pause, before anything is decided; sets limits again.
     """
 
     def __init__(
@@ -47,14 +57,16 @@
         clock: Clock,
         send: Callable[[str, Message], None],
         pause_ms: float = 1000.0,
+        on_pause: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_pause = on_pause
         self._dispatcher = dispatcher
         self._clock = clock
         self._send = send
         self._pause_ms = pause_ms
         self._targets: dict[str, Target] = {}
         self._max_instances = 1
-        self._futures: dict[str, asyncio.Future[tuple[Start, Target]]] = {}
+        self._futures: dict[str, asyncio.Future[_Grant]] = {}
         # Callers choose request identifiers, and two of them may choose the same.
         self._numbers = itertools.count()
         self._permits: dict[int, tuple[Permit, str]] = {}
@@ -89,13 +101,13 @@
         """
         key = f"{next(self._numbers)}"
         loop = asyncio.get_running_loop()
-        future: asyncio.Future[tuple[Start, Target]] = loop.create_future()
+        future: asyncio.Future[_Grant] = loop.create_future()
         self._futures[key] = future
         now = self._look()
         inner = attrs.evolve(work, request_id=key)
         self._carry_out(self._dispatcher.submit(inner, now))
         try:
-            start, target = await future
+            grant = await future
         except (asyncio.CancelledError, NotRunError):
             self._carry_out(self._dispatcher.cancel(key, self._look()))
             raise
@@ -103,10 +115,13 @@
             del self._futures[key]
         permit = Permit(
             request_id=work.request_id,
-            target=start.target,
-            address=target.address,
-            connections=share_connections(target.connections, self._max_instances),
-            is_long=start.is_long,
+            target=grant.target.name,
+            address=grant.target.address,
+            connections=share_connections(
+                grant.target.connections, self._max_instances
+            ),
+            is_long=grant.start.is_long,
+            granted=grant.when,
         )
         # Equal permits may exist at the same time, so identity tells them apart.
         self._permits[id(permit)] = (permit, key)
@@ -167,6 +182,7 @@
         if gap_ms > self._pause_ms:
             log_message("currantline:dispatch:pause", gap_ms=gap_ms)
             self._carry_out(self._dispatcher.reset(now))
+            self._on_pause()
         return now
 
     def _carry_out(self, effects: list[Effect]) -> None:
@@ -179,7 +195,8 @@
                 continue
             if isinstance(effect, Start):
                 # The target may leave the configuration before the waiter runs.
-                future.set_result((effect, self._targets[effect.target]))
+                target = self._targets[effect.target]
+                future.set_result(_Grant(effect, target, self._looked))
             else:
                 reason = effect.reason
                 future.set_exception(NotRunError(f"refused: {reason}", reason=reason))
--- a/src/currantline/dispatch/tests/test_dispatcher.py
+++ b/src/currantline/dispatch/tests/test_dispatcher.py
@@ -63,6 +63,15 @@
         assert starts(effects) == []
         assert Send("a", Return(loan_id=lend.loan_id)) in effects
 
+    def test_loan_of_unknown_target(self) -> None:
+        """Guards against loans declined because only their owner has evidence."""
+        owner, other = make_dispatcher("a"), make_dispatcher("b")
+        demand = messages(other.submit(make_work("1", 0.0), 0.0))[0]
+        lend = messages(owner.receive("b", demand, 1.0))[0]
+        assert isinstance(lend, Lend)
+        other.set_limit(lend.target, 0, 2.0, accepts_loans=True)
+        assert starts(other.receive("a", lend, 3.0)) == ["1"]
+
     @pytest.mark.parametrize("delay_ms", [499.0, 500.0])
     def test_late_loan(self, delay_ms: float) -> None:
         """Guards against new work on a target that its owner knew long ago."""
--- a/src/currantline/dispatch/tests/test_task.py
+++ b/src/currantline/dispatch/tests/test_task.py
@@ -108,6 +108,21 @@
 
         run(steps())
 
+    def test_pause_discards_limits(self) -> None:
+        """Guards against work on a target that drained while the process paused."""
+
+        async def steps() -> None:
+            clock = ManualClock()
+            task = make_task(clock)
+            clock.advance(5000.0)
+            waiter = asyncio.create_task(task.acquire(make_work(5000.0)))
+            await asyncio.sleep(0)
+            assert not waiter.done()
+            task.set_limit("t", 1)
+            assert (await waiter).granted == 5000.0
+
+        run(steps())
+
     def test_wakes_by_itself(self) -> None:
         """Guards against a local choice that waits for the next event."""
 
--- a/src/currantline/forwarding/_carrier.py
+++ b/src/currantline/forwarding/_carrier.py
@@ -44,6 +44,9 @@
     try_share : float
         Part of the remaining time after which an idempotent request gives up
         one target for another. Half leaves the second target as much time.
+    permit_ms : float
+        Longest time from a permit to its use. A process that was paused between
+        the two knows nothing of the target any more.
     proven_ms : float
         Longest time since a connection worked, for an idempotent request.
     proven_non_idempotent_ms : float
@@ -56,6 +59,7 @@
     max_sends: int = 3
     max_placements: int = 5
     try_share: float = 0.5
+    permit_ms: float = 500.0
     proven_ms: float = 15_000.0
     proven_non_idempotent_ms: float = 1_000.0
     max_body_bytes: int = 16 * 1024 * 1024
@@ -215,6 +219,7 @@
     async def _try(self, progress: Progress, permit: Permit) -> AttemptResult:
         pool = self._find_pool(permit)
         options = self._options
+        granted = self._clock.read() if permit.granted is None else permit.granted
         try:
             connection = await pool.acquire(
                 proven_within_ms=options.proven_ms
@@ -241,7 +246,11 @@
             pool.discard(connection)
             progress.reason = progress.reason if progress.exchange.sends else "deadline"
             return AttemptResult.UNUSED
-        # No suspension point stands between the check of the deadline above and
+        if now - granted > options.permit_ms:
+            pool.discard(connection)
+            progress.reason = progress.reason if progress.exchange.sends else "paused"
+            return AttemptResult.EXPIRED
+        # No suspension point stands between the checks of the time above and
         # the write, so a process that was paused does not send a late request.
         progress.start_send(permit, now=now)
         connection.http.write(data)
@@ -295,7 +304,7 @@
         duration_ms: float,
     ) -> None:
         load = self._read_load(progress.answer)
-        if self._observer is None or result is AttemptResult.UNUSED:
+        if self._observer is None or result in UNTRIED:
             return
         observation = AttemptObservation(
             result=result,
@@ -329,6 +338,12 @@
         return pool
 
 
+UNTRIED = frozenset({AttemptResult.UNUSED, AttemptResult.EXPIRED})
 REPEATABLE = frozenset(
-    {AttemptResult.SHED, AttemptResult.UNREACHABLE, AttemptResult.FAILED}
+    {
+        AttemptResult.SHED,
+        AttemptResult.UNREACHABLE,
+        AttemptResult.FAILED,
+        AttemptResult.EXPIRED,
+    }
 )
--- a/src/currantline/forwarding/_placement.py
+++ b/src/currantline/forwarding/_placement.py
@@ -23,6 +23,7 @@
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
     UNUSED = "unused"
+    EXPIRED = "expired"
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +42,9 @@
         Most connections of this instance to the target.
     is_long : bool
         Whether the request is expected to run long.
+    granted : float or None
+        Time of the decision, in milliseconds of the clock; None for the time at
+        which the permit is received.
     """
 
     request_id: str
@@ -48,6 +52,7 @@
     address: str
     connections: int = MIN_CONNECTIONS
     is_long: bool = False
+    granted: float | None = None
 
 
 class Placement(Protocol):
--- a/src/currantline/forwarding/tests/support.py
+++ b/src/currantline/forwarding/tests/support.py
@@ -131,6 +131,7 @@
         self.avoided: list[frozenset[str]] = []
         self.results: list[AttemptResult] = []
         self.before: Callable[[], None] = lambda: None
+        self.granted: list[float] = []
         self.gate: asyncio.Event | None = None
 
     async def acquire(self, work: Work) -> Permit:
@@ -143,7 +144,10 @@
             raise NotRunError("no target left", reason="no-target")
         target = self.targets.pop(0)
         return Permit(
-            request_id=work.request_id, target=target.name, address=target.address
+            request_id=work.request_id,
+            target=target.name,
+            address=target.address,
+            granted=self.granted.pop(0) if self.granted else None,
         )
 
     def release(
--- a/src/currantline/forwarding/tests/test_carrier.py
+++ b/src/currantline/forwarding/tests/test_carrier.py
@@ -143,6 +143,23 @@
 
         run(test())
 
+    def test_pause_after_permit(self) -> None:
+        """Guards against new work on a target that drained during a pause."""
+
+        async def test() -> None:
+            bench, (old, fresh) = await start("a", "b")
+            bench.placement.granted = [bench.clock.read() - 600.0]
+            task = bench.carry(idempotent=False)
+            peer = await fresh.accept()
+            await peer.read_head()
+            peer.answer("fresh")
+            assert (await task).answer.body == b"fresh"
+            assert bench.placement.results[0] is AttemptResult.EXPIRED
+            assert [name for name, _ in bench.seen] == ["b"]
+            assert old.name == "a"
+
+        run(test())
+
     @pytest.mark.parametrize("idempotent", [True, False])
     def test_cut_after_write(self, idempotent: bool) -> None:
         """Guards against *not run* for a request whose bytes were written."""
--- a/src/currantline/load/_book.py
+++ b/src/currantline/load/_book.py
@@ -106,10 +106,17 @@
         self._options = options or LoadOptions()
         self._entries: dict[str, Entry] = {}
         self._pools: dict[str, list[Entry]] = {}
+        # Names of targets that this instance itself found draining.
+        self._drains: set[str] = set()
+        # Names of targets that any evidence says to be draining.
+        self._draining: set[str] = set()
+        # Names of targets whose evidence may be fresh; the limit of others is 0.
+        self._heard: set[str] = set()
 
     def set_services(self, services: Iterable[Service]) -> None:
         """Take over the targets of a configuration and forget all others."""
         entries: dict[str, Entry] = {}
+        old = self._entries
         self._pools = {}
         for service in services:
             pool = self._pools.setdefault(service.name, [])
@@ -122,6 +129,9 @@
                 pool.append(entry)
         self._entries = entries
         self.drain_changes += 1
+        self._drains = {n for n, e in entries.items() if e.own.is_draining}
+        self._draining = {n for n, e in entries.items() if e.evidence.is_draining}
+        self._heard = {n for n in self._heard if entries.get(n) is old.get(n)}
 
     def set_listed(
         self, *, live: Iterable[str], leaving: Iterable[str], now: float
@@ -144,12 +154,16 @@
             if (entry := self._entries.get(name)) is not None:
                 entry.evidence.list_as(is_leaving=False)
                 entry.own.list_as(is_leaving=False)
+                self._note_drain(name, entry)
+                self._mark_draining(name, entry)
         for name in leaving:
             entry = self._entries.get(name)
             if entry is not None and not entry.evidence.is_listed_leaving:
                 for evidence in (entry.evidence, entry.own):
                     evidence.list_as(is_leaving=True)
                     evidence.add(TargetState.DRAINING, sent=now, received=now)
+                self._note_drain(name, entry)
+                self._mark_draining(name, entry)
 
     def observe(self, target: str, observation: Observation, now: float) -> None:
         """Add what an own request or probe told.
@@ -167,7 +181,8 @@
         if entry is None:
             return
         if observation.report is not None:
-            self._hear(entry, observation.report, observation.sent, now)
+            self._hear(target, entry, observation.report, observation.sent, now)
+            self._note_drain(target, entry)
         if observation.signal in BAD_SIGNALS:
             self._add_bad(entry, observation, now)
         elif observation.signal is Signal.ANSWERED:
@@ -205,6 +220,20 @@
             return False
         return not entry.circuit.is_open or entry.circuit.is_half_open(now)
 
+    def list_draining(self) -> set[str]:
+        """Return the targets that are known to be draining."""
+        return set(self._draining)
+
+    def list_heard(self, now: float) -> set[str]:
+        """Return the targets with fresh evidence; the limit of others is 0."""
+        evidence_ms = self._options.evidence_ms
+        self._heard = {
+            name
+            for name in self._heard
+            if self._entries[name].evidence.age_ms(now) <= evidence_ms
+        }
+        return set(self._heard)
+
     def evidence_age(self, target: str, now: float) -> float:
         """Return the age in ms of the evidence that a target is not draining.
 
@@ -265,6 +294,14 @@
         )
         return tuple(notice for notice in found if notice is not None)
 
+    def drains(self, now: float) -> list[TargetNotice]:
+        """Return the notices of draining targets; others are not looked at."""
+        found = (
+            self._make_notice(name, self._entries[name], now)
+            for name in sorted(self._drains)
+        )
+        return [notice for notice in found if notice is not None]
+
     def merge_notice(
         self, notice: TargetNotice, now: float, *, asked: float | None = None
     ) -> None:
@@ -288,17 +325,19 @@
         if notice.state is TargetState.DRAINING:
             received = now - notice.age_ms
             entry.evidence.add(notice.state, sent=received, received=received)
+            self._mark_draining(notice.target, entry)
         elif asked is not None:
             sent = min(asked, now) - notice.age_ms
-            self._take(entry, notice.state, sent=sent, received=now)
+            self._take(notice.target, entry, notice.state, sent=sent, received=now)
 
     def reset(self) -> None:
         """Discard all evidence that allows new work, as after a pause."""
         self.drain_changes += 1
-        for entry in self._entries.values():
+        for name, entry in self._entries.items():
             entry.evidence.discard_alive()
             entry.own.discard_alive()
             entry.heard = NEVER
+            self._note_drain(name, entry)
 
     def describe(self, now: float) -> list[TargetBelief]:
         """Return what is believed of every target, by name."""
@@ -307,20 +346,42 @@
             for name, entry in sorted(self._entries.items())
         ]
 
-    def _hear(self, entry: Entry, report: LoadReport, sent: float, now: float) -> None:
+    def _mark_draining(self, name: str, entry: Entry) -> None:
+        if entry.evidence.is_draining:
+            self._draining.add(name)
+        else:
+            self._draining.discard(name)
+
+    def _note_drain(self, name: str, entry: Entry) -> None:
+        if entry.own.is_draining:
+            self._drains.add(name)
+        else:
+            self._drains.discard(name)
+
+    def _hear(
+        self, name: str, entry: Entry, report: LoadReport, sent: float, now: float
+    ) -> None:
         if sent >= entry.heard:
             entry.report = report
         was_draining = entry.own.is_draining
         entry.own.add(report.state, sent=sent, received=now)
         self.drain_changes += entry.own.is_draining is not was_draining
-        self._take(entry, report.state, sent=sent, received=now)
+        self._take(name, entry, report.state, sent=sent, received=now)
 
     def _take(
-        self, entry: Entry, state: TargetState, *, sent: float, received: float
+        self,
+        name: str,
+        entry: Entry,
+        state: TargetState,
+        *,
+        sent: float,
+        received: float,
     ) -> None:
+        self._heard.add(name)
         was_draining = entry.evidence.is_draining
         newer_ms = sent - entry.evidence.alive_sent
         entry.evidence.add(state, sent=sent, received=received)
+        self._mark_draining(name, entry)
         entry.heard = max(entry.heard, sent)
         has_returned = was_draining and not entry.evidence.is_draining
         # A late answer from before the target was ready is no new start.
