Ask only the service that changed when dispatch is due next

Each submit and finish asked every service when it is due next. Only the service of the request changed, so the task asks this one and keeps the earliest time known. That time may be too early, never too late: waking up asks all services again. Messages about loans and ticks still ask all, because they do not name a service.

--- a/src/currantline/dispatch/_dispatcher.py
+++ b/src/currantline/dispatch/_dispatcher.py
@@ -180,8 +180,11 @@
             effects += self._note(pool.advance(now))
         return effects
 
-    def next_due(self, now: float) -> float:
-        """Return when `tick` is needed next, or infinity."""
+    def next_due(self, now: float, service: str | None = None) -> float:
+        """Return when `tick` is needed next, for one service or all, or infinity."""
+        if service is not None:
+            pool = self._pools.get(service)
+            return pool.next_due(now) if pool else float("inf")
         dues = [pool.next_due(now) for pool in self._pools.values()]
         return min(dues, default=float("inf"))
 
--- a/src/currantline/dispatch/_task.py
+++ b/src/currantline/dispatch/_task.py
@@ -56,7 +56,7 @@
         self._futures: dict[str, asyncio.Future[Start]] = {}
         # Callers choose request identifiers, and two of them may choose the same.
         self._numbers = itertools.count()
-        self._permits: dict[int, tuple[Permit, str]] = {}
+        self._permits: dict[int, tuple[Permit, str, str]] = {}
         self._looked = clock.read()
         self._due = math.inf
         self._changed = asyncio.Event()
@@ -91,11 +91,12 @@
         self._futures[key] = future
         now = self._look()
         inner = attrs.evolve(work, request_id=key)
-        self._carry_out(self._dispatcher.submit(inner, now))
+        self._carry_out(self._dispatcher.submit(inner, now), work.service)
         try:
             start = await future
         except (asyncio.CancelledError, NotRunError):
-            self._carry_out(self._dispatcher.cancel(key, self._look()))
+            effects = self._dispatcher.cancel(key, self._look())
+            self._carry_out(effects, work.service)
             raise
         finally:
             del self._futures[key]
@@ -109,15 +110,16 @@
             is_long=start.is_long,
         )
         # Equal permits may exist at the same time, so identity tells them apart.
-        self._permits[id(permit)] = (permit, key)
+        self._permits[id(permit)] = (permit, key, work.service)
         return permit
 
     def release(
         self, permit: Permit, result: AttemptResult, *, duration_ms: float
     ) -> None:
         """Give a permit back and say how its use ended."""
-        _, key = self._permits.pop(id(permit))
-        self._carry_out(self._dispatcher.finish(key, result, self._look()))
+        _, key, service = self._permits.pop(id(permit))
+        effects = self._dispatcher.finish(key, result, self._look())
+        self._carry_out(effects, service)
 
     def receive(self, sender: str, message: Message) -> None:
         """Take a message from another instance."""
@@ -158,7 +160,8 @@
             self._carry_out(self._dispatcher.reset(now))
         return now
 
-    def _carry_out(self, effects: list[Effect]) -> None:
+    def _carry_out(self, effects: list[Effect], service: str | None = None) -> None:
+        """Carry out effects of one service, or of any, and note when to wake up."""
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect.instance, effect.message)
@@ -171,7 +174,11 @@
             else:
                 reason = effect.reason
                 future.set_exception(NotRunError(f"refused: {reason}", reason=reason))
-        due = self._dispatcher.next_due(self._looked)
+        due = self._dispatcher.next_due(self._looked, service)
+        if service is not None:
+            # Nothing changed for the other services. What was due for this one may
+            # have gone, and waking up too early finds that out.
+            due = min(due, self._due)
         if due < self._due:
             self._changed.set()
         self._due = due
