Write one log record for each request

A request was an eliot action, which writes a record at the start and one at the end. One record at the end now has the fields of both, the duration, and the name of the exception for a caller that left; task_uuid and request_id stay. Started requests of an instance that is killed leave no record any more.

It is kept for half the records, not for the time added.

--- a/src/currantline/forwarding/_caller.py
+++ b/src/currantline/forwarding/_caller.py
@@ -8,7 +8,6 @@
 
 import attrs
 import h11
-from eliot import start_action
 
 from currantline.admission import Work
 from currantline.clock import Clock
@@ -23,6 +22,7 @@
 )
 from currantline.forwarding._carrier import Carrier
 from currantline.forwarding._interpret import interpret, present, refuse
+from currantline.forwarding._log import log_request
 from currantline.forwarding._observation import RequestObservation, RequestObserver
 from currantline.forwarding._outcome import Outcome
 from currantline.forwarding._progress import Completion
@@ -319,29 +319,29 @@
 
     async def _carry(self, work: Work, request: Request) -> Completion:
         completion: Completion | None = None
+        failure = ""
         try:
-            with start_action(
-                action_type="currantline:request",
-                request_id=work.request_id,
-                instance=self._name,
-                service=work.service,
-                route=work.route,
-            ) as action:
-                completion = await self._carrier.carry(work, request)
-                action.add_success_fields(
-                    outcome=completion.outcome.value,
-                    target=completion.target,
-                    reason=completion.reason,
-                    attempts=completion.attempts,
-                )
+            completion = await self._carrier.carry(work, request)
             return completion
+        except BaseException as error:
+            failure = type(error).__name__
+            raise
         finally:
-            self._tell(work, completion)
+            duration_ms = self._clock.read() - work.arrived
+            log_request(
+                work,
+                completion,
+                instance=self._name,
+                duration_ms=duration_ms,
+                failure=failure,
+            )
+            self._tell(work, completion, duration_ms)
 
-    def _tell(self, work: Work, completion: Completion | None) -> None:
+    def _tell(
+        self, work: Work, completion: Completion | None, duration_ms: float
+    ) -> None:
         if self._observer is None:
             return
-        duration_ms = self._clock.read() - work.arrived
         done = completion or Completion(outcome=Outcome.UNKNOWN)
         self._observer.observe_request(
             RequestObservation(
--- a/src/currantline/forwarding/tests/test_caller.py
+++ b/src/currantline/forwarding/tests/test_caller.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import attrs
+import eliot
 import pytest
 
 from currantline.clock import ManualClock
@@ -255,6 +256,45 @@
         run(test())
 
 
+class TestLog:
+    """Log records of requests."""
+
+    @pytest.mark.parametrize(
+        ("is_abandoned", "outcome", "reason"),
+        [(False, "answered", ""), (True, "abandoned", "CancelledError")],
+    )
+    def test_each_request_has_one_record(
+        self, is_abandoned: bool, outcome: str, reason: str
+    ) -> None:
+        """Guards against a request that its id does not find in the log."""
+        # Records of earlier tests are replayed to the first destination.
+        key = f"logged-{outcome}"
+        records: list[dict[str, Any]] = []
+
+        async def test() -> None:
+            entry = await start()
+            caller = await entry.connect()
+            caller.send(ask(extra=f"currantline-request-id: {key}\r\n"))
+            connection = await entry.target.accept()
+            await connection.read_head()
+            if is_abandoned:
+                caller.writer.close()
+            else:
+                connection.answer("ok")
+            await entry.done.wait()
+
+        eliot.add_destinations(records.append)
+        try:
+            run(test())
+        finally:
+            eliot.remove_destination(records.append)
+        (record,) = [each for each in records if each.get("request_id") == key]
+        assert record["message_type"] == "currantline:request"
+        assert (record["outcome"], record["reason"]) == (outcome, reason)
+        names = ("instance", "service", "route", "attempts", "task_uuid")
+        assert all(record[name] != "" for name in (*names, "duration_ms", "timestamp"))
+
+
 class TestLeaving:
     """A graceful shutdown of an instance."""
 
