Measure the CPU time of an idle instance beside that of requests

The CPU time per call contained probes, gossip and timers, which grow with the number of targets and not with calls. Each path is now read over 3 s without requests, and the line states the share of a core and the CPU time per call without it.

--- a/src/currantline/bench/added.py
+++ b/src/currantline/bench/added.py
@@ -39,6 +39,7 @@
 WARM_UP = 1000
 READY_TIMEOUT_S = 60.0
 READY_POLL_S = 0.1
+IDLE_S = 3.0
 FETCH_TIMEOUT_MS = 2000.0
 MICROSECONDS = 1e6
 
@@ -53,11 +54,14 @@
         Durations of direct requests and of those through the path.
     cpu_us : float
         CPU time of the path's process per request, background work included.
+    elapsed_us : float
+        Time of the round per request.
     """
 
     direct_ms: list[float]
     through_ms: list[float]
     cpu_us: float
+    elapsed_us: float
 
     def find_added(self, share: float) -> float:
         """Return the difference of a quantile in milliseconds."""
@@ -141,6 +145,8 @@
 ) -> Round:
     """Measure one path with one caller for each pair of connections."""
     share = max(1, count // len(pairs))
+    clock = MonotonicClock()
+    started = clock.read()
     before_s = path.read_cpu_s()
     results = await asyncio.gather(*(call(pair, share) for pair in pairs))
     used_s = path.read_cpu_s() - before_s
@@ -148,6 +154,7 @@
         direct_ms=[each for result in results for each in result[0]],
         through_ms=[each for result in results for each in result[1]],
         cpu_us=used_s * MICROSECONDS / (share * len(pairs)),
+        elapsed_us=(clock.read() - started) * 1000 / (share * len(pairs)),
     )
 
 
@@ -181,25 +188,34 @@
             await asyncio.sleep(READY_POLL_S)
 
 
+async def measure_idle(path: Child) -> float:
+    """Return the share of a core that a path uses without requests."""
+    before_s = path.read_cpu_s()
+    await asyncio.sleep(IDLE_S)
+    return (path.read_cpu_s() - before_s) / IDLE_S
+
+
 async def measure(
     paths: dict[str, tuple[str, Child]], concurrency: int, rounds: int, count: int
-) -> dict[str, list[Round]]:
-    """Return the rounds of every path, which take turns."""
+) -> dict[str, tuple[float, list[Round]]]:
+    """Return the idle share and the rounds of every path; these take turns."""
     pairs = {
         name: await connect_pairs(direct, path, concurrency)
         for name, (direct, path) in paths.items()
     }
-    found: dict[str, list[Round]] = {name: [] for name in paths}
+    found: dict[str, tuple[float, list[Round]]] = {
+        name: (await measure_idle(path), []) for name, (_, path) in paths.items()
+    }
     for _ in range(rounds):
         for name, (_, path) in paths.items():
-            found[name].append(await measure_round(path, pairs[name], count))
+            found[name][1].append(await measure_round(path, pairs[name], count))
     for pair in (pair for each in pairs.values() for pair in each):
         for connection in pair:
             connection.close()
     return found
 
 
-def report(name: str, concurrency: int, rounds: list[Round]) -> str:
+def report(name: str, concurrency: int, idle: float, rounds: list[Round]) -> str:
     """Return one line with the medians over the rounds."""
     line = f"{name:10} concurrency {concurrency:3}"
     for label, share in (("p50", 0.5), ("p99", 0.99)):
@@ -209,7 +225,11 @@
         added_ms = statistics.median(each.find_added(share) for each in rounds)
         line += f"  {label} direct {direct_ms:.3f} added {added_ms:.3f} ms"
     cpu_us = statistics.median(each.cpu_us for each in rounds)
-    return f"{line}  CPU {cpu_us:.0f} us per call"
+    own_us = statistics.median(each.cpu_us - idle * each.elapsed_us for each in rounds)
+    return (
+        f"{line}  CPU {cpu_us:.0f} us per call, {own_us:.0f} us without the"
+        f" {idle:.1%} of a core used when idle"
+    )
 
 
 def start_paths(folder: Path, started: list[Child]) -> dict[str, tuple[str, Child]]:
@@ -240,8 +260,8 @@
         print(f"load {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores", flush=True)
         for concurrency in map(int, given.concurrency):
             found = asyncio.run(measure(paths, concurrency, given.rounds, given.count))
-            for name, rounds in found.items():
-                print(report(name, concurrency, rounds), flush=True)
+            for name, (idle, rounds) in found.items():
+                print(report(name, concurrency, idle, rounds), flush=True)
         print(f"load {os.getloadavg()[0]:.1f}, {given.rounds} rounds", flush=True)
     finally:
         for child in reversed(started):
