Leave targets without requests unprobed in the measurement of added time

With many services the probes of the one instance, which owns all targets, took most of its time and of that of the targets. Only the service that gets requests is probed now; the others show what their number costs.

--- a/src/currantline/bench/_roles.py
+++ b/src/currantline/bench/_roles.py
@@ -42,8 +42,8 @@
     Parameters
     ----------
     services : int
-        Services configured. Only the first gets requests; the targets of the
-        others share its addresses and are probed only.
+        Services configured. Only the first gets requests and probes; the targets
+        of the others share its addresses.
     """
     load = ("target-load", f"in-flight=0, slots={SLOTS}, state=ready")
 
@@ -140,7 +140,9 @@
         )
         for number, address in enumerate(addresses)
     ]
-    return Service(name=name, targets=tuple(targets))
+    # Probes of one instance to all targets of a large site would hide the rest.
+    probe_budget = 2.0 if name == SERVICE else 0.0
+    return Service(name=name, targets=tuple(targets), probe_budget=probe_budget)
 
 
 def _find_free_address() -> str:
