--- a/src/currantline/dispatch/_task.py
+++ b/src/currantline/dispatch/_task.py
@@ -109,7 +109,8 @@
         try:
             grant = await future
         except (asyncio.CancelledError, NotRunError):
-            self._carry_out(self._dispatcher.cancel(key, self._look()))
+            effects = self._dispatcher.cancel(key, self._look())
+            self._carry_out(effects)
             raise
         finally:
             del self._futures[key]
@@ -132,7 +133,8 @@
     ) -> None:
         """Give a permit back and say how its use ended."""
         _, key = self._permits.pop(id(permit))
-        self._carry_out(self._dispatcher.finish(key, result, self._look()))
+        effects = self._dispatcher.finish(key, result, self._look())
+        self._carry_out(effects)
 
     def receive(self, sender: str, message: Message) -> None:
         """Take a message from another instance."""
@@ -186,6 +188,7 @@
         return now
 
     def _carry_out(self, effects: list[Effect]) -> None:
+        """Carry out effects and note when to wake up."""
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect.instance, effect.message)
--- a/src/currantline/standin/golden.py
+++ b/src/currantline/standin/golden.py
@@ -60,11 +60,12 @@
         await self._settle()
 
     async def _kill(self) -> None:
-        self._say("instance-2 is killed and replaced")
+        owner = self._trial.find_owner("ordering")
+        self._say(f"{owner}, which owns targets of ordering, is killed and replaced")
         with self._trial.disturb("kill", allows_unknown=True):
-            self._trial.site.kill("instance-2")
+            self._trial.site.kill(owner)
             await self._send_all("after the kill")
-            await self._trial.restart("instance-2")
+            await self._trial.restart(owner)
         await self._settle()
 
     async def _drain(self) -> None:
