Move events, metrics and drains out of the composition root

The composition root held audit events, feeds of metrics, telling of drains and retry budgets besides building the parts. Each is now a small part of the control or dispatch slice. On the way: drains that a probe or the published list finds are told to peers at once instead of after the next attempt, channels of instances that left the view are closed, retry budgets follow the configuration, the metrics of short waits, loans and violations are fed, and a task that ends with an error makes the instance leave and the daemon exit with 3, where it went on without that task before. The test of a failed part was written with the change and covers the exit code.

--- a/src/currantline/bench/_capacity_cores.py
+++ b/src/currantline/bench/_capacity_cores.py
@@ -12,7 +12,12 @@
 import attrs
 
 from currantline.admission import Work
-from currantline.bench._slopes import Series, make_configuration, time_call
+from currantline.bench._slopes import (
+    DATA_CENTRES,
+    Series,
+    make_configuration,
+    time_call,
+)
 from currantline.clock import ManualClock
 from currantline.compose import Instance
 from currantline.configuration import (
@@ -105,7 +110,7 @@
                 service,
                 ownership,  # type: ignore[arg-type]
                 view,
-                data_centre="site-0",
+                data_centre=DATA_CENTRES[0],
                 version=1,
                 rng=random.Random(1),
             )
@@ -296,7 +301,7 @@
 def _make_instance(clock: ManualClock) -> Instance:
     settings = Settings(
         name=NAME,
-        data_centre="site-0",
+        data_centre=DATA_CENTRES[0],
         caller_address=ADDRESS,
         peer_address=ADDRESS,
         operator_address=ADDRESS,
@@ -314,7 +319,7 @@
     return View.build(
         InstanceEntry(
             name=f"instance-{number}",
-            data_centre=f"site-{number % 7}",
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             caller_address=f"10.20.{number % 250}.{number // 250}:7100",
             peer_address=f"10.20.{number % 250}.{number // 250}:7200",
             status=Status.READY,
--- a/src/currantline/compose.py
+++ b/src/currantline/compose.py
@@ -5,23 +5,25 @@
 from collections.abc import Awaitable, Coroutine, Iterable, Mapping
 from typing import Any, Protocol
 
-from currantline.audit import AuditEvent, AuditTrail, EventKind, build_record_event
+from currantline.audit import AuditTrail
 from currantline.clock import Clock
 from currantline.configuration import (
     Configuration,
     ConfigurationKeeper,
     History,
     HttpRecordService,
-    Judged,
     RecordReader,
     RecordSpread,
     select_readers,
 )
 from currantline.control import (
+    DrainTeller,
+    EventRecorder,
     EvidenceAsker,
     EvidenceSources,
     InstanceHandler,
     LimitKeeper,
+    MetricsFeed,
     OwnedTargets,
     ReadyGate,
     find_missing,
@@ -30,18 +32,20 @@
     render_view,
 )
 from currantline.directory import AddressAnswer, OwnershipTable, build_answer
-from currantline.dispatch import Dispatcher, DispatchTask, RetryBudget
-from currantline.exceptions import AddressInUseError, UnknownServiceError
+from currantline.dispatch import Dispatcher, DispatchTask, RetryBudgets
+from currantline.exceptions import (
+    AddressInUseError,
+    InvariantError,
+    UnknownServiceError,
+)
 from currantline.forwarding import (
     CallerOptions,
     CallerServer,
     Carrier,
     CarrierOptions,
     Guidance,
-    RequestObservation,
 )
 from currantline.load import (
-    NoticeSchedule,
     ProbeBudget,
     Prober,
     ShareRights,
@@ -98,15 +102,17 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._wall_offset_ms = incarnation - clock.read()
         self._is_leaving = False
         self._may_own = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._members: dict[str, Status] = {}
+        self._has_failed = asyncio.Event()
+        self.trail = AuditTrail()
+        self._events = EventRecorder(self.trail, clock=clock, started_ms=incarnation)
         self._build_configuration()
         self._build_membership(incarnation)
         self._build_load()
         self._build_dispatch()
+        self._build_feed()
         self._build_forwarding()
         self._build_operator()
 
@@ -135,6 +141,11 @@
         ended = [task for task in self._tasks if task.done() and not task.cancelled()]
         return [error for task in ended if (error := task.exception()) is not None]
 
+    async def wait_for_failure(self) -> BaseException:
+        """Wait until a task ends with an error and return the error."""
+        await self._has_failed.wait()
+        return self.failures[0]
+
     async def start(self) -> None:
         """Listen on all addresses and start the tasks.
 
@@ -161,7 +172,7 @@
     async def leave(self) -> None:
         """Stop being named in answers, finish open requests and stop."""
         self._is_leaving = True
-        self._note_event("this instance leaves")
+        self._events.record("this instance leaves")
         self._membership.leave()
         await self._callers.leave(self._settings.leave_timeout_ms)
         for task in self._tasks:
@@ -177,11 +188,10 @@
 
     def _build_configuration(self) -> None:
         self.history = History()
-        self.trail = AuditTrail()
         self._keeper = ConfigurationKeeper(
             self.history,
             clock=self._clock,
-            on_judged=self._note_judged,
+            on_judged=self._events.record_verdict,
             on_change=self._take_configuration,
             on_progress=self._tell_progress,
         )
@@ -226,8 +236,6 @@
 
     def _build_load(self) -> None:
         self.book = TargetBook(self._rng)
-        self._notices = NoticeSchedule()
-        self._told_changes = 0
         self.budget = ProbeBudget()
         self._shares = ShareRights(self._settings.name)
         self._plan = OwnedTargets(
@@ -245,7 +253,7 @@
             budget=self.budget,
             plan=self._plan,
             clock=self._clock,
-            report_end=self._count_probe,
+            report_end=self._note_probe,
         )
 
     def _build_dispatch(self) -> None:
@@ -260,11 +268,17 @@
             send=self._outbox.add,
             on_pause=self._forget_evidence,
         )
+        self._drains = DrainTeller(
+            self.book,
+            clock=self._clock,
+            list_peers=self._list_peers,
+            send=self._outbox.add_notices,
+        )
         self._limits = LimitKeeper(
             self.book,
             clock=self._clock,
             set_limit=self.dispatch.set_limit,
-            on_drain=self._tell_drains,
+            on_drain=self._drains.tell,
         )
         self._asker = EvidenceAsker(
             self._settings.name,
@@ -288,12 +302,12 @@
         self._peer_server = PeerServer(handler)
 
     def _build_forwarding(self) -> None:
-        self._retries: dict[str, RetryBudget] = {}
+        self._retries = RetryBudgets()
         self._carrier = Carrier(
             ReadyGate(self.dispatch, self._may_work),
             clock=self._clock,
             options=CarrierOptions(max_body_bytes=self._settings.max_body_bytes),
-            find_budget=self._find_retry_budget,
+            find_budget=self._retries.find,
             observer=self._limits,
         )
         self._callers = CallerServer(
@@ -307,11 +321,22 @@
             ),
             clock=self._clock,
             options=CallerOptions(max_body_bytes=self._settings.max_body_bytes),
-            observer=self,
+            observer=self._feed,
         )
 
-    def _build_operator(self) -> None:
+    def _build_feed(self) -> None:
         self.metrics = Metrics(self._settings.data_centre)
+        self._feed = MetricsFeed(
+            self.metrics,
+            book=self.book,
+            budget=self.budget,
+            plan=self._plan,
+            clock=self._clock,
+            read_counts=self.dispatch.counts,
+            count_violations=self._count_violations,
+        )
+
+    def _build_operator(self) -> None:
         self._operators = OperatorService(
             OperatorSources(
                 instance=self._settings.name,
@@ -323,13 +348,19 @@
                 read_view=lambda: render_view(self.view),
                 read_lease=lambda: {"held": self._membership.holds_lease()},
                 read_audit=self._read_audit,
-                refresh=self._refresh_metrics,
+                refresh=self._feed.refresh,
             ),
             self.metrics,
         )
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: "asyncio.Task[None]") -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._has_failed.set()
 
     async def _listen(self, key: str, server: _Server) -> None:
         address = getattr(self._settings, key)
@@ -351,7 +382,8 @@
         if change.was_paused:
             self._shares.reset()
             self._forget_evidence()
-        self._note_members(change.view)
+        self._events.record_view(change.view)
+        self._client.retain({e.peer_address for e in change.view.instances})
         self._update_owners(change.view)
         readers = select_readers(
             change.view, self._settings.data_centre, READERS_PER_DATA_CENTRE
@@ -388,6 +420,7 @@
         self.dispatch.set_configuration(configuration)
         self._limits.set_targets(names)
         self._carrier.keep_targets(addresses)
+        self._retries.set_services(services)
         self.metrics.set_targets(
             {s.name: [t.name for t in s.targets] for s in services}
         )
@@ -410,18 +443,7 @@
             now=now,
         )
         self._limits.refresh()
-
-    def _tell_drains(self) -> None:
-        # Runs after every attempt, and most attempts change no drain.
-        if self.book.drain_changes == self._told_changes:
-            return
-        self._told_changes = self.book.drain_changes
-        drains = self._notices.take_drains(self.book.drains(self._clock.read()))
-        if not drains:
-            return
-        for entry in self.view.instances:
-            if entry.name != self._settings.name:
-                self._outbox.add_notices(entry.name, drains)
+        self._drains.tell()
 
     def _find_source(self, sequence: int) -> str | None:
         ahead = [e for e in self.view.instances if e.sequence > sequence]
@@ -431,17 +453,23 @@
         records = await self._client.fetch_records(address, after)
         return [record.document for record in records]
 
+    def _list_peers(self) -> list[str]:
+        names = self.view.names
+        return [name for name in names if name != self._settings.name]
+
+    def _note_probe(self, target: str, is_usable: bool) -> None:
+        self._feed.count_probe(target, is_usable)
+        self._limits.refresh_one(target, self._clock.read())
+        self._drains.tell()
+
+    def _count_violations(self) -> int:
+        broken = [e for e in self.failures if isinstance(e, InvariantError)]
+        return self.prober.violations + len(broken)
+
     def _find_peer_address(self, name: str) -> str | None:
         entry = self._membership.table.find(name)
         return entry.peer_address if entry is not None else None
 
-    def _find_retry_budget(self, service: str) -> RetryBudget:
-        if service not in self._retries:
-            known = self.configuration.services.get(service)
-            ratio = known.retry_ratio if known is not None else 0.0
-            self._retries[service] = RetryBudget(retry_ratio=ratio)
-        return self._retries[service]
-
     def _may_work(self) -> bool:
         # Without evidence requests wait; only an instance that has not joined may
         # act on old knowledge.
@@ -464,18 +492,6 @@
             rng=self._rng,
         )
 
-    def observe_request(self, observation: RequestObservation) -> None:
-        """Count a request that ended."""
-        outcome = observation.outcome
-        self.metrics.observe_request(
-            observation.service,
-            observation.priority.value,
-            outcome.value if outcome is not None else "abandoned",
-            duration_ms=observation.duration_ms,
-        )
-        for _ in range(observation.attempts - 1):
-            self.metrics.count_retry(observation.service)
-
     def _read_readiness(self) -> Readiness:
         now = self._clock.read()
         decision = self._membership.readiness.decide(now)
@@ -489,33 +505,3 @@
 
     def _read_audit(self, after: int) -> Iterable[Mapping[str, Any]]:
         return [render_event(event) for event in self.trail.events_after(after)]
-
-    def _count_probe(self, target: str, is_usable: bool) -> None:
-        service = self._plan.find_service(target)
-        self.metrics.count_probe(service, target, is_usable=is_usable)
-
-    def _refresh_metrics(self) -> None:
-        now = self._clock.read()
-        for belief in self.book.describe(now):
-            service, target = belief.service, belief.target
-            self.metrics.set_limit(service, target, belief.limit)
-            use = self.budget.measure_use(target, now)
-            self.metrics.set_probe_use(service, target, use)
-
-    def _note_judged(self, judged: Judged) -> None:
-        when_ms = self._clock.read() + self._wall_offset_ms
-        self.trail.append(build_record_event(judged, when_ms=when_ms))
-
-    def _note_members(self, view: View) -> None:
-        members = {entry.name: entry.status for entry in view.instances}
-        for name in sorted(members.keys() | self._members.keys()):
-            old, new = self._members.get(name), members.get(name)
-            if old is not new:
-                state = new.value if new is not None else "gone"
-                self._note_event(f"instance {name} is {state}")
-        self._members = members
-
-    def _note_event(self, detail: str) -> None:
-        when_ms = self._clock.read() + self._wall_offset_ms
-        event = AuditEvent(kind=EventKind.OTHER, when_ms=when_ms, detail=detail)
-        self.trail.append(event)
--- /dev/null
+++ b/src/currantline/control/_events.py
@@ -0,0 +1,52 @@
+"""Events of one instance for the audit trail."""
+
+from currantline.audit import AuditEvent, AuditTrail, EventKind, build_record_event
+from currantline.clock import Clock
+from currantline.configuration import Judged
+from currantline.membership import Status, View
+
+__all__ = ["EventRecorder"]
+
+
+class EventRecorder:
+    """Adds verdicts and changes of the view to the audit trail.
+
+    Parameters
+    ----------
+    trail : AuditTrail
+        Receives the events.
+    clock : Clock
+        Source of time.
+    started_ms : float
+        Wall-clock time now, in milliseconds; later times follow from the clock.
+    """
+
+    def __init__(self, trail: AuditTrail, *, clock: Clock, started_ms: float) -> None:
+        self._trail = trail
+        self._clock = clock
+        self._offset_ms = started_ms - clock.read()
+        self._members: dict[str, Status] = {}
+
+    def record_verdict(self, judged: Judged) -> None:
+        """Add the verdict on a configuration record."""
+        self._trail.append(build_record_event(judged, when_ms=self._read_wall()))
+
+    def record_view(self, view: View) -> None:
+        """Add an event for each instance that came, went or changed its status."""
+        members = {entry.name: entry.status for entry in view.instances}
+        for name in sorted(members.keys() | self._members.keys()):
+            old, new = self._members.get(name), members.get(name)
+            if old is not new:
+                state = new.value if new is not None else "gone"
+                self.record(f"instance {name} is {state}")
+        self._members = members
+
+    def record(self, detail: str) -> None:
+        """Add an event that concerns this instance only."""
+        event = AuditEvent(
+            kind=EventKind.OTHER, when_ms=self._read_wall(), detail=detail
+        )
+        self._trail.append(event)
+
+    def _read_wall(self) -> float:
+        return self._clock.read() + self._offset_ms
--- /dev/null
+++ b/src/currantline/control/_feed.py
@@ -0,0 +1,96 @@
+"""What the slices count, passed on to the metrics."""
+
+from collections.abc import Callable, Mapping
+
+from currantline.clock import Clock
+from currantline.control._plan import OwnedTargets
+from currantline.dispatch import ServiceCounts
+from currantline.forwarding import RequestObservation
+from currantline.load import ProbeBudget, TargetBook
+from currantline.operator import Metrics
+
+__all__ = ["MetricsFeed"]
+
+
+class MetricsFeed:
+    """Keeps the metrics of one instance up to date.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Receives the counts.
+    book : TargetBook
+        Limits of targets.
+    budget : ProbeBudget
+        Use of the probe budget.
+    plan : OwnedTargets
+        Services of targets.
+    clock : Clock
+        Source of time.
+    read_counts : callable
+        Returns the counts of dispatch for each service.
+    count_violations : callable
+        Returns how often a condition that must always hold did not.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        *,
+        book: TargetBook,
+        budget: ProbeBudget,
+        plan: OwnedTargets,
+        clock: Clock,
+        read_counts: Callable[[], Mapping[str, ServiceCounts]],
+        count_violations: Callable[[], int],
+    ) -> None:
+        self._metrics = metrics
+        self._book = book
+        self._budget = budget
+        self._plan = plan
+        self._clock = clock
+        self._read_counts = read_counts
+        self._count_violations = count_violations
+        self._violations = 0
+        self._loans: dict[tuple[str, str], int] = {}
+
+    def observe_request(self, observation: RequestObservation) -> None:
+        """Count a request that ended."""
+        outcome = observation.outcome
+        self._metrics.observe_request(
+            observation.service,
+            observation.priority.value,
+            outcome.value if outcome is not None else "abandoned",
+            duration_ms=observation.duration_ms,
+        )
+        if observation.attempts and not observation.is_long:
+            self._metrics.observe_short_wait(observation.service, observation.waited_ms)
+        for _ in range(observation.attempts - 1):
+            self._metrics.count_retry(observation.service)
+
+    def count_probe(self, target: str, is_usable: bool) -> None:
+        """Count a probe that was sent and has ended."""
+        service = self._plan.find_service(target)
+        self._metrics.count_probe(service, target, is_usable=is_usable)
+
+    def refresh(self) -> None:
+        """Bring everything up to date that is not counted as it happens."""
+        now = self._clock.read()
+        for belief in self._book.describe(now):
+            service, target = belief.service, belief.target
+            self._metrics.set_limit(service, target, belief.limit)
+            use = self._budget.measure_use(target, now)
+            self._metrics.set_probe_use(service, target, use)
+        for service, counts in self._read_counts().items():
+            self._count_loans(service, "lent", counts.loans_made)
+            self._count_loans(service, "borrowed", counts.totals.borrowed)
+        violations = self._count_violations()
+        for _ in range(violations - self._violations):
+            self._metrics.count_violation()
+        self._violations = violations
+
+    def _count_loans(self, service: str, direction: str, total: int) -> None:
+        known = self._loans.get((service, direction), 0)
+        for _ in range(total - known):
+            self._metrics.count_loan(service, direction)
+        self._loans[service, direction] = total
--- a/src/currantline/daemon.py
+++ b/src/currantline/daemon.py
@@ -16,7 +16,11 @@
 from currantline import __version__
 from currantline.clock import MonotonicClock
 from currantline.compose import Instance
-from currantline.exceptions import AddressInUseError, SettingsError
+from currantline.exceptions import (
+    AddressInUseError,
+    InstanceFailedError,
+    SettingsError,
+)
 from currantline.lines import escape_line
 from currantline.settings import Settings, read_settings
 
@@ -25,6 +29,7 @@
 PROGRAM = "currantlined"
 EXIT_OK = 0
 EXIT_USAGE = 2
+EXIT_FAILED = 3
 
 HELP = """\
 usage: {program} --settings=FILE
@@ -42,7 +47,7 @@
 other settings: {optional}
 
 exit codes: 0 left after a signal, 2 flags, settings, log file or addresses cannot
-be used"""
+be used, 3 a part of the instance failed, so that it left"""
 
 
 async def serve(settings: Settings) -> None:
@@ -56,6 +61,8 @@
     ------
     AddressInUseError
         If an address from the settings cannot be used.
+    InstanceFailedError
+        If a task of the instance ended with an error.
     """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -68,8 +75,24 @@
         incarnation=time.time_ns() // 1_000_000,
     )
     await instance.start()
-    await stopping.wait()
+    failure = await _wait_for_end(instance, stopping)
     await instance.leave()
+    if failure is not None:
+        raise InstanceFailedError(f"a task ended: {failure!r}") from failure
+
+
+async def _wait_for_end(
+    instance: Instance, stopping: asyncio.Event
+) -> BaseException | None:
+    # An instance without one of its tasks would act on old knowledge for ever.
+    failure = asyncio.create_task(instance.wait_for_failure())
+    stop = asyncio.create_task(stopping.wait())
+    await asyncio.wait({failure, stop}, return_when=asyncio.FIRST_COMPLETED)
+    stop.cancel()
+    if failure.done():
+        return failure.result()
+    failure.cancel()
+    return None
 
 
 def main(argv: Sequence[str]) -> int:
@@ -129,6 +152,9 @@
         return _print_failure(str(fault))
     except SettingsError as error:
         return _print_failure(str(error))
+    except InstanceFailedError as error:
+        _print_failure(str(error))
+        return EXIT_FAILED
     return EXIT_OK
 
 
--- a/src/currantline/dispatch/__init__.py
+++ b/src/currantline/dispatch/__init__.py
@@ -17,7 +17,7 @@
     Usage,
 )
 from currantline.dispatch._options import DispatchOptions
-from currantline.dispatch._retry import RetryBudget
+from currantline.dispatch._retry import RetryBudget, RetryBudgets
 from currantline.lazy import import_lazily
 
 if TYPE_CHECKING:
@@ -37,6 +37,7 @@
     "Refuse",
     "Renew",
     "RetryBudget",
+    "RetryBudgets",
     "Return",
     "Send",
     "ServiceCounts",
--- a/src/currantline/dispatch/_retry.py
+++ b/src/currantline/dispatch/_retry.py
@@ -1,6 +1,10 @@
 """Limit on retries."""
 
-__all__ = ["RetryBudget"]
+from collections.abc import Iterable
+
+from currantline.configuration import Service
+
+__all__ = ["RetryBudget", "RetryBudgets"]
 
 
 class RetryBudget:
@@ -44,3 +48,30 @@
             return False
         self._tokens = max(0.0, self._tokens - 1)
         return True
+
+
+class RetryBudgets:
+    """Retry budgets of all services."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, RetryBudget] = {}
+        self._ratios: dict[str, float] = {}
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Take over a configuration; a changed ratio starts a budget anew."""
+        ratios = {service.name: service.retry_ratio for service in services}
+        self._budgets = {
+            name: budget
+            for name, budget in self._budgets.items()
+            if ratios.get(name) == self._ratios[name]
+        }
+        self._ratios = ratios
+
+    def find(self, service: str) -> RetryBudget:
+        """Return the budget of a service; an unknown one allows no retry."""
+        if service not in self._ratios:
+            return RetryBudget(retry_ratio=0.0)
+        if service not in self._budgets:
+            budget = RetryBudget(retry_ratio=self._ratios[service])
+            self._budgets[service] = budget
+        return self._budgets[service]
--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -10,9 +10,9 @@
     "ConfigurationError",
     "ConnectionLimitError",
     "CurrantlineError",
+    "InstanceFailedError",
     "InvalidValueError",
     "InvariantError",
-    "NoLoanError",
     "NotRunError",
     "PeerError",
     "PeerTimeoutError",
@@ -165,8 +165,8 @@
     """The configuration service or the published list gave no usable answer."""
 
 
-class NoLoanError(CurrantlineError):
-    """A message refers to a loan that does not exist."""
+class InstanceFailedError(CurrantlineError):
+    """A part of the instance ended with an error, so that the instance left."""
 
 
 @attrs.define(auto_exc=True)
--- a/src/currantline/forwarding/_caller.py
+++ b/src/currantline/forwarding/_caller.py
@@ -353,6 +353,8 @@
                 priority=work.priority,
                 duration_ms=duration_ms,
                 attempts=done.attempts,
+                waited_ms=done.waited_ms,
+                is_long=done.is_long,
                 own_ms=duration_ms - done.waited_ms - done.target_ms,
             )
         )
--- a/src/currantline/forwarding/_carrier.py
+++ b/src/currantline/forwarding/_carrier.py
@@ -165,6 +165,7 @@
                 return
             progress.exchange.assign()
             progress.placements += 1
+            progress.is_long = permit.is_long
             progress.result = await self._use(progress, permit)
             progress.avoid |= {permit.target}
             if not self._may_repeat(progress):
--- a/src/currantline/forwarding/_observation.py
+++ b/src/currantline/forwarding/_observation.py
@@ -63,6 +63,10 @@
         Time from the request's arrival to its end.
     attempts : int
         How often it was sent.
+    waited_ms : float
+        Time spent waiting for slots.
+    is_long : bool
+        Whether it was expected to run long when it was sent.
     own_ms : float
         Part of the duration that was spent neither waiting for a slot nor on
         the target.
@@ -74,6 +78,8 @@
     duration_ms: float
     attempts: int
     own_ms: float
+    waited_ms: float = 0.0
+    is_long: bool = False
 
 
 class AttemptObserver(Protocol):
--- a/src/currantline/forwarding/_progress.py
+++ b/src/currantline/forwarding/_progress.py
@@ -35,6 +35,8 @@
         Time spent waiting for slots, in milliseconds.
     target_ms : float
         Time from sending to the end of each attempt, in milliseconds.
+    is_long : bool
+        Whether the request was expected to run long when it was sent.
     """
 
     outcome: Outcome
@@ -44,6 +46,7 @@
     attempts: int = 0
     waited_ms: float = 0.0
     target_ms: float = 0.0
+    is_long: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -71,6 +74,7 @@
     reason: str = ""
     is_final: bool = False
     is_retry_paid: bool = False
+    is_long: bool = False
     waited_ms: float = 0.0
     target_ms: float = 0.0
 
@@ -118,6 +122,7 @@
             attempts=self.exchange.sends,
             waited_ms=self.waited_ms,
             target_ms=self.target_ms,
+            is_long=self.is_long,
         )
 
 
--- a/src/currantline/tests/test_daemon.py
+++ b/src/currantline/tests/test_daemon.py
@@ -12,6 +12,8 @@
 
 from currantline import __version__
 from currantline.daemon import main, serve
+from currantline.exceptions import InvariantError
+from currantline.membership import ListReader
 from currantline.settings import Settings, read_settings
 
 KEYS = ("caller_address", "peer_address", "operator_address", "platform_address")
@@ -116,7 +118,23 @@
 
 
 class TestServe:
-    """Signals to a daemon that runs."""
+    """End of a daemon that runs."""
+
+    def test_failed_part(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str],
+    ) -> None:
+        """Guards against an instance that goes on without one of its tasks."""
+
+        async def fail(_: ListReader) -> None:
+            raise InvariantError("broken on purpose")
+
+        monkeypatch.setattr(ListReader, "run", fail)
+        path = write_settings(tmp_path)
+        assert main(["currantlined", f"--settings={path}"]) == 3
+        assert "broken on purpose" in capsys.readouterr().err
 
     def test_signal_during_start(self, tmp_path: Path) -> None:
         """Guards against an early signal that is lost or kills without leaving."""
