--- a/src/currantline/admission/tests/test_queue.py
+++ b/src/currantline/admission/tests/test_queue.py
@@ -118,8 +118,8 @@
         now = 3000.0
         late = make_work("late", arrived=now, deadline=now + 2000)
         assert queue.push(late, now) == Rejected("overload")
-        patient = make_work("patient", arrived=now, deadline=now + 8000)
-        assert queue.push(patient, now) == Admitted()
+        deferrable = make_work("deferrable", arrived=now, deadline=now + 8000)
+        assert queue.push(deferrable, now) == Admitted()
 
     def test_idle_rate_refuses_nothing(self) -> None:
         """Guards against a rate that was limited by arrivals, not by slots."""
