Log the requests that the target stand-in receives

A request has to be visible by one id in the log of every process that it touches; the stand-in wrote its records to no destination.

--- a/src/currantline/standin/target.py
+++ b/src/currantline/standin/target.py
@@ -7,12 +7,14 @@
 import contextlib
 import json
 import random
+import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from urllib.parse import urlsplit
 
 import attrs
+import eliot
 from absl import app, flags
 from eliot import log_message
 
@@ -280,7 +282,8 @@
 
 
 def main(_: list[str]) -> None:
-    """Run the stand-in as a process."""
+    """Run the stand-in as a process that logs to standard output."""
+    eliot.to_file(sys.stdout)
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(serve(flags.FLAGS.configuration, flags.FLAGS.seed))
 
