Keep an empty context apart from none in the test loop

Three of six long random runs never ended. The loop with virtual time took an empty context for none and ran callbacks of the session in the context of whatever woke it, so that the session counted as part of an instance and froze with it when that instance was frozen or killed.

Ruled out before: a storm of messages at one instant (virtual time went on) and a broken invariant (none was reported). The cause was seen by printing the process that each fault was caused by, which was the instance itself.

The new test failed before.

--- a/src/currantline/standin/network.py
+++ b/src/currantline/standin/network.py
@@ -339,7 +339,8 @@
         self, callback: Any, *args: Any, context: contextvars.Context | None = None
     ) -> asyncio.Handle:
         """Run a callback next, unless its process is frozen."""
-        context = context or contextvars.copy_context()
+        # An empty context is false, so that `or` would take the one of the caller.
+        context = contextvars.copy_context() if context is None else context
         step = _Step(self.network, callback, args, context)
         step.handle = super().call_soon(step.run, context=context)
         return step.handle
@@ -352,7 +353,8 @@
         context: contextvars.Context | None = None,
     ) -> asyncio.TimerHandle:
         """Run a callback at a time, unless its process is frozen."""
-        context = context or contextvars.copy_context()
+        # An empty context is false, so that `or` would take the one of the caller.
+        context = contextvars.copy_context() if context is None else context
         step = _Step(self.network, callback, args, context)
         handle = super().call_at(when, step.run, context=context)
         step.handle = handle
--- a/src/currantline/standin/tests/test_network.py
+++ b/src/currantline/standin/tests/test_network.py
@@ -1,13 +1,20 @@
 """Tests of the in-memory network."""
 
 import asyncio
+import contextvars
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import pytest
 
 from currantline.exceptions import WireError
-from currantline.standin.network import LoopClock, Network, run_on_host, run_session
+from currantline.standin.network import (
+    PROCESS,
+    LoopClock,
+    Network,
+    run_on_host,
+    run_session,
+)
 from currantline.wire import Answer, HttpService, Request, fetch
 
 SERVER = "10.0.0.1"
@@ -144,3 +151,26 @@
             return (await fetch(ADDRESS, REQUEST, timeout_ms=500)).status
 
         assert run(session) == 200
+
+
+class TestMemoryLoop:
+    """Contexts in which callbacks run."""
+
+    def test_empty_context(self) -> None:
+        """Guards against a session that freezes with the process that woke it."""
+        seen: list[str] = []
+
+        async def wake(waiter: "asyncio.Future[None]") -> None:
+            waiter.set_result(None)
+
+        async def session() -> None:
+            waiter = asyncio.get_running_loop().create_future()
+            run_on_host(SERVER, wake(waiter), process="waker")
+            await waiter
+            seen.append(PROCESS.get())
+
+        def start() -> None:
+            run_session(Network(), session())
+
+        contextvars.Context().run(start)
+        assert seen == [""]
