Move transports of the in-memory network into their own module

Transports and listening addresses now stand in a private module beside it; only the lines moved, and behaviour and tests stay.

Ruled out for now: splitting the composition root, the target book and the pool of a service, because each split changes who holds which state and would need longer checks than a move.

--- a/src/currantline/standin/network.py
+++ b/src/currantline/standin/network.py
@@ -9,21 +9,31 @@
 import asyncio
 import contextvars
 import selectors
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
 import attrs
 
 from currantline.exceptions import InvariantError
-
-__all__ = ["LoopClock", "MemoryLoop", "Network", "run_on_host", "run_session"]
+from currantline.standin._transport import (
+    HOST,
+    PROCESS,
+    MemoryServer,
+    MemoryTransport,
+)
+
+__all__ = [
+    "PROCESS",
+    "LoopClock",
+    "MemoryLoop",
+    "Network",
+    "run_on_host",
+    "run_session",
+]
 
 T = TypeVar("T")
 
-HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="")
-PROCESS: contextvars.ContextVar[str] = contextvars.ContextVar("process", default="")
-
 
 @attrs.define
 class Network:
@@ -42,7 +52,7 @@
         factory=lambda: defaultdict(list)
     )
     # In order of opening: the order of a set of objects differs between runs.
-    _transports: dict["MemoryTransport", None] = attrs.field(factory=dict)
+    _transports: dict[MemoryTransport, None] = attrs.field(factory=dict)
 
     def cut(self, *groups: Iterable[str]) -> None:
         """Let hosts of different groups not reach each other."""
@@ -108,158 +118,15 @@
         """Keep a callback until its process thaws."""
         self._held[process].append(callback)
 
-    def register(self, transport: "MemoryTransport") -> None:
+    def register(self, transport: MemoryTransport) -> None:
         """Note an open connection end."""
         self._transports[transport] = None
 
-    def forget(self, transport: "MemoryTransport") -> None:
+    def forget(self, transport: MemoryTransport) -> None:
         """Drop a closed connection end."""
         self._transports.pop(transport, None)
 
 
-class MemoryTransport(asyncio.Transport):
-    """One end of an in-memory connection."""
-
-    def __init__(
-        self, loop: "MemoryLoop", protocol: Any, host: str, peer_host: str
-    ) -> None:
-        super().__init__(extra={"peername": (peer_host, 0), "sockname": (host, 0)})
-        self.host = host
-        self.process = PROCESS.get()
-        self.peer_host = peer_host
-        self.is_silent = False
-        self.peer: MemoryTransport | None = None
-        self._loop = loop
-        self._protocol = protocol
-        self._outgoing: deque[bytes | None] = deque()
-        self._incoming: deque[bytes | None] = deque()
-        self._is_paused = False
-        self._is_closing = False
-        self._is_lost = False
-        self._context = contextvars.copy_context()
-        loop.network.register(self)
-
-    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
-        """Replace the protocol."""
-        self._protocol = protocol
-
-    def get_protocol(self) -> asyncio.BaseProtocol:
-        """Return the protocol."""
-        protocol: asyncio.BaseProtocol = self._protocol
-        return protocol
-
-    def is_closing(self) -> bool:
-        """Return whether the end is closing or closed."""
-        return self._is_closing
-
-    def is_reading(self) -> bool:
-        """Return whether the protocol takes bytes."""
-        return not self._is_paused
-
-    def get_write_buffer_size(self) -> int:
-        """Return 0, since bytes leave at once."""
-        return 0
-
-    def set_write_buffer_limits(
-        self, high: int | None = None, low: int | None = None
-    ) -> None:
-        """Accept limits, which are never reached."""
-
-    def pause_reading(self) -> None:
-        """Keep arriving bytes until reading resumes."""
-        self._is_paused = True
-
-    def resume_reading(self) -> None:
-        """Pass on the bytes that were kept."""
-        self._is_paused = False
-        self._loop.call_soon(self._pass_on, context=self._context)
-
-    def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Send bytes to the other end."""
-        if not self._is_closing and data:
-            self._send(bytes(data))
-
-    def can_write_eof(self) -> bool:
-        """Return False: a half-closed connection is not modelled."""
-        return False
-
-    def close(self) -> None:
-        """Close after the bytes already written."""
-        if not self._is_closing:
-            self._is_closing = True
-            self._send(None)
-            self._loop.call_soon(self._lose, None, context=self._context)
-
-    def abort(self) -> None:
-        """Close at once."""
-        self.close()
-
-    def send_held(self) -> None:
-        """Send what was written while the hosts were cut off."""
-        for _ in range(len(self._outgoing)):
-            self._schedule()
-
-    def _send(self, item: bytes | None) -> None:
-        self._outgoing.append(item)
-        if not self._loop.network.is_cut(self.host, self.peer_host):
-            self._schedule()
-
-    def _schedule(self) -> None:
-        peer = self.peer
-        assert peer is not None
-        delay_s = self._loop.network.latency_ms / 1000
-        self._loop.call_later(delay_s, self._deliver, context=peer._context)
-
-    def _deliver(self) -> None:
-        network = self._loop.network
-        if not self._outgoing or network.is_cut(self.host, self.peer_host):
-            return
-        item = self._outgoing.popleft()
-        if not self.is_silent and self.peer is not None:
-            self.peer.receive(item)
-
-    def receive(self, item: bytes | None) -> None:
-        """Take bytes, or None for the end, from the other side."""
-        self._incoming.append(item)
-        self._pass_on()
-
-    def _pass_on(self) -> None:
-        while self._incoming and not self._is_paused and not self._is_lost:
-            item = self._incoming.popleft()
-            if item is not None:
-                self._protocol.data_received(item)
-                continue
-            self._protocol.eof_received()
-            self._is_closing = True
-            self._lose(None)
-
-    def _lose(self, error: Exception | None) -> None:
-        if not self._is_lost:
-            self._is_lost = True
-            self._loop.network.forget(self)
-            self._protocol.connection_lost(error)
-
-
-class MemoryServer:
-    """A listening address on the in-memory network."""
-
-    def __init__(self, loop: "MemoryLoop", address: tuple[str, int]) -> None:
-        self._loop = loop
-        self._address = address
-        self.sockets: tuple[()] = ()
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._loop.listeners.pop(self._address, None)
-
-    async def wait_closed(self) -> None:
-        """Return at once, since closing takes no time."""
-
-    def is_serving(self) -> bool:
-        """Return whether the address accepts connections."""
-        return self._address in self._loop.listeners
-
-
 class _NoSelector(selectors.BaseSelector):
     """Selector without files, which moves virtual time instead of waiting."""
 
