Serve requests on the users' platform

The platform names services, targets and addresses in its own way, has no published list of instances and can only be read. The new path is: adapter (platform), replica of what is published, heartbeats between instances (fleet), routes and retry budget (routing), choice by readings taken just before each send (placement), forwarding (relay), logs and metrics (telemetry), wired in gateway and started by gatewayd.

--- a/src/currantline/cli/_instances.py
+++ b/src/currantline/cli/_instances.py
@@ -10,7 +10,7 @@
 
 from currantline.cli._command import ExitCode, Invocation
 from currantline.exceptions import CommandError, InvalidValueError, WireError
-from currantline.structure import check_address
+from currantline.validators import check_address
 from currantline.wire import Request, fetch
 
 __all__ = [
--- a/src/currantline/configuration/_model.py
+++ b/src/currantline/configuration/_model.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from currantline.structure import check_address, check_at_least
+from currantline.validators import check_address, check_at_least
 
 __all__ = ["Configuration", "Priority", "Route", "Service", "Target"]
 
--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -10,6 +10,7 @@
     "ConfigurationError",
     "ConnectionLimitError",
     "CurrantlineError",
+    "HistoryLostError",
     "InstanceFailedError",
     "InvalidValueError",
     "InvariantError",
@@ -165,6 +166,10 @@
     """The configuration service or the published list gave no usable answer."""
 
 
+class HistoryLostError(PlatformError):
+    """The platform no longer has the changes that a watch asked for."""
+
+
 class InstanceFailedError(CurrantlineError):
     """A part of the instance ended with an error, so that the instance left."""
 
--- /dev/null
+++ b/src/currantline/gatewayd.py
@@ -0,0 +1,93 @@
+"""The daemon on the users' platform."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+from pathlib import Path
+
+from currantline.clock import MonotonicClock
+from currantline.exceptions import CurrantlineError, SettingsError
+from currantline.gateway import Gateway
+from currantline.platform import SETTINGS_VARIABLE, InstanceSettings, read_settings
+from currantline.telemetry import EventLog, open_standard_output
+
+__all__ = ["run"]
+
+# Exit codes for wrong settings and for a failed part.
+BAD_SETTINGS, FAILED = 2, 3
+
+# Time between two looks at the settings file in milliseconds; it may change without
+# a signal.
+SETTINGS_LOOK_MS = 1_000.0
+
+
+def run() -> int:
+    """Run one instance until a signal ends it, and return the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = read_settings(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return BAD_SETTINGS
+    return asyncio.run(_serve(settings, path))
+
+
+async def _serve(settings: InstanceSettings, path: str) -> int:
+    clock = MonotonicClock()
+    log = EventLog(settings.name, clock=clock, write=open_standard_output())
+    seed = f"{settings.name}:{time.time_ns()}:{os.getpid()}"
+    gateway = Gateway(
+        settings,
+        clock=clock,
+        rng=random.Random(seed),
+        incarnation=time.time_ns() // 1_000_000,
+        log=log,
+    )
+    stop, reload = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    try:
+        await gateway.start()
+    except CurrantlineError as error:
+        log.write("start_failed", reason=str(error))
+        return BAD_SETTINGS
+    follow = asyncio.create_task(_follow_settings(gateway, path, reload, log))
+    failure = asyncio.create_task(gateway.wait_for_failure())
+    stopped = asyncio.create_task(stop.wait())
+    await asyncio.wait({failure, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    follow.cancel()
+    if failure.done():
+        log.write("part_failed", reason=repr(failure.result()))
+    await gateway.leave()
+    log.flush()
+    return FAILED if failure.done() else 0
+
+
+async def _follow_settings(
+    gateway: Gateway, path: str, reload: asyncio.Event, log: EventLog
+) -> None:
+    known = Path(path).stat().st_mtime_ns
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_LOOK_MS / 1000):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        changed = Path(path).stat().st_mtime_ns
+        if not reload.is_set() and changed == known:
+            continue
+        reload.clear()
+        known = changed
+        try:
+            gateway.reload(read_settings(path))
+        except SettingsError as error:
+            log.write("settings_refused", reason=str(error))
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/src/currantline/load/_notices.py
+++ b/src/currantline/load/_notices.py
@@ -5,7 +5,7 @@
 import attrs
 
 from currantline.load._observation import TargetState
-from currantline.structure import check_at_least
+from currantline.validators import check_at_least
 
 __all__ = ["NoticeSchedule", "TargetNotice"]
 
--- a/src/currantline/membership/_options.py
+++ b/src/currantline/membership/_options.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from currantline.structure import check_at_least
+from currantline.validators import check_at_least
 
 __all__ = ["MembershipOptions"]
 
--- a/src/currantline/membership/_published.py
+++ b/src/currantline/membership/_published.py
@@ -12,7 +12,7 @@
 from currantline.clock import Clock
 from currantline.exceptions import InvalidValueError, PlatformError, WireError
 from currantline.membership._options import MembershipOptions
-from currantline.structure import check_address
+from currantline.validators import check_address
 from currantline.wire import Request, fetch
 
 __all__ = [
--- a/src/currantline/peer/_codec.py
+++ b/src/currantline/peer/_codec.py
@@ -21,7 +21,7 @@
 )
 from currantline.peer._generated import peer_pb2 as pb
 from currantline.peer._messages import Envelope, RecordMessage
-from currantline.structure import check_address
+from currantline.validators import check_address
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
--- /dev/null
+++ b/src/currantline/placement/__init__.py
@@ -0,0 +1,21 @@
+"""Where a request goes: targets, what is known of them, and the choice."""
+
+from currantline.placement._choice import Candidate, choose, estimate_ms
+from currantline.placement._reading import Reading, parse_load
+from currantline.placement._standing import Standing
+from currantline.placement._target import PublishedTarget, Target
+from currantline.placement._targets import Targets
+from currantline.placement._typical import TypicalTimes
+
+__all__ = [
+    "Candidate",
+    "PublishedTarget",
+    "Reading",
+    "Standing",
+    "Target",
+    "Targets",
+    "TypicalTimes",
+    "choose",
+    "estimate_ms",
+    "parse_load",
+]
--- /dev/null
+++ b/src/currantline/placement/_choice.py
@@ -0,0 +1,109 @@
+"""Choice of a target by the predicted time to its answer.
+
+Answers the load pattern of hosts whose speed and occupancy change many times a
+second: the readings are milliseconds old, and the target that would finish first is
+taken.
+"""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from currantline.placement._reading import Reading
+from currantline.placement._target import Target
+
+__all__ = ["Candidate", "choose", "estimate_ms"]
+
+# Length of a slow episode of a host in milliseconds, after which a request that
+# runs there goes on at the usual speed. Neighbours on the host change this often.
+EPISODE_MS = 300.0
+
+# Share of its slots above which a target slows down, and how much.
+KNEE = 0.8
+KNEE_SLOWNESS = 1.7
+
+# How much slower a target works until it is warm.
+COLD_SLOWNESS = 2.0
+
+# Cost of a recent failure as a multiple of the usual time: the request is likely to
+# need a second try.
+FAILURE_COST = 2.0
+
+# Cost of a health check that fails, in the same unit. Health checks may be false.
+ILLNESS_COST = 3.0
+
+# Candidates within this part of the best one are as good; one of them is drawn, so
+# that instances which read the same do not all choose the same.
+NEAR_EQUAL = 0.1
+
+
+@attrs.frozen(eq=False)
+class Candidate:
+    """A target and its latest reading.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    reading : Reading
+        What it reported.
+    """
+
+    target: Target
+    reading: Reading
+
+
+def estimate_ms(candidate: Candidate, usual_ms: float, now: float) -> float:
+    """Return the predicted time to the answer in milliseconds.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        Target and reading.
+    usual_ms : float
+        Usual time of the request at a target.
+    now : float
+        Current time in milliseconds.
+    """
+    target, reading = candidate.target, candidate.reading
+    occupied = reading.running + target.count_sends(reading.asked_ms)
+    work = usual_ms * max(1.0, target.standing.relax(now))
+    if now < target.warm_ms:
+        work *= COLD_SLOWNESS
+    if (occupied + 1) / reading.slots > KNEE:
+        work *= KNEE_SLOWNESS
+    slow = work * (reading.slowness - 1.0)
+    if reading.slowness > 1.0:
+        slow = min(slow, EPISODE_MS * (1.0 - 1.0 / reading.slowness))
+    ahead = max(0, occupied - reading.slots + 1) + reading.waiting
+    wait = ahead / reading.slots * usual_ms * max(1.0, reading.slowness)
+    penalty = FAILURE_COST * target.standing.failures(now)
+    if not reading.is_healthy:
+        penalty += ILLNESS_COST
+    return work + slow + wait + penalty * usual_ms + reading.took_ms
+
+
+def choose(
+    candidates: Iterable[Candidate], usual_ms: float, now: float, rng: random.Random
+) -> tuple[Candidate, float] | None:
+    """Return the best candidate and its predicted time, or None.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+        Targets with readings.
+    usual_ms : float
+        Usual time of the request at a target.
+    now : float
+        Current time in milliseconds.
+    rng : random.Random
+        Draws among near-equal candidates.
+    """
+    rated = [(estimate_ms(c, usual_ms, now), c) for c in candidates]
+    if not rated:
+        return None
+    best = min(time for time, _ in rated)
+    near = [(time, c) for time, c in rated if time <= best * (1 + NEAR_EQUAL)]
+    time, candidate = rng.choice(near)
+    return candidate, time
--- /dev/null
+++ b/src/currantline/placement/_target.py
@@ -0,0 +1,85 @@
+"""One target as it is published, and as an instance knows it."""
+
+import attrs
+
+from currantline.placement._standing import Standing
+
+__all__ = ["PublishedTarget", "Target"]
+
+
+@attrs.frozen(kw_only=True)
+class PublishedTarget:
+    """A target's own entry on the platform.
+
+    Parameters
+    ----------
+    name : str
+        Name of the target.
+    born_ms : int
+        Time of its start in Unix milliseconds; 0 if not published.
+    address : str
+        IP number and port.
+    service : str
+        Service that it belongs to.
+    data_centre : str
+        Data centre that it stands in.
+    slots : int
+        Requests that it works on at the same time.
+    is_draining : bool
+        Whether it takes no new work.
+    warmup_ms : float
+        Time in milliseconds for which it stays slow after its start.
+    """
+
+    name: str
+    born_ms: int = 0
+    address: str
+    service: str
+    data_centre: str
+    slots: int
+    is_draining: bool = False
+    warmup_ms: float = 0.0
+
+
+@attrs.define(eq=False)
+class Target:
+    """A target and what this instance knows of it.
+
+    Parameters
+    ----------
+    published : PublishedTarget
+        Its entry.
+    warm_ms : float
+        Time from which it works at full speed, in milliseconds.
+    standing : Standing
+        Failures and slowness that this instance has seen.
+    sends : list of float
+        Times of the requests that this instance has in flight there.
+    is_misplaced : bool
+        Whether another target answers at its address.
+    """
+
+    published: PublishedTarget
+    warm_ms: float = 0.0
+    standing: Standing = attrs.field(factory=Standing)
+    sends: list[float] = attrs.field(factory=list)
+    is_misplaced: bool = False
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.published.name
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return self.published.address
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new work may be sent."""
+        return not (self.published.is_draining or self.is_misplaced)
+
+    def count_sends(self, since_ms: float) -> int:
+        """Return the own requests in flight that were sent after a time."""
+        return sum(1 for sent in self.sends if sent >= since_ms)
--- /dev/null
+++ b/src/currantline/placement/_targets.py
@@ -0,0 +1,56 @@
+"""All targets that an instance knows."""
+
+from currantline.placement._target import PublishedTarget, Target
+
+__all__ = ["Targets"]
+
+
+class Targets:
+    """Targets by name, and the usable ones by service."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+
+    def publish(self, entry: PublishedTarget, now: float) -> None:
+        """Take over an entry.
+
+        A start of the target under its old name forgets what was learned of it.
+        """
+        known = self._targets.get(entry.name)
+        place = (entry.address, entry.born_ms, entry.service)
+        if known is not None and place == (
+            known.address,
+            known.published.born_ms,
+            known.published.service,
+        ):
+            known.published = entry
+            known.warm_ms = now + entry.warmup_ms
+            return
+        self._targets[entry.name] = Target(entry, warm_ms=now + entry.warmup_ms)
+
+    def withdraw(self, name: str) -> None:
+        """Forget a target that left."""
+        self._targets.pop(name, None)
+
+    def find(self, name: str) -> Target | None:
+        """Return a target by name, or None."""
+        return self._targets.get(name)
+
+    def list_usable(self, service: str) -> list[Target]:
+        """Return the targets of a service that may get new work."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.published.service == service and target.is_usable
+        ]
+
+    def list_addresses(self) -> set[str]:
+        """Return the addresses of all targets."""
+        return {target.address for target in self._targets.values()}
+
+    def is_current(self, target: Target) -> bool:
+        """Return whether a target is still published and may get new work."""
+        return self._targets.get(target.name) is target and target.is_usable
+
+    def __len__(self) -> int:
+        return len(self._targets)
--- /dev/null
+++ b/src/currantline/platform/__init__.py
@@ -0,0 +1,36 @@
+"""Translates between the users' platform and the product.
+
+Names of the platform's fields, keys, paths and headers appear nowhere else.
+"""
+
+from currantline.platform._documents import (
+    CONFIGURATION_KEY,
+    TARGET_PREFIX,
+    decode_route_table,
+    decode_target,
+)
+from currantline.platform._endpoints import answer_directory, answer_readiness
+from currantline.platform._headers import HEADERS
+from currantline.platform._settings import (
+    SETTINGS_VARIABLE,
+    InstanceSettings,
+    decode_settings,
+    read_settings,
+)
+from currantline.platform._store import Reading, StoreClient
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "HEADERS",
+    "SETTINGS_VARIABLE",
+    "TARGET_PREFIX",
+    "InstanceSettings",
+    "Reading",
+    "StoreClient",
+    "answer_directory",
+    "answer_readiness",
+    "decode_route_table",
+    "decode_settings",
+    "decode_target",
+    "read_settings",
+]
--- /dev/null
+++ b/src/currantline/platform/_documents.py
@@ -0,0 +1,142 @@
+"""What the platform's store holds, decoded into routes and targets.
+
+Other programs write there too. A document that cannot be decoded raises a typed
+error, and the caller keeps what it had.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from currantline.exceptions import ConfigurationError
+from currantline.placement import PublishedTarget
+from currantline.routing import CallerLimits, Route, RoutedService, RouteTable, Share
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "TARGET_PREFIX",
+    "decode_route_table",
+    "decode_target",
+]
+
+CONFIGURATION_KEY = "op/config"
+TARGET_PREFIX = "servers/"
+
+IDEMPOTENT = "idempotent"
+KINDS = frozenset({IDEMPOTENT, "non_idempotent"})
+READY, DRAINING = "ready", "draining"
+
+
+def decode_route_table(text: str) -> RouteTable:
+    """Return the configuration that an operator wrote.
+
+    Raises
+    ------
+    ConfigurationError
+        If a field is missing, of another type or not allowed.
+    """
+    document = _load(text, CONFIGURATION_KEY)
+    try:
+        return RouteTable(
+            version=int(document["version"], 16),
+            routes=tuple(
+                _decode_route(name, route) for name, route in document["routes"].items()
+            ),
+            services={
+                name: RoutedService(
+                    name=name,
+                    health_path=service.get("healthPath") or "/health",
+                    max_connections=int(service.get("maxConnections") or 1),
+                )
+                for name, service in document["services"].items()
+            },
+            limits=_decode_limits(document.get("limits") or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigurationError(
+            f"{type(error).__name__}: {error}", source=CONFIGURATION_KEY
+        ) from error
+
+
+def decode_target(key: str, text: str) -> PublishedTarget:
+    """Return the target that an entry of the store describes.
+
+    Raises
+    ------
+    ConfigurationError
+        If a field is missing or of another type, or the state has no known name.
+    """
+    document = _load(text, key)
+    try:
+        info, status = document["info"], document["status"]
+        state, address = status["state"], document["address"]
+        if state not in (READY, DRAINING):
+            raise ConfigurationError(f"unknown state {state!r}", source=key)
+        slots, born = info["slots"], document.get("born", 0)
+        warmup_ms = status.get("warmupLeftMs", 0)
+        _require(key, slots=(slots, int), born=(born, int), address=(address, str))
+        _require(key, service=(info["service"], str), zone=(info["zone"], str))
+        _require(key, warmupLeftMs=(warmup_ms, (int, float)))
+        return PublishedTarget(
+            name=key.removeprefix(TARGET_PREFIX),
+            born_ms=born,
+            address=address,
+            service=info["service"],
+            data_centre=info["zone"],
+            slots=slots,
+            is_draining=state == DRAINING,
+            warmup_ms=float(warmup_ms),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ConfigurationError(
+            f"{type(error).__name__}: {error}", source=key
+        ) from error
+
+
+def _load(text: str, source: str) -> Mapping[str, Any]:
+    try:
+        document = json.loads(text)
+    except ValueError as error:
+        raise ConfigurationError(f"not JSON: {error}", source=source) from error
+    if not isinstance(document, dict):
+        raise ConfigurationError("a table is required", source=source)
+    return document
+
+
+def _require(source: str, **fields: tuple[Any, Any]) -> None:
+    for name, (value, kind) in fields.items():
+        if not isinstance(value, kind) or isinstance(value, bool):
+            raise ConfigurationError(
+                f"{value!r} is not allowed", source=source, path=name
+            )
+
+
+def _decode_route(name: str, route: Mapping[str, Any]) -> Route:
+    if route["kind"] not in KINDS:
+        raise ValueError(f"unknown kind {route['kind']!r} of route {name}")
+    parts = route.get("trafficSplit") or [{"service": route["service"], "weight": 1}]
+    timeout_ms = float(route["timeoutMs"])
+    return Route(
+        name=name,
+        host=route["host"].lower(),
+        prefix=route["prefix"],
+        is_idempotent=route["kind"] == IDEMPOTENT,
+        timeout_ms=timeout_ms,
+        objective_ms=float(route.get("targetLatencyMs") or timeout_ms),
+        priority=int(route.get("priority") or 0),
+        max_attempts=max(1, int(route.get("maxAttempts") or 1)),
+        shares=tuple(
+            Share(service=part["service"], weight=float(part["weight"]))
+            for part in parts
+        ),
+    )
+
+
+def _decode_limits(limits: Mapping[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(limits.get("headerBytes") or default.head_bytes),
+        body_bytes=int(limits.get("maxBodyBytes") or default.body_bytes),
+        head_timeout_ms=float(limits.get("headerTimeoutMs") or default.head_timeout_ms),
+        idle_timeout_ms=float(limits.get("idleTimeoutMs") or default.idle_timeout_ms),
+    )
--- /dev/null
+++ b/src/currantline/platform/_settings.py
@@ -0,0 +1,141 @@
+"""The platform's settings file, decoded into the settings of an instance."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from currantline.exceptions import InvalidValueError, SettingsError
+from currantline.routing import RetryTerms
+from currantline.validators import check_address
+
+__all__ = ["SETTINGS_VARIABLE", "InstanceSettings", "decode_settings", "read_settings"]
+
+SETTINGS_VARIABLE = "CURRANTLINE_BOOT"
+
+
+@attrs.frozen(kw_only=True)
+class InstanceSettings:
+    """Settings of one instance on the users' platform.
+
+    Parameters
+    ----------
+    name : str
+        Name of the machine.
+    host : str
+        IP number of the machine.
+    data_centre : str
+        Data centre of the machine.
+    data_centres : tuple of str
+        All data centres in alphabetical order.
+    caller_address : str
+        Address for requests of callers.
+    readiness_address : str
+        Address on which the platform asks whether the instance is ready.
+    directory_address : str
+        Address on which callers ask where to connect.
+    control_address : str
+        Address that the platform publishes as a seed.
+    peer_port : int
+        Port for datagrams and calls between instances, the same on all machines.
+    seed_hosts : tuple of str
+        Machines to contact while no others are known.
+    store_address : str
+        Address of the platform's store.
+    retry_terms : RetryTerms
+        Retry budget of the fleet for each service.
+    directory_ttl_s : float
+        Longest time in seconds for which callers keep an address answer.
+    grace_ms : float
+        Time in milliseconds between SIGTERM and SIGKILL.
+    memory_mb : int
+        Memory of the process in megabytes.
+    """
+
+    name: str
+    host: str
+    data_centre: str
+    data_centres: tuple[str, ...]
+    caller_address: str = attrs.field(validator=check_address)
+    readiness_address: str = attrs.field(validator=check_address)
+    directory_address: str = attrs.field(validator=check_address)
+    control_address: str = attrs.field(validator=check_address)
+    peer_port: int
+    seed_hosts: tuple[str, ...]
+    store_address: str = attrs.field(validator=check_address)
+    retry_terms: RetryTerms
+    directory_ttl_s: float
+    grace_ms: float
+    memory_mb: int
+
+
+def read_settings(path: str) -> InstanceSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or a value is missing or not allowed.
+    """
+    try:
+        document = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise SettingsError(f"cannot be read: {reason}", source=path) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"not TOML: {error}", source=path) from error
+    return decode_settings(document, source=path)
+
+
+def decode_settings(document: Mapping[str, Any], *, source: str) -> InstanceSettings:
+    """Return the settings in a decoded file; fields that are not used are ignored.
+
+    Raises
+    ------
+    SettingsError
+        If a value is missing or not allowed.
+    """
+    try:
+        own, network = document["selfNode"], document["network"]
+        listen, bounds = network["listen"], document["terms"]["bounds"]
+        zones = network.get("zones") or {own["zone"]: own["region"]}
+        return InstanceSettings(
+            name=str(own["nodeName"]),
+            host=str(own["ip"]),
+            data_centre=str(own["zone"]),
+            data_centres=tuple(sorted({*zones, own["zone"]})),
+            caller_address=listen["front"],
+            readiness_address=listen["ready"],
+            directory_address=listen["directory"],
+            control_address=listen["control"],
+            peer_port=int(network["internalPortRange"][0]),
+            seed_hosts=_find_hosts(network.get("seeds") or ()),
+            store_address=document["platform"]["platform"]["address"],
+            retry_terms=RetryTerms(
+                ratio=float(bounds["retryBudgetRatio"]),
+                slack=float(bounds["retryBudgetSlack"]),
+                window_ms=1000.0 * float(bounds["budgetWindowS"]),
+            ),
+            directory_ttl_s=float(bounds["ttl_max_s"]),
+            grace_ms=1000.0 * float(bounds["graceS"]),
+            memory_mb=int(own["limits"]["memoryMb"]),
+        )
+    except KeyError as error:
+        key = str(error.args[0])
+        raise SettingsError(
+            "required key is missing", source=source, path=key
+        ) from error
+    except (
+        InvalidValueError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        IndexError,
+    ) as error:
+        raise SettingsError(f"value not allowed: {error}", source=source) from error
+
+
+def _find_hosts(addresses: Any) -> tuple[str, ...]:
+    return tuple(str(address).rpartition(":")[0] for address in addresses)
--- /dev/null
+++ b/src/currantline/platform/_store.py
@@ -0,0 +1,150 @@
+"""Client of the platform's store. This is the only one."""
+
+import base64
+import binascii
+import json
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import urlencode
+
+import attrs
+
+from currantline.exceptions import HistoryLostError, PlatformError, WireError
+from currantline.replica import Record
+from currantline.wire import Answer, HttpClient, Request
+
+__all__ = ["Reading", "StoreClient"]
+
+# All keys that instances use begin so; one watch covers them.
+EVERYTHING = ""
+
+# Longest time for one reading call in milliseconds. The store answers in 4 ms, and
+# in a quarter of a second while it is slow.
+CALL_TIMEOUT_MS = 1_000.0
+
+# Time by which an answer to a waiting watch may be late, in milliseconds.
+WATCH_SLACK_MS = 1_000.0
+
+HISTORY_LOST = 410
+
+
+@attrs.frozen(kw_only=True)
+class Reading:
+    """Records that the store returned.
+
+    Parameters
+    ----------
+    records : tuple of Record
+        The records.
+    revision : int
+        Revision up to which they are complete.
+    """
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+class StoreClient:
+    """Reads and watches the store over one connection.
+
+    Parameters
+    ----------
+    http : HttpClient
+        Connection to the store.
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+        self.calls = 0
+
+    async def read_all(self) -> Reading:
+        """Return everything that is published.
+
+        Pages are not a snapshot, so the reading counts as complete up to the
+        revision of its first page, and later changes are watched from there.
+
+        Raises
+        ------
+        PlatformError
+            If the store gives no usable answer.
+        """
+        records: list[Record] = []
+        revision: int | None = None
+        query: dict[str, Any] = {"prefix": EVERYTHING}
+        while True:
+            page = await self._call("/-/kv-range", query, CALL_TIMEOUT_MS)
+            records += _decode_items(page.get("items") or ())
+            if revision is None:
+                revision = _read_revision(page)
+            if not page.get("truncated") or not page.get("items"):
+                return Reading(records=tuple(records), revision=revision)
+            query["after"] = page["items"][-1]["key"]
+
+    async def watch(self, after: int, *, wait_ms: int) -> Reading:
+        """Wait for changes after a revision; may return without any.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store no longer has these changes.
+        PlatformError
+            If the store gives no usable answer.
+        """
+        query = {"prefix": EVERYTHING, "after": after, "waitMs": wait_ms}
+        page = await self._call("/-/kv-watch", query, wait_ms + WATCH_SLACK_MS)
+        records = tuple(_decode_items(page.get("events") or ()))
+        return Reading(records=records, revision=_read_revision(page))
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._http.close()
+
+    async def _call(
+        self, path: str, query: dict[str, Any], timeout_ms: float
+    ) -> dict[str, Any]:
+        self.calls += 1
+        request = Request(method="GET", target=f"{path}?{urlencode(query)}")
+        try:
+            answer = await self._http.fetch(request, timeout_ms=timeout_ms)
+        except WireError as error:
+            raise PlatformError(f"{path}: {error}") from error
+        return _decode_page(path, answer)
+
+
+def _decode_page(path: str, answer: Answer) -> dict[str, Any]:
+    if answer.status == HISTORY_LOST:
+        raise HistoryLostError(f"{path}: the history was dropped")
+    if answer.status != 200:
+        raise PlatformError(f"{path}: status {answer.status}")
+    try:
+        page = json.loads(answer.body)
+    except ValueError as error:
+        raise PlatformError(f"{path}: not JSON") from error
+    if not isinstance(page, dict):
+        raise PlatformError(f"{path}: not a table")
+    return page
+
+
+def _read_revision(page: dict[str, Any]) -> int:
+    revision = page.get("currentRev")
+    if not isinstance(revision, int):
+        raise PlatformError(f"no revision in the answer: {revision!r}")
+    return revision
+
+
+def _decode_items(items: Iterable[Any]) -> Iterable[Record]:
+    for item in items:
+        try:
+            document = None if item.get("removed") else _decode_value(item["value"])
+            yield Record(str(item["key"]), int(item["revision"]), document)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise PlatformError(f"an item cannot be read: {error}") from error
+
+
+def _decode_value(value: str) -> str:
+    try:
+        data = base64.b64decode(value, validate=True)
+    except binascii.Error as error:
+        raise ValueError(str(error)) from error
+    # Bytes of another writer that are no text stay recognisable as such.
+    return data.decode("utf-8", errors="replace")
--- /dev/null
+++ b/src/currantline/relay/_server.py
@@ -0,0 +1,201 @@
+"""Connections of callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import h11
+
+from currantline.exceptions import (
+    BodyTooLargeError,
+    ProtocolError,
+    SlowRequestError,
+    WireError,
+)
+from currantline.routing import CallerLimits
+from currantline.telemetry import EventLog
+from currantline.wire import Answer, HttpConnection, Request
+
+__all__ = ["RelayServer"]
+
+# Connections that may wait to be accepted; a full queue costs a caller seconds.
+BACKLOG = 1024
+
+# Longest time in milliseconds for a caller to send a body or to take an answer.
+BODY_TIMEOUT_MS = 30_000.0
+
+# A caller that stays silent to what is sent to it has gone after this time, in
+# milliseconds.
+SILENT_CALLER_MS = 10_000
+
+REQUEST_TIMEOUT, BODY_TOO_LARGE, HEAD_TOO_LARGE = 408, 413, 431
+
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+class RelayServer:
+    """Reads requests of callers and writes the answers.
+
+    Parameters
+    ----------
+    handle : callable
+        Coroutine function that answers a request. It is cancelled when the caller
+        leaves.
+    read_limits : callable
+        Returns what callers may send.
+    log : EventLog
+        Log of events.
+    """
+
+    def __init__(
+        self,
+        handle: Handler,
+        *,
+        read_limits: Callable[[], CallerLimits],
+        log: EventLog,
+    ) -> None:
+        self._handle = handle
+        self._read_limits = read_limits
+        self._log = log
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle: set[HttpConnection] = set()
+        self._is_leaving = False
+        self.busy = 0
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._tasks)
+
+    async def start(self, address: str) -> None:
+        """Listen on ``ip:port``.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be used.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._build, host, int(port), backlog=BACKLOG
+        )
+
+    def leave(self) -> None:
+        """Close each connection after its next answer."""
+        self._is_leaving = True
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is being read or answered."""
+        for connection in tuple(self._idle):
+            connection.close()
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _build(self) -> HttpConnection:
+        limits = self._read_limits()
+        return HttpConnection(
+            h11.SERVER,
+            max_body_bytes=limits.body_bytes,
+            max_head_bytes=limits.head_bytes,
+            on_open=self._open,
+        )
+
+    def _open(self, connection: HttpConnection) -> None:
+        connection.limit_silence(SILENT_CALLER_MS)
+        task = asyncio.get_running_loop().create_task(self._serve(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection: HttpConnection) -> None:
+        try:
+            while await self._serve_one(connection):
+                connection.start_next()
+        except (ProtocolError, BodyTooLargeError, SlowRequestError) as error:
+            self._answer_fault(connection, error)
+        except WireError as error:
+            self._log.write("caller_lost", reason=str(error))
+            connection.abort()
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        finally:
+            connection.close()
+
+    async def _serve_one(self, connection: HttpConnection) -> bool:
+        if not await self._wait_for_request(connection):
+            return False
+        self.busy += 1
+        try:
+            request = await self._read_request(connection)
+            if request is None or connection.is_lost:
+                return False
+            answer = await self._answer(connection, request)
+            if answer is None:
+                return False
+            if self._is_leaving:
+                headers = (*answer.headers, ("connection", "close"))
+                answer = attrs.evolve(answer, headers=headers)
+            connection.write_answer(answer)
+            await connection.drain()
+            return connection.is_reusable
+        finally:
+            self.busy -= 1
+
+    async def _wait_for_request(self, connection: HttpConnection) -> bool:
+        self._idle.add(connection)
+        limit_ms = self._read_limits().idle_timeout_ms
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                return await connection.wait_for_data()
+        except TimeoutError:
+            return False
+        finally:
+            self._idle.discard(connection)
+
+    async def _read_request(self, connection: HttpConnection) -> Request | None:
+        limit_ms = self._read_limits().head_timeout_ms + BODY_TIMEOUT_MS
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                return await connection.read_request()
+        except TimeoutError as error:
+            raise SlowRequestError("the request did not arrive in time") from error
+
+    async def _answer(
+        self, connection: HttpConnection, request: Request
+    ) -> Answer | None:
+        work = asyncio.ensure_future(self._handle(request))
+        connection.on_lost = work.cancel
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if not connection.is_lost:
+                work.cancel()
+                raise
+            self._log.write("caller_left", target=request.target)
+            return None
+        finally:
+            connection.on_lost = None
+
+    def _answer_fault(self, connection: HttpConnection, error: WireError) -> None:
+        status = REQUEST_TIMEOUT
+        if isinstance(error, BodyTooLargeError):
+            status = BODY_TOO_LARGE
+        elif isinstance(error, ProtocolError):
+            status = error.status
+        self._log.write("request_refused", status=status, reason=str(error))
+        answer = Answer(status=status, headers=(("connection", "close"),))
+        try:
+            connection.write_answer(answer)
+        except ProtocolError as reason:
+            self._log.write("answer_not_written", reason=str(reason))
+            connection.abort()
+        else:
+            connection.close_after_end()
--- /dev/null
+++ b/src/currantline/replica/_codec.py
@@ -0,0 +1,32 @@
+"""Changes of a replica as JSON, for other instances."""
+
+import json
+
+from currantline.exceptions import PeerError
+from currantline.replica._record import Record
+from currantline.replica._replica import Changes
+
+__all__ = ["decode_changes", "encode_changes"]
+
+
+def encode_changes(changes: Changes) -> bytes:
+    """Return changes as bytes."""
+    rows = [[r.key, r.revision, r.document] for r in changes.records]
+    document = [changes.position, changes.revision, rows]
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_changes(data: bytes) -> Changes:
+    """Return the changes that another instance sent.
+
+    Raises
+    ------
+    PeerError
+        If the bytes are not changes.
+    """
+    try:
+        position, revision, rows = json.loads(data)
+        records = tuple(Record(str(row[0]), int(row[1]), row[2]) for row in rows)
+        return Changes(position=int(position), revision=int(revision), records=records)
+    except (ValueError, TypeError, IndexError) as error:
+        raise PeerError(f"not a list of changes: {error}") from error
--- /dev/null
+++ b/src/currantline/routing/_table.py
@@ -0,0 +1,68 @@
+"""The routes in force, and the search in them."""
+
+import random
+from collections.abc import Mapping
+
+import attrs
+
+from currantline.routing._model import CallerLimits, Route, RoutedService
+
+__all__ = ["RouteTable", "choose_service"]
+
+
+@attrs.frozen(kw_only=True)
+class RouteTable:
+    """One version of the routes and services.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    routes : tuple of Route
+        All routes.
+    services : mapping of str to RoutedService
+        Services by name.
+    limits : CallerLimits
+        What callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, RoutedService]
+    limits: CallerLimits = attrs.field(factory=CallerLimits)
+    _by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
+
+    def __attrs_post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        # The longest prefix that fits comes first.
+        ordered = {
+            host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+            for host, routes in by_host.items()
+        }
+        object.__setattr__(self, "_by_host", ordered)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None.
+
+        Parameters
+        ----------
+        host : str
+            Value of the ``Host`` header, with or without a port.
+        path : str
+            Path of the request, without its query.
+        """
+        name = host.lower()
+        routes = self._by_host.get(name)
+        if routes is None:
+            routes = self._by_host.get(name.partition(":")[0], ())
+        return next((r for r in routes if path.startswith(r.prefix)), None)
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Return the service of one request, drawn by the weights of the route."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
--- a/src/currantline/settings.py
+++ b/src/currantline/settings.py
@@ -8,7 +8,8 @@
 import yaml
 
 from currantline.exceptions import SettingsError
-from currantline.structure import check_address, describe_failure, make_converter
+from currantline.structure import describe_failure, make_converter
+from currantline.validators import check_address
 
 __all__ = ["Seed", "Settings", "read_settings"]
 
--- a/src/currantline/structure.py
+++ b/src/currantline/structure.py
@@ -1,19 +1,15 @@
 """Conversion of plain mappings to attrs classes with one-line failures."""
 
-import ipaddress
 import math
 from collections.abc import Iterator
 from typing import Any
 
-import attrs
 import cattrs
 from cattrs.errors import AttributeValidationNote, IterableValidationNote
 
 from currantline.exceptions import InvalidValueError
 
 __all__ = [
-    "check_address",
-    "check_at_least",
     "describe_failure",
     "make_converter",
 ]
@@ -21,39 +17,6 @@
 UNKNOWN_KEY = "unknown key"
 
 
-def check_address(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
-    """Check that a value is ``ip:port``.
-
-    Raises
-    ------
-    InvalidValueError
-        If the host is not an IP number or the port is outside 1 to 65,535.
-    """
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        is_valid = 0 < int(port) < 65536
-    except ValueError:
-        is_valid = False
-    if not is_valid:
-        raise InvalidValueError(
-            f"{value!r} is not an IP number and a port such as 127.0.0.1:8080",
-            path=attribute.name,
-        )
-
-
-def check_at_least(minimum: float) -> Any:
-    """Return a validator that requires a number not below ``minimum``."""
-
-    def check(instance: Any, attribute: "attrs.Attribute[Any]", value: Any) -> None:
-        if value < minimum:
-            raise InvalidValueError(
-                f"{value!r} is below the minimum of {minimum}", path=attribute.name
-            )
-
-    return check
-
-
 def make_converter() -> cattrs.Converter:
     """Return a converter that refuses unknown keys and wrong types."""
     converter = cattrs.Converter(forbid_extra_keys=True)
--- /dev/null
+++ b/src/currantline/telemetry/_log.py
@@ -0,0 +1,91 @@
+"""One JSON line for each event, bounded in volume and never blocking."""
+
+import json
+import os
+from collections.abc import Callable
+from typing import Any
+
+from currantline.clock import Clock
+
+__all__ = ["EventLog", "open_standard_output"]
+
+# Lines that may be written at once, and lines that are added to that each second.
+# Four times the requests of an instance at the peaks of today's deployments.
+BURST_LINES = 400.0
+LINES_PER_S = 200.0
+
+# Bytes kept for a reader that does not keep up.
+MAX_BUFFER_BYTES = 256 * 1024
+
+
+class EventLog:
+    """Writes events as JSON lines to a file descriptor.
+
+    Lines over the rate, or that the reader does not take, are counted and reported
+    by the next line that is written.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    clock : Clock
+        Source of time.
+    write : callable
+        Writes bytes and returns how many were taken; raises `BlockingIOError` if
+        none can be taken now.
+    """
+
+    def __init__(
+        self, instance: str, *, clock: Clock, write: Callable[[bytes], int]
+    ) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._write_bytes = write
+        self._buffer = bytearray()
+        self._credit = BURST_LINES
+        self._credited_ms = clock.read()
+        self.dropped = 0
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write one event.
+
+        Parameters
+        ----------
+        event : str
+            Fixed word for the kind of event.
+        **fields : Any
+            Values that JSON can hold.
+        """
+        now = self._clock.read()
+        if not self._take_credit(now) or len(self._buffer) > MAX_BUFFER_BYTES:
+            self.dropped += 1
+            return
+        line = {"event": event, "ms": round(now, 1), "instance": self._instance}
+        if self.dropped:
+            line["dropped_lines"], self.dropped = self.dropped, 0
+        self._buffer += json.dumps({**line, **fields}).encode() + b"\n"
+        self.flush()
+
+    def flush(self) -> None:
+        """Hand on buffered lines as far as the reader takes them."""
+        while self._buffer:
+            try:
+                taken = self._write_bytes(bytes(self._buffer[:65536]))
+            except BlockingIOError:
+                return
+            del self._buffer[:taken]
+
+    def _take_credit(self, now: float) -> bool:
+        earned = (now - self._credited_ms) / 1000 * LINES_PER_S
+        self._credit = min(BURST_LINES, self._credit + earned)
+        self._credited_ms = now
+        if self._credit < 1:
+            return False
+        self._credit -= 1
+        return True
+
+
+def open_standard_output() -> Callable[[bytes], int]:
+    """Return a writer for standard output that never blocks."""
+    os.set_blocking(1, False)
+    return lambda data: os.write(1, data)
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 by h11, for both sides of a connection."""
 
+from currantline.wire._client import HttpClient
 from currantline.wire._connection import HttpConnection, connect
 from currantline.wire._fetch import fetch
 from currantline.wire._messages import (
@@ -16,6 +17,7 @@
     "HOP_BY_HOP",
     "Answer",
     "Headers",
+    "HttpClient",
     "HttpConnection",
     "HttpService",
     "Request",
--- /dev/null
+++ b/src/currantline/wire/_client.py
@@ -0,0 +1,88 @@
+"""Requests to one address over a kept connection."""
+
+import asyncio
+
+import attrs
+
+from currantline.exceptions import WireError
+from currantline.wire._connection import HttpConnection, connect
+from currantline.wire._messages import Answer, Request
+
+__all__ = ["HttpClient"]
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class HttpClient:
+    """Sends idempotent requests to one address, one at a time.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._connection: HttpConnection | None = None
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return self._address
+
+    async def fetch(self, request: Request, *, timeout_ms: float) -> Answer:
+        """Send a request and return the whole answer.
+
+        A kept connection that the other side closed meanwhile is replaced once.
+
+        Raises
+        ------
+        WireError
+            If no whole answer came in time.
+        """
+        request = attrs.evolve(
+            request, headers=(("host", self._address), *request.headers)
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self._fetch(request)
+        except TimeoutError as error:
+            raise WireError(
+                f"no answer from {self._address} in {timeout_ms:g} ms"
+            ) from error
+        except OSError as error:
+            raise WireError(f"cannot reach {self._address}: {error}") from error
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _fetch(self, request: Request) -> Answer:
+        kept, self._connection = self._connection, None
+        if kept is not None and not kept.is_readable():
+            try:
+                return await self._exchange(kept, request)
+            except WireError:
+                if not kept.is_lost:
+                    raise
+        elif kept is not None:
+            kept.abort()
+        fresh = await connect(self._address, max_body_bytes=MAX_BODY_BYTES)
+        return await self._exchange(fresh, request)
+
+    async def _exchange(self, connection: HttpConnection, request: Request) -> Answer:
+        is_whole = False
+        try:
+            connection.write_request(request)
+            answer = await connection.read_answer()
+            is_whole = True
+        finally:
+            if not is_whole or not connection.is_reusable:
+                connection.abort()
+        if connection.is_reusable:
+            connection.start_next()
+            self._connection = connection
+        return answer
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -16,6 +16,10 @@
 __all__ = ["HttpConnection", "connect"]
 
 MAX_HEAD_BYTES = 32768
+# Longest time in milliseconds without an acknowledgement of sent bytes or of a
+# keep-alive probe. Machines behind a partition hang instead of resetting.
+SILENT_PEER_MS = 5_000
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -28,6 +32,8 @@
         ``h11.CLIENT`` or ``h11.SERVER``.
     max_body_bytes : int
         Largest body accepted.
+    max_head_bytes : int
+        Largest request line and headers accepted.
     on_open : callable, optional
         Called with this object once the connection is open.
     """
@@ -37,12 +43,14 @@
         role: Any,
         *,
         max_body_bytes: int,
+        max_head_bytes: int = MAX_HEAD_BYTES,
         on_open: Callable[["HttpConnection"], object] | None = None,
     ) -> None:
         super().__init__(is_client=role is h11.CLIENT, on_open=on_open)
         self._max_body_bytes = max_body_bytes
+        self._max_head_bytes = max_head_bytes
         self._is_head = False
-        self._h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11 = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
 
     @property
     def is_reusable(self) -> bool:
@@ -64,6 +72,19 @@
         """Prepare for the next exchange on this connection."""
         self._h11.start_next_cycle()
 
+    def discard_answer(self) -> None:
+        """Expect another response to the request, after one that belongs to none."""
+        unread = self._h11.trailing_data[0]
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._max_head_bytes
+        )
+        # h11 accepts a response only after a request; this one is not written.
+        method = "HEAD" if self._is_head else "GET"
+        self._h11.send(h11.Request(method=method, target="/", headers=[("host", "-")]))
+        self._h11.send(h11.EndOfMessage())
+        if unread:
+            self._h11.receive_data(unread)
+
     def encode_request(self, request: Request) -> bytes:
         """Return a request as bytes for `write`.
 
@@ -132,7 +153,7 @@
             return None
         self._is_head = event.method == b"HEAD"
         headers = _decode(event.headers)
-        _check_head(event.target, headers)
+        self._check_head(event.target, headers)
         self._check_length(headers)
         if self._h11.they_are_waiting_for_100_continue and not self.has_unread:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -144,9 +165,15 @@
             body=await self._read_body(),
         )
 
-    async def read_answer(self) -> Answer:
+    async def read_answer(self, *, accept_unframed: bool = False) -> Answer:
         """Read one whole response.
 
+        Parameters
+        ----------
+        accept_unframed : bool, default=False
+            Whether the end of the connection may mark the end of the body. A reset
+            never does.
+
         Returns
         -------
         Answer
@@ -167,8 +194,9 @@
         if not isinstance(event, h11.Response):
             raise ProtocolError("the connection closed before a response")
         headers = _decode(event.headers)
-        _check_head(b"", headers)
-        if not self._has_framing(event.status_code, headers):
+        self._check_head(b"", headers)
+        is_framed = self._has_framing(event.status_code, headers)
+        if not (is_framed or accept_unframed):
             raise ProtocolError("the response does not say where its body ends")
         body = await self._read_body()
         return Answer(status=event.status_code, headers=headers, body=body)
@@ -189,6 +217,13 @@
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
 
+    def _check_head(self, target: bytes, headers: Headers) -> None:
+        # h11 limits a head that is incomplete, not one that arrives in one piece.
+        size = len(target) + sum(len(name) + len(value) for name, value in headers)
+        if size > self._max_head_bytes:
+            limit = self._max_head_bytes
+            raise ProtocolError(f"the head exceeds {limit} bytes", status=431)
+
     def _has_framing(self, status: int, headers: Headers) -> bool:
         if status in NO_BODY_STATUSES or self._h11.their_state is h11.DONE:
             return True
@@ -225,12 +260,17 @@
             if event is not h11.NEED_DATA:
                 return event
             await self._wait_for_bytes()
+            if self.is_broken and not self._unread:
+                raise ProtocolError("the connection was reset")
             self._h11.receive_data(self._take_bytes())
 
 
 async def connect(address: str, *, max_body_bytes: int) -> HttpConnection:
     """Open a connection to ``ip:port``.
 
+    The connection ends when the other side stays silent to what was sent for
+    ``SILENT_PEER_MS``.
+
     Raises
     ------
     OSError
@@ -242,6 +282,7 @@
         host,
         int(port),
     )
+    connection.limit_silence(SILENT_PEER_MS)
     return connection
 
 
@@ -251,13 +292,6 @@
     return [*headers, ("content-length", str(len(body)))]
 
 
-def _check_head(target: bytes, headers: Headers) -> None:
-    # h11 limits a head that is incomplete, not one that arrives in one piece.
-    size = len(target) + sum(len(name) + len(value) for name, value in headers)
-    if size > MAX_HEAD_BYTES:
-        raise ProtocolError(f"the head exceeds {MAX_HEAD_BYTES} bytes", status=431)
-
-
 def _decode(headers: Any) -> Headers:
     return tuple(
         (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
 
 from currantline.exceptions import CurrantlineError, WireError
@@ -44,6 +45,7 @@
         self._transport: asyncio.Transport
         self._unread = bytearray()
         self._is_lost = False
+        self._is_broken = False
         self._is_early = False
         self._is_discarding = False
         self._is_reading_paused = False
@@ -57,6 +59,11 @@
         """Whether the other side closed, or the connection broke."""
         return self._is_lost
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection ended by an error, such as a reset."""
+        return self._is_broken
+
     @property
     def peer_host(self) -> str:
         """IP number of the other side."""
@@ -71,13 +78,31 @@
         """
         if self._is_lost or self._transport.is_closing():
             return True
-        socket = self._transport.get_extra_info("socket")
-        if socket is None:
+        raw = self._transport.get_extra_info("socket")
+        if raw is None:
             return False
         poll = select.poll()
-        poll.register(socket, select.POLLIN)
+        poll.register(raw, select.POLLIN)
         return bool(poll.poll(0))
 
+    def limit_silence(self, limit_ms: int) -> None:
+        """Break the connection once the other side was silent for a time.
+
+        Parameters
+        ----------
+        limit_ms : int
+            Longest time without acknowledgement, in milliseconds.
+        """
+        raw = self._transport.get_extra_info("socket")
+        if raw is None:
+            return
+        seconds = max(1, limit_ms // 2000)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
     def write(self, data: bytes) -> None:
         """Hand bytes to the transport without suspending."""
         self._transport.write(data)
@@ -153,6 +178,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that nothing can be read or written any more."""
+        self._is_broken = exc is not None
         self._lose()
 
     def pause_writing(self) -> None:
