--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -174,8 +174,8 @@
             end_ms = work.ends_ms + (LAST_WORD_MS if progress.sends else 0.0)
             if now >= end_ms:
                 return self._give_up(progress)
-            can_hedge = self._can_repeat(progress) and len(pending) == 1
-            until_ms = min(end_ms, hedge_ms) if can_hedge and now < hedge_ms else end_ms
+            is_early = now < hedge_ms and work.route.is_idempotent
+            until_ms = min(end_ms, hedge_ms) if is_early else end_ms
             done, _ = await asyncio.wait(
                 pending,
                 timeout=max(0.0, until_ms - now) / 1000,
@@ -190,7 +190,7 @@
                 if result.ending is Ending.SUCCESS:
                     assert result.answer is not None
                     return self._pass_on(result.answer)
-            wants_more = not pending or (not done and now < hedge_ms <= until_ms)
+            wants_more = not pending or (not done and is_early)
             if wants_more and self._may_repeat(progress, bool(pending)):
                 pending.add(self._start(progress))
         return self._conclude(progress)
