Let one request of a service look for a target at a time

Now one request of a service looks at a time on an instance, those that can still meet their objective first; a target that was full is not asked again at once; a request is sent into a target's queue only if it would meet its objective there. The age of a request that returns after a refusal follows from the time that its caller still states.

--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -57,6 +57,8 @@
         Times of the requests that this instance has in flight there.
     is_misplaced : bool
         Whether another target answers at its address.
+    full_until_ms : float
+        Time until which it is not asked, because it was full.
     """
 
     published: PublishedTarget
@@ -64,6 +66,7 @@
     standing: Standing = attrs.field(factory=Standing)
     sends: list[float] = attrs.field(factory=list)
     is_misplaced: bool = False
+    full_until_ms: float = 0.0
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/src/currantline/relay/_line.py
@@ -0,0 +1,111 @@
+"""Turns of the requests that look for a target of one service.
+
+Answers the load pattern of a peak: many requests of an instance wait while all
+targets are full. If each of them asked for itself, the questions would cost the
+targets connections and slots. So one asks at a time, the most urgent one first.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from currantline.clock import Clock
+
+__all__ = ["LookLine", "Urgency"]
+
+# Pause after a look that found no target, in milliseconds. A slot of a full service
+# frees every few milliseconds somewhere, and an instance gets one in twenty.
+LOOK_PAUSE_MS = 20.0
+
+
+@attrs.frozen(order=True)
+class Urgency:
+    """Rank of a waiting request; the lowest looks first.
+
+    Parameters
+    ----------
+    is_overdue : bool
+        Whether it can no longer be answered within its objective.
+    priority : int
+        Priority of its route.
+    arrived_ms : float
+        Time of its arrival in milliseconds.
+    """
+
+    is_overdue: bool
+    priority: int
+    arrived_ms: float
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    rank: Callable[[], Urgency]
+    turn: "asyncio.Future[None]"
+
+
+class LookLine:
+    """Lets one request look at a time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiters: list[_Waiter] = []
+        self._is_taken = False
+        self._paused_until_ms = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    async def wait_turn(self, rank: Callable[[], Urgency]) -> None:
+        """Wait until this request may look; `end_turn` must follow.
+
+        Parameters
+        ----------
+        rank : callable
+            Returns the urgency of the request now.
+        """
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(rank, turn)
+        self._waiters.append(waiter)
+        self._grant()
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.end_turn(found=True)
+            raise
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def end_turn(self, *, found: bool) -> None:
+        """Let the next request look, after a pause if no target was found."""
+        self._is_taken = False
+        if not found:
+            self._paused_until_ms = self._clock.read() + LOOK_PAUSE_MS
+        self._grant()
+
+    def _grant(self) -> None:
+        waiters = [waiter for waiter in self._waiters if not waiter.turn.done()]
+        if self._is_taken or not waiters or self._timer is not None:
+            return
+        pause_ms = self._paused_until_ms - self._clock.read()
+        if pause_ms > 0:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(pause_ms / 1000, self._end_pause)
+            return
+        first = min(waiters, key=lambda waiter: waiter.rank())
+        self._is_taken = True
+        first.turn.set_result(None)
+
+    def _end_pause(self) -> None:
+        self._timer = None
+        self._paused_until_ms = 0.0
+        self._grant()
--- a/src/currantline/relay/_placer.py
+++ b/src/currantline/relay/_placer.py
@@ -8,6 +8,7 @@
 
 from currantline.clock import Clock
 from currantline.placement import Target, Targets, TypicalTimes, choose
+from currantline.relay._line import LookLine, Urgency
 from currantline.relay._pool import Lease
 from currantline.relay._prober import Asked, LoadProber
 from currantline.routing import Route, RoutedService
@@ -16,25 +17,32 @@
 
 # Targets that are asked at once in the own data centre, and then elsewhere.
 NEAR_ASKED = 4
-FAR_ASKED = 4
+FAR_ASKED = 3
+
+# Targets that are asked elsewhere by a request that has looked before; each question
+# crosses between data centres.
+FAR_ASKED_AGAIN = 2
 
 # A target whose predicted time is within this multiple of the usual one is taken
 # without asking in other data centres.
 GOOD_RATIO = 1.35
 
-# A target is taken without waiting if it would answer within this part of the time
-# that is left of the objective.
-OBJECTIVE_SHARE = 0.6
+# A target is taken if it would answer within this part of the time that is left of
+# the objective; the rest covers the way back and errors of the prediction.
+OBJECTIVE_SHARE = 0.85
+
+# A request is overdue once less than this multiple of the usual time is left of its
+# objective: it would be late at any target, and gives way to those that would not.
+OVERDUE_RATIO = 1.2
 
-# Part of the objective for which a request waits for a better target.
-HOLD_SHARE = 0.4
+# Part of its time for which an overdue request waits for a slot that no other needs.
+WAIT_SHARE = 0.5
 
-# Pause between two looks at the targets in milliseconds; a slot frees every few tens
-# of milliseconds when all are taken.
-LOOK_MS = 20.0
+# Pause between two looks of an overdue request in milliseconds.
+OVERDUE_PAUSE_MS = 60.0
 
-# A target with more requests than this in its queue for each slot gets no more.
-QUEUE_PER_SLOT = 1.0
+# A full target is not asked again for this time in milliseconds.
+FULL_MS = 25.0
 
 
 @attrs.frozen(eq=False, kw_only=True)
@@ -51,6 +59,8 @@
         Service that was drawn for it.
     arrived_ms : float
         Time of its arrival in milliseconds.
+    due_ms : float
+        Time by which its answer has its full value.
     ends_ms : float
         Time at which nobody waits for it any more.
     """
@@ -59,6 +69,7 @@
     route: Route
     service: RoutedService
     arrived_ms: float
+    due_ms: float
     ends_ms: float
 
 
@@ -119,6 +130,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
+        self._lines: dict[str, LookLine] = {}
 
     async def place(self, work: Work, *, exclude: Collection[str]) -> Placement:
         """Return a target for a request.
@@ -130,30 +142,53 @@
         exclude : collection of str
             Targets that have had it.
         """
-        hold_ms = work.arrived_ms + HOLD_SHARE * work.route.objective_ms
+        line = self._lines.setdefault(work.service.name, LookLine(self._clock))
+        looks = 0
         while True:
-            usable = self._list_usable(work, exclude)
-            if not usable:
-                return Placement(reason="no target")
-            asked = await self._ask(work, usable)
-            placement = self._choose(work, asked, hold_ms)
+            await line.wait_turn(lambda: self._rank(work))
+            placement: Placement | None = None
+            try:
+                placement = await self._look(work, exclude, looks)
+            finally:
+                line.end_turn(found=placement is not None)
             if placement is not None:
                 return placement
-            await asyncio.sleep(LOOK_MS / 1000)
+            looks += 1
+            if self._is_overdue(work):
+                await asyncio.sleep(OVERDUE_PAUSE_MS / 1000)
+
+    def _rank(self, work: Work) -> Urgency:
+        return Urgency(self._is_overdue(work), work.route.priority, work.arrived_ms)
+
+    def _is_overdue(self, work: Work) -> bool:
+        left_ms = work.due_ms - self._clock.read()
+        return left_ms < OVERDUE_RATIO * self._typical.read(work.route.name)
+
+    async def _look(
+        self, work: Work, exclude: Collection[str], looks: int
+    ) -> Placement | None:
+        now = self._clock.read()
+        if now >= work.arrived_ms + WAIT_SHARE * (work.ends_ms - work.arrived_ms):
+            return Placement(reason="all targets full")
+        usable = self._list_usable(work, exclude)
+        if not usable:
+            return Placement(reason="no target")
+        return self._choose(work, await self._ask(work, usable, looks))
 
     def _list_usable(self, work: Work, exclude: Collection[str]) -> list[Target]:
         usable = self._targets.list_usable(work.service.name)
         return [target for target in usable if target.name not in exclude]
 
-    async def _ask(self, work: Work, usable: list[Target]) -> list[Asked]:
+    async def _ask(self, work: Work, usable: list[Target], looks: int) -> list[Asked]:
         near = [t for t in usable if t.published.data_centre == self._data_centre]
         path = work.service.health_path
         asked = await self._ask_some(near, NEAR_ASKED, path)
         if self._has_good(work, asked):
             return asked
         others = [target for target in usable if target not in near]
+        most = FAR_ASKED_AGAIN if looks else FAR_ASKED
         try:
-            return asked + await self._ask_some(others, FAR_ASKED, path)
+            return asked + await self._ask_some(others, most, path)
         except asyncio.CancelledError:
             self._prober.release(asked)
             raise
@@ -161,42 +196,45 @@
     async def _ask_some(
         self, targets: list[Target], most: int, path: str
     ) -> list[Asked]:
-        if not targets:
-            return []
         now = self._clock.read()
+        open_targets = [t for t in targets if t.full_until_ms <= now]
+        if not open_targets:
+            return []
         # Targets that failed lately come last, the others in random order.
         ordered = sorted(
-            targets,
+            open_targets,
             key=lambda t: (t.standing.failures(now) > 0.5, self._rng.random()),
         )
-        return await self._prober.ask(ordered[:most], path)
+        asked = await self._prober.ask(ordered[:most], path)
+        for one in asked:
+            if not _has_slot(one):
+                one.candidate.target.full_until_ms = self._clock.read() + FULL_MS
+        return asked
 
     def _has_good(self, work: Work, asked: list[Asked]) -> bool:
         now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
         best = choose((a.candidate for a in asked), usual_ms, now, self._rng)
         return best is not None and best[1] <= GOOD_RATIO * usual_ms
 
-    def _choose(
-        self, work: Work, asked: list[Asked], hold_ms: float
-    ) -> Placement | None:
+    def _choose(self, work: Work, asked: list[Asked]) -> Placement | None:
         now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
-        current = [a for a in asked if self._targets.is_current(a.candidate.target)]
-        best = choose((a.candidate for a in current), usual_ms, now, self._rng)
-        if best is None:
+        is_overdue = self._is_overdue(work)
+        acceptable_ms = max(
+            GOOD_RATIO * usual_ms, OBJECTIVE_SHARE * (work.due_ms - now)
+        )
+        fit = [a for a in asked if self._targets.is_current(a.candidate.target)]
+        if is_overdue:
+            fit = [a for a in fit if _has_slot(a)]
+        best = choose((a.candidate for a in fit), usual_ms, now, self._rng)
+        if best is None or not (is_overdue or best[1] <= acceptable_ms):
             self._prober.release(asked)
-            return None if now < hold_ms else Placement(reason="no target answers")
+            return None
         candidate, predicted_ms = best
-        left_ms = work.arrived_ms + work.route.objective_ms - now
-        acceptable_ms = max(GOOD_RATIO * usual_ms, OBJECTIVE_SHARE * left_ms)
-        is_taken = predicted_ms <= acceptable_ms
-        if not is_taken and now >= hold_ms:
-            reading = candidate.reading
-            if reading.waiting > QUEUE_PER_SLOT * reading.slots:
-                self._prober.release(asked)
-                return Placement(reason="all targets full")
-            is_taken = True
         chosen = next(a for a in asked if a.candidate is candidate)
-        self._prober.release(a for a in asked if not (is_taken and a is chosen))
-        if not is_taken:
-            return None
+        self._prober.release(a for a in asked if a is not chosen)
         return Placement(candidate.target, chosen.lease, predicted_ms)
+
+
+def _has_slot(asked: Asked) -> bool:
+    target, reading = asked.candidate.target, asked.candidate.reading
+    return reading.running + target.count_sends(reading.asked_ms) < reading.slots
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -32,6 +32,13 @@
 # Time in milliseconds for which the first answer is awaited if none came by then.
 LATE_MS = 60.0
 
+# A target whose health check failed is not asked again for this time, in
+# milliseconds.
+RESET_PAUSE_MS = 100.0
+
+# Weight of a failed health check against that of a failed request.
+PROBE_WEIGHT = 0.4
+
 
 @attrs.define(eq=False)
 class Asked:
@@ -156,7 +163,9 @@
             if lease is not None:
                 self._pool.drop(lease)
         now = self._clock.read()
-        target.standing.note_failure(now)
+        # A target resets connections over its limit, which shrinks while it is full.
+        target.full_until_ms = now + RESET_PAUSE_MS
+        target.standing.note_failure(now, PROBE_WEIGHT)
         self._meter.count("health_check_failures")
         self._log.write(
             "health_check_failed",
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -12,6 +12,7 @@
 from currantline.relay._placer import Placer, Work
 from currantline.relay._sender import Ending, Sender, SendResult
 from currantline.routing import (
+    CallerPatience,
     RetryBudget,
     RetryTerms,
     Route,
@@ -41,7 +42,11 @@
 
 # Bounds of the time after which a refused caller is asked to return, as parts of the
 # objective; drawn between them so that refused callers do not return together.
-RETURN_SHARES = (0.15, 0.45)
+RETURN_SHARES = (0.5, 1.5)
+
+# The same for a caller whose request targets with free slots rejected; another try
+# may succeed at once.
+REJECTED_SHARES = (0.0, 0.05)
 
 NOT_FOUND, UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 404, 503, 502, 504
 
@@ -110,6 +115,7 @@
         self._rng = rng
         self._meter = meter
         self._log = log
+        self._patience = CallerPatience()
         self._budgets: dict[str, RetryBudget] = {}
         self._detached: set[asyncio.Task[SendResult]] = set()
 
@@ -132,25 +138,27 @@
         service = table.services.get(choose_service(route, self._rng))
         if service is None:
             return self._refuse(request, "unknown service", route.objective_ms)
+        stated_ms = self._read_time_left(request, route)
+        age_ms = self._patience.find_age(route.name, stated_ms)
         work = Work(
             request_id=find_header(request.headers, self._names.request_id) or "",
             route=route,
             service=service,
             arrived_ms=arrived_ms,
-            ends_ms=arrived_ms + self._find_time_left(request, route),
+            due_ms=arrived_ms + route.objective_ms - age_ms,
+            ends_ms=arrived_ms + min(stated_ms, route.timeout_ms),
         )
         progress = _Progress(work, request)
         answer = await self._carry(progress)
         self._report(progress, answer, table.version)
         return answer
 
-    def _find_time_left(self, request: Request, route: Route) -> float:
+    def _read_time_left(self, request: Request, route: Route) -> float:
         stated = find_header(request.headers, self._names.time_left)
         try:
-            left_ms = float(stated) if stated is not None else route.timeout_ms
+            return float(stated) if stated is not None else route.timeout_ms
         except ValueError:
-            left_ms = route.timeout_ms
-        return min(left_ms, route.timeout_ms)
+            return route.timeout_ms
 
     async def _carry(self, progress: _Progress) -> Answer:
         work = progress.work
@@ -277,14 +285,17 @@
 
     def _refuse_work(self, progress: _Progress, reason: str) -> Answer:
         progress.refusal = reason
-        return self._build_refusal(reason, progress.work.route.objective_ms)
+        shares = REJECTED_SHARES if progress.results else RETURN_SHARES
+        return self._build_refusal(reason, progress.work.route.objective_ms, shares)
 
     def _refuse(self, request: Request, reason: str, objective_ms: float) -> Answer:
         self._note(request, UNAVAILABLE, reason)
-        return self._build_refusal(reason, objective_ms)
+        return self._build_refusal(reason, objective_ms, RETURN_SHARES)
 
-    def _build_refusal(self, reason: str, objective_ms: float) -> Answer:
-        after_s = self._rng.uniform(*RETURN_SHARES) * objective_ms / 1000
+    def _build_refusal(
+        self, reason: str, objective_ms: float, shares: tuple[float, float]
+    ) -> Answer:
+        after_s = self._rng.uniform(*shares) * objective_ms / 1000
         answer = _answer_text(UNAVAILABLE, reason)
         header = ("retry-after", f"{after_s:.3f}")
         return attrs.evolve(answer, headers=(*answer.headers, header))
