Keep targets below the knee, and hedge only to mostly idle targets

A target with six slots does less work with six requests than with four, since it slows down near its last slots; with two slots it does more with two. Second sends of requests took slots that others waited for.

--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -1,6 +1,11 @@
 """Where a request goes: targets, what is known of them, and the choice."""
 
-from currantline.placement._choice import Candidate, choose, estimate_ms
+from currantline.placement._choice import (
+    Candidate,
+    choose,
+    count_useful_slots,
+    estimate_ms,
+)
 from currantline.placement._reading import Reading, parse_load
 from currantline.placement._standing import Standing
 from currantline.placement._target import PublishedTarget, Target
@@ -16,6 +21,7 @@
     "Targets",
     "TypicalTimes",
     "choose",
+    "count_useful_slots",
     "estimate_ms",
     "parse_load",
 ]
--- a/src/currantline/placement/_choice.py
+++ b/src/currantline/placement/_choice.py
@@ -13,7 +13,7 @@
 from currantline.placement._reading import Reading
 from currantline.placement._target import Target
 
-__all__ = ["Candidate", "choose", "estimate_ms"]
+__all__ = ["Candidate", "choose", "count_useful_slots", "estimate_ms"]
 
 # Length of a slow episode of a host in milliseconds, after which a request that
 # runs there goes on at the usual speed. Neighbours on the host change this often.
@@ -53,6 +53,37 @@
     target: Target
     reading: Reading
 
+    @property
+    def occupied(self) -> int:
+        """Requests at the target, with those that this instance sent since."""
+        sent = self.target.count_sends(self.reading.asked_ms)
+        return self.reading.running + self.reading.waiting + sent
+
+    @property
+    def has_slot(self) -> bool:
+        """Whether one more request would not lower the target's throughput."""
+        return self.occupied < count_useful_slots(self.reading.slots)
+
+    @property
+    def is_spare(self) -> bool:
+        """Whether the target would be at most half taken by one more request."""
+        return 2 * (self.occupied + 1) <= self.reading.slots
+
+
+def count_useful_slots(slots: int) -> int:
+    """Return with how many requests a target gets most work done.
+
+    Beyond the knee it does each of them more slowly, which may cost more than the
+    further slots bring.
+
+    Examples
+    --------
+    >>> [count_useful_slots(slots) for slots in (1, 2, 6, 8)]
+    [1, 2, 4, 6]
+    """
+    below_knee = int(KNEE * slots)
+    return slots if slots / KNEE_SLOWNESS > below_knee else below_knee
+
 
 def estimate_ms(candidate: Candidate, usual_ms: float, now: float) -> float:
     """Return the predicted time to the answer in milliseconds.
--- a/src/currantline/relay/_line.py
+++ b/src/currantline/relay/_line.py
@@ -16,7 +16,7 @@
 
 # Pause after a look that found no target, in milliseconds. A slot of a full service
 # frees every few milliseconds somewhere, and an instance gets one in twenty.
-LOOK_PAUSE_MS = 20.0
+LOOK_PAUSE_MS = 25.0
 
 
 @attrs.frozen(order=True)
--- a/src/currantline/relay/_placer.py
+++ b/src/currantline/relay/_placer.py
@@ -7,7 +7,13 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.placement import Target, Targets, TypicalTimes, choose
+from currantline.placement import (
+    Candidate,
+    Target,
+    Targets,
+    TypicalTimes,
+    choose,
+)
 from currantline.relay._line import LookLine, Urgency
 from currantline.relay._pool import Lease
 from currantline.relay._prober import Asked, LoadProber
@@ -16,12 +22,12 @@
 __all__ = ["Placement", "Placer", "Work"]
 
 # Targets that are asked at once in the own data centre, and then elsewhere.
-NEAR_ASKED = 4
+NEAR_ASKED = 3
 FAR_ASKED = 3
 
 # Targets that are asked elsewhere by a request that has looked before; each question
 # crosses between data centres.
-FAR_ASKED_AGAIN = 2
+FAR_ASKED_AGAIN = 1
 
 # A target whose predicted time is within this multiple of the usual one is taken
 # without asking in other data centres.
@@ -142,7 +148,7 @@
         exclude : collection of str
             Targets that have had it.
         """
-        line = self._lines.setdefault(work.service.name, LookLine(self._clock))
+        line = self._find_line(work)
         looks = 0
         while True:
             await line.wait_turn(lambda: self._rank(work))
@@ -157,6 +163,40 @@
             if self._is_overdue(work):
                 await asyncio.sleep(OVERDUE_PAUSE_MS / 1000)
 
+    async def find_spare(
+        self, work: Work, *, exclude: Collection[str]
+    ) -> Placement | None:
+        """Return a target that is mostly idle, without waiting, or None.
+
+        Second sends of a request must not take slots from requests that wait.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        exclude : collection of str
+            Targets that have had it.
+        """
+        usable = self._list_usable(work, exclude)
+        if len(self._find_line(work)) or not usable:
+            return None
+        asked = await self._ask(work, usable, looks=1)
+        now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
+        spare = [a.candidate for a in asked if a.candidate.is_spare]
+        best = choose(spare, usual_ms, now, self._rng)
+        if best is None or best[1] > work.ends_ms - now:
+            self._prober.release(asked)
+            return None
+        return self._take(asked, *best)
+
+    def give_back(self, placement: Placement) -> None:
+        """Return a connection on which nothing was sent."""
+        if placement.lease is not None:
+            self._prober.give_back(placement.lease)
+
+    def _find_line(self, work: Work) -> LookLine:
+        return self._lines.setdefault(work.service.name, LookLine(self._clock))
+
     def _rank(self, work: Work) -> Urgency:
         return Urgency(self._is_overdue(work), work.route.priority, work.arrived_ms)
 
@@ -170,6 +210,8 @@
         now = self._clock.read()
         if now >= work.arrived_ms + WAIT_SHARE * (work.ends_ms - work.arrived_ms):
             return Placement(reason="all targets full")
+        if work.ends_ms - now < self._typical.read(work.route.name):
+            return Placement(reason="too little time left")
         usable = self._list_usable(work, exclude)
         if not usable:
             return Placement(reason="no target")
@@ -207,7 +249,7 @@
         )
         asked = await self._prober.ask(ordered[:most], path)
         for one in asked:
-            if not _has_slot(one):
+            if not one.candidate.has_slot:
                 one.candidate.target.full_until_ms = self._clock.read() + FULL_MS
         return asked
 
@@ -218,23 +260,26 @@
 
     def _choose(self, work: Work, asked: list[Asked]) -> Placement | None:
         now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
-        is_overdue = self._is_overdue(work)
-        acceptable_ms = max(
-            GOOD_RATIO * usual_ms, OBJECTIVE_SHARE * (work.due_ms - now)
-        )
-        fit = [a for a in asked if self._targets.is_current(a.candidate.target)]
-        if is_overdue:
-            fit = [a for a in fit if _has_slot(a)]
+        fit = [
+            a
+            for a in asked
+            if self._targets.is_current(a.candidate.target) and a.candidate.has_slot
+        ]
         best = choose((a.candidate for a in fit), usual_ms, now, self._rng)
-        if best is None or not (is_overdue or best[1] <= acceptable_ms):
+        if best is None or not self._is_acceptable(work, best[1], usual_ms):
             self._prober.release(asked)
             return None
-        candidate, predicted_ms = best
+        return self._take(asked, *best)
+
+    def _is_acceptable(self, work: Work, predicted_ms: float, usual_ms: float) -> bool:
+        if self._is_overdue(work):
+            return True
+        left_ms = work.due_ms - self._clock.read()
+        return predicted_ms <= max(GOOD_RATIO * usual_ms, OBJECTIVE_SHARE * left_ms)
+
+    def _take(
+        self, asked: list[Asked], candidate: Candidate, predicted_ms: float
+    ) -> Placement:
         chosen = next(a for a in asked if a.candidate is candidate)
         self._prober.release(a for a in asked if a is not chosen)
         return Placement(candidate.target, chosen.lease, predicted_ms)
-
-
-def _has_slot(asked: Asked) -> bool:
-    target, reading = asked.candidate.target, asked.candidate.reading
-    return reading.running + target.count_sends(reading.asked_ms) < reading.slots
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -115,6 +115,10 @@
         for one in asked:
             self._pool.give_back(one.lease)
 
+    def give_back(self, lease: Lease) -> None:
+        """Give one connection back that no request uses."""
+        self._pool.give_back(lease)
+
     def _start(self, target: Target, path: str) -> "asyncio.Task[Asked | None]":
         task = asyncio.get_running_loop().create_task(self._ask(target, path))
         self._running.add(task)
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -8,8 +8,10 @@
 import attrs
 
 from currantline.clock import Clock
+from currantline.placement import Target
 from currantline.relay._names import HeaderNames
 from currantline.relay._placer import Placer, Work
+from currantline.relay._pool import Lease
 from currantline.relay._sender import Ending, Sender, SendResult
 from currantline.routing import (
     CallerPatience,
@@ -30,12 +32,15 @@
 
 # A target that stops at the given deadline says so; its answer is awaited this much
 # longer, in milliseconds.
-LAST_WORD_MS = 60.0
+LAST_WORD_MS = 15.0
 
 # Time in milliseconds for which the answer to a non-idempotent request is read after
 # its caller has gone or been answered, so that the target is not cut off.
 DETACHED_MS = 500.0
 
+# Part of a caller's time that the answer needs on its way back, in milliseconds.
+RETURN_MS = 20.0
+
 # Requests with less time left than this are refused, in milliseconds: a round trip
 # to a target takes that long.
 SHORTEST_MS = 5.0
@@ -146,7 +151,7 @@
             service=service,
             arrived_ms=arrived_ms,
             due_ms=arrived_ms + route.objective_ms - age_ms,
-            ends_ms=arrived_ms + min(stated_ms, route.timeout_ms),
+            ends_ms=arrived_ms + min(stated_ms - RETURN_MS, route.timeout_ms),
         )
         progress = _Progress(work, request)
         answer = await self._carry(progress)
@@ -198,26 +203,43 @@
                 if result.ending is Ending.SUCCESS:
                     assert result.answer is not None
                     return self._pass_on(result.answer)
-            wants_more = not pending or (not done and is_early)
-            if wants_more and self._may_repeat(progress, bool(pending)):
+            if not pending and self._may_repeat(progress):
                 pending.add(self._start(progress))
+            elif not done and is_early and self._can_repeat(progress):
+                pending.add(self._start(progress, is_hedge=True))
         return self._conclude(progress)
 
-    def _start(self, progress: _Progress) -> "asyncio.Task[SendResult | None]":
-        return asyncio.get_running_loop().create_task(self._try(progress))
+    def _start(
+        self, progress: _Progress, *, is_hedge: bool = False
+    ) -> "asyncio.Task[SendResult | None]":
+        attempt = self._hedge(progress) if is_hedge else self._try(progress)
+        return asyncio.get_running_loop().create_task(attempt)
 
     async def _try(self, progress: _Progress) -> SendResult | None:
-        work = progress.work
-        placement = await self._placer.place(work, exclude=progress.tried)
+        placement = await self._placer.place(progress.work, exclude=progress.tried)
         if placement.target is None or placement.lease is None:
             progress.refusal = placement.reason
             return None
-        progress.tried.add(placement.target.name)
+        return await self._send(progress, placement.target, placement.lease)
+
+    async def _hedge(self, progress: _Progress) -> SendResult | None:
+        work = progress.work
+        placement = await self._placer.find_spare(work, exclude=progress.tried)
+        if placement is None or placement.target is None or placement.lease is None:
+            return None
+        if not self._may_repeat(progress, is_hedge=True):
+            self._placer.give_back(placement)
+            return None
+        return await self._send(progress, placement.target, placement.lease)
+
+    async def _send(
+        self, progress: _Progress, target: Target, lease: Lease
+    ) -> SendResult:
+        work = progress.work
+        progress.tried.add(target.name)
         progress.sends += 1
         self._meter.count("sends", service=work.service.name)
-        send = self._sender.send(
-            work, progress.request, placement.target, placement.lease
-        )
+        send = self._sender.send(work, progress.request, target, lease)
         if work.route.is_idempotent:
             return await send
         # Once sent, it is not cut off: it may be running.
@@ -245,7 +267,7 @@
             is_clean and len(progress.results) == progress.sends
         )
 
-    def _may_repeat(self, progress: _Progress, is_hedge: bool) -> bool:
+    def _may_repeat(self, progress: _Progress, *, is_hedge: bool = False) -> bool:
         if progress.refusal or not self._can_repeat(progress):
             return False
         now = self._clock.read()
