Offer a freed slot at once to the next request that waits

At the peak all targets are full and a look every few tens of milliseconds finds a free slot by luck only. An instance knows when a target has finished one of its own requests, so the most urgent waiting request asks that target at once. Slots are kept in reserve for requests in time only at targets with four useful slots or more; a slow host gets a request only if it would answer within 0.6 of the objective, others within 0.85.

--- a/src/currantline/placement/_choice.py
+++ b/src/currantline/placement/_choice.py
@@ -33,6 +33,9 @@
 # Cost of a health check that fails, in the same unit. Health checks may be false.
 ILLNESS_COST = 3.0
 
+# One in so many useful slots is kept for requests that can still be in time.
+RESERVE_PER_SLOTS = 4
+
 # Candidates within this part of the best one are as good; one of them is drawn, so
 # that instances which read the same do not all choose the same.
 NEAR_EQUAL = 0.1
@@ -64,6 +67,12 @@
         """Whether one more request would not lower the target's throughput."""
         return self.occupied < count_useful_slots(self.reading.slots)
 
+    @property
+    def has_reserve(self) -> bool:
+        """Whether slots for more urgent requests stay free after one more."""
+        useful = count_useful_slots(self.reading.slots)
+        return self.occupied < useful - useful // RESERVE_PER_SLOTS
+
     @property
     def is_spare(self) -> bool:
         """Whether the target would be at most half taken by one more request."""
--- a/src/currantline/relay/_line.py
+++ b/src/currantline/relay/_line.py
@@ -2,7 +2,8 @@
 
 Answers the load pattern of a peak: many requests of an instance wait while all
 targets are full. If each of them asked for itself, the questions would cost the
-targets connections and slots. So one asks at a time, the most urgent one first.
+targets connections and slots. So one asks at a time, the most urgent one first, and
+a target that has just finished a request of this instance is asked at once.
 """
 
 import asyncio
@@ -11,12 +12,13 @@
 import attrs
 
 from currantline.clock import Clock
+from currantline.placement import Target
 
 __all__ = ["LookLine", "Urgency"]
 
 # Pause after a look that found no target, in milliseconds. A slot of a full service
 # frees every few milliseconds somewhere, and an instance gets one in twenty.
-LOOK_PAUSE_MS = 25.0
+LOOK_PAUSE_MS = 30.0
 
 
 @attrs.frozen(order=True)
@@ -41,7 +43,7 @@
 @attrs.define(eq=False)
 class _Waiter:
     rank: Callable[[], Urgency]
-    turn: "asyncio.Future[None]"
+    turn: "asyncio.Future[Target | None]"
 
 
 class LookLine:
@@ -58,25 +60,31 @@
         self._waiters: list[_Waiter] = []
         self._is_taken = False
         self._paused_until_ms = 0.0
+        self._freed: list[Target] = []
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         return len(self._waiters)
 
-    async def wait_turn(self, rank: Callable[[], Urgency]) -> None:
+    async def wait_turn(self, rank: Callable[[], Urgency]) -> Target | None:
         """Wait until this request may look; `end_turn` must follow.
 
         Parameters
         ----------
         rank : callable
             Returns the urgency of the request now.
+
+        Returns
+        -------
+        Target or None
+            A target that has just finished a request of this instance.
         """
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        turn: asyncio.Future[Target | None] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(rank, turn)
         self._waiters.append(waiter)
         self._grant()
         try:
-            await turn
+            return await turn
         except asyncio.CancelledError:
             if turn.done() and not turn.cancelled():
                 self.end_turn(found=True)
@@ -88,20 +96,34 @@
     def end_turn(self, *, found: bool) -> None:
         """Let the next request look, after a pause if no target was found."""
         self._is_taken = False
-        if not found:
+        if not found and self._timer is None:
             self._paused_until_ms = self._clock.read() + LOOK_PAUSE_MS
         self._grant()
 
+    def note_freed(self, target: Target) -> None:
+        """Let the next request look at once at a target that finished one."""
+        if len(self._waiters):
+            self._freed.append(target)
+            self._grant()
+
     def _grant(self) -> None:
         waiters = [waiter for waiter in self._waiters if not waiter.turn.done()]
-        if self._is_taken or not waiters or self._timer is not None:
+        if not waiters:
+            self._freed.clear()
+        if self._is_taken or not waiters:
+            return
+        first = min(waiters, key=lambda waiter: waiter.rank())
+        if self._freed:
+            self._is_taken = True
+            first.turn.set_result(self._freed.pop())
+            return
+        if self._timer is not None:
             return
         pause_ms = self._paused_until_ms - self._clock.read()
         if pause_ms > 0:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(pause_ms / 1000, self._end_pause)
             return
-        first = min(waiters, key=lambda waiter: waiter.rank())
         self._is_taken = True
         first.turn.set_result(None)
 
--- a/src/currantline/relay/_placer.py
+++ b/src/currantline/relay/_placer.py
@@ -22,11 +22,11 @@
 __all__ = ["Placement", "Placer", "Work"]
 
 # Targets that are asked at once in the own data centre, and then elsewhere.
-NEAR_ASKED = 3
+NEAR_ASKED = 4
 FAR_ASKED = 3
 
-# Targets that are asked elsewhere by a request that has looked before; each question
-# crosses between data centres.
+# The same for a request that has looked before.
+NEAR_ASKED_AGAIN = 2
 FAR_ASKED_AGAIN = 1
 
 # A target whose predicted time is within this multiple of the usual one is taken
@@ -35,7 +35,12 @@
 
 # A target is taken if it would answer within this part of the time that is left of
 # the objective; the rest covers the way back and errors of the prediction.
-OBJECTIVE_SHARE = 0.6
+OBJECTIVE_SHARE = 0.85
+
+# The same for a target whose host is slower than this multiple of the usual; other
+# hosts are faster, and it may stay slow.
+SLOW_HOST = 1.5
+SLOW_HOST_SHARE = 0.6
 
 # A request is overdue once less than this multiple of the usual time is left of its
 # objective: it would be late at any target, and gives way to those that would not.
@@ -151,10 +156,10 @@
         line = self._find_line(work)
         looks = 0
         while True:
-            await line.wait_turn(lambda: self._rank(work))
+            freed = await line.wait_turn(lambda: self._rank(work))
             placement: Placement | None = None
             try:
-                placement = await self._look(work, exclude, looks)
+                placement = await self._look(work, exclude, looks, freed)
             finally:
                 line.end_turn(found=placement is not None)
             if placement is not None:
@@ -189,6 +194,10 @@
             return None
         return self._take(asked, *best)
 
+    def note_freed(self, work: Work, target: Target) -> None:
+        """Offer the slot of a finished request to the next that waits."""
+        self._find_line(work).note_freed(target)
+
     def give_back(self, placement: Placement) -> None:
         """Return a connection on which nothing was sent."""
         if placement.lease is not None:
@@ -205,7 +214,11 @@
         return left_ms < OVERDUE_RATIO * self._typical.read(work.route.name)
 
     async def _look(
-        self, work: Work, exclude: Collection[str], looks: int
+        self,
+        work: Work,
+        exclude: Collection[str],
+        looks: int,
+        freed: Target | None,
     ) -> Placement | None:
         now = self._clock.read()
         if now >= work.arrived_ms + WAIT_SHARE * (work.ends_ms - work.arrived_ms):
@@ -215,6 +228,9 @@
         usable = self._list_usable(work, exclude)
         if not usable:
             return Placement(reason="no target")
+        if freed is not None:
+            freed.full_until_ms = 0.0
+            usable = [target for target in usable if target is freed]
         return self._choose(work, await self._ask(work, usable, looks))
 
     def _list_usable(self, work: Work, exclude: Collection[str]) -> list[Target]:
@@ -224,7 +240,8 @@
     async def _ask(self, work: Work, usable: list[Target], looks: int) -> list[Asked]:
         near = [t for t in usable if t.published.data_centre == self._data_centre]
         path = work.service.health_path
-        asked = await self._ask_some(near, NEAR_ASKED, path)
+        near_most = NEAR_ASKED_AGAIN if looks else NEAR_ASKED
+        asked = await self._ask_some(near, near_most, path)
         if self._has_good(work, asked):
             return asked
         others = [target for target in usable if target not in near]
@@ -267,20 +284,25 @@
         ]
         if self._is_overdue(work):
             # Slots that are scarce go to requests that can still be in time.
-            fit = [candidate for candidate in current if candidate.is_spare]
+            fit = [candidate for candidate in current if candidate.has_reserve]
         else:
             fit = [candidate for candidate in current if candidate.has_slot]
         best = choose(fit, usual_ms, now, self._rng)
-        if best is None or not self._is_acceptable(work, best[1], usual_ms):
+        if best is None or not self._is_acceptable(work, *best):
             self._prober.release(asked)
             return None
         return self._take(asked, *best)
 
-    def _is_acceptable(self, work: Work, predicted_ms: float, usual_ms: float) -> bool:
+    def _is_acceptable(
+        self, work: Work, candidate: Candidate, predicted_ms: float
+    ) -> bool:
         if self._is_overdue(work):
             return True
+        is_slow = candidate.reading.slowness > SLOW_HOST
+        share = SLOW_HOST_SHARE if is_slow else OBJECTIVE_SHARE
+        usual_ms = self._typical.read(work.route.name)
         left_ms = work.due_ms - self._clock.read()
-        return predicted_ms <= max(GOOD_RATIO * usual_ms, OBJECTIVE_SHARE * left_ms)
+        return predicted_ms <= max(GOOD_RATIO * usual_ms, share * left_ms)
 
     def _take(
         self, asked: list[Asked], candidate: Candidate, predicted_ms: float
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -240,7 +240,7 @@
         progress.tried.add(target.name)
         progress.sends += 1
         self._meter.count("sends", service=work.service.name)
-        send = self._sender.send(work, progress.request, target, lease)
+        send = self._send_once(progress, target, lease)
         if work.route.is_idempotent:
             return await send
         # Once sent, it is not cut off: it may be running.
@@ -249,6 +249,15 @@
         task.add_done_callback(self._detached.discard)
         return await asyncio.shield(task)
 
+    async def _send_once(
+        self, progress: _Progress, target: Target, lease: Lease
+    ) -> SendResult:
+        work = progress.work
+        try:
+            return await self._sender.send(work, progress.request, target, lease)
+        finally:
+            self._placer.note_freed(work, target)
+
     async def _bound(
         self, send: Coroutine[Any, Any, SendResult], work: Work
     ) -> SendResult:
