--- /dev/null
+++ b/src/currantline/fleet/tests/test_codec.py
@@ -0,0 +1,79 @@
+"""Tests of heartbeats as datagrams and of address answers."""
+
+import random
+
+import pytest
+
+from currantline.exceptions import PeerError
+from currantline.fleet import (
+    Heartbeat,
+    Member,
+    MemberStatus,
+    choose_hosts,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+
+DATA_CENTRES = ("a", "b")
+
+
+def make_member(number: int, data_centre: str = "a") -> Member:
+    """Return an instance with values in all fields."""
+    return Member(
+        host=f"10.0.0.{number}",
+        data_centre=data_centre,
+        incarnation=1_700_000_000_000,
+        beat=100_000,
+        status=MemberStatus.LEAVING,
+        can_read=False,
+        revision=1_000_000,
+        digest=2**32 - 1,
+    )
+
+
+class TestHeartbeatCodec:
+    """Datagrams."""
+
+    def test_round_trip(self) -> None:
+        """Guards against fields that are lost between instances."""
+        heartbeat = Heartbeat(sender=make_member(1), others=(make_member(2, "b"),))
+        data = encode_heartbeat(heartbeat, DATA_CENTRES)
+        assert decode_heartbeat(data, DATA_CENTRES) == heartbeat
+
+    def test_fits_a_frame(self) -> None:
+        """Guards against datagrams that links would split."""
+        others = tuple(make_member(number) for number in range(2, 21))
+        data = encode_heartbeat(
+            Heartbeat(sender=make_member(1), others=others), DATA_CENTRES
+        )
+        assert len(data) < 1472
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"[1]", b"[2,[]]", b"[1,[]]", b'[1,[["h",9,1,1,1,1,1]]]', b"\xff"]
+    )
+    def test_malformed(self, data: bytes) -> None:
+        """Guards against foreign datagrams that end the task."""
+        with pytest.raises(PeerError):
+            decode_heartbeat(data, DATA_CENTRES)
+
+
+class TestChooseHosts:
+    """Addresses for callers."""
+
+    def test_own_data_centre(self) -> None:
+        """Guards against callers that are sent across data centres."""
+        members = [make_member(n) for n in range(1, 5)] + [make_member(9, "b")]
+        hosts = choose_hosts(members, "a", random.Random(1))
+        assert sorted(hosts) == [f"10.0.0.{n}" for n in range(1, 5)]
+
+    def test_few_in_the_data_centre(self) -> None:
+        """Guards against callers with a single address, or none."""
+        members = [make_member(n) for n in range(1, 5)] + [make_member(9, "b")]
+        assert "10.0.0.9" in choose_hosts(members, "b", random.Random(1))
+        assert len(choose_hosts(members, "b", random.Random(1))) == 3
+        assert len(choose_hosts(members, "unknown", random.Random(1))) == 3
+
+    def test_bounded(self) -> None:
+        """Guards against answers that grow with the fleet."""
+        members = [make_member(n) for n in range(1, 100)]
+        assert len(set(choose_hosts(members, "a", random.Random(1)))) == 64
--- /dev/null
+++ b/src/currantline/platform/tests/support.py
@@ -0,0 +1,82 @@
+"""Documents and settings as the platform writes them."""
+
+from typing import Any
+
+__all__ = ["make_configuration", "make_entry", "make_settings"]
+
+
+def make_configuration(version: int, service: str = "svc") -> dict[str, Any]:
+    """Return a configuration with a route for lookups and one for orders."""
+    common = {"host": "shop.example", "maxAttempts": 2, "service": service}
+    read = {"prefix": "/read/", "kind": "idempotent", "timeoutMs": 1500}
+    orders = {"prefix": "/orders/", "kind": "non_idempotent", "timeoutMs": 2000}
+    return {
+        "version": f"{version:08x}",
+        "routes": {
+            "read": {**common, **read, "targetLatencyMs": 400, "priority": 2},
+            "orders": {**common, **orders, "targetLatencyMs": 500, "priority": 1},
+        },
+        "services": {
+            name: {"healthPath": "/health", "maxConnections": 260, "protocol": "h1"}
+            for name in ("svc", "two")
+        },
+        "limits": {
+            "headerBytes": 16384,
+            "maxBodyBytes": 67108864,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+def make_entry(
+    address: str = "10.9.0.1:80",
+    *,
+    service: str = "svc",
+    zone: str = "a",
+    state: str = "ready",
+) -> dict[str, Any]:
+    """Return the entry of a target."""
+    return {
+        "address": address,
+        "born": 5,
+        "info": {"service": service, "version": "v1", "zone": zone, "slots": 2},
+        "status": {"state": state, "sequence": 4, "warmupLeftMs": 0},
+    }
+
+
+def make_settings(
+    host: str, zone: str, *, seeds: tuple[str, ...], zones: tuple[str, ...]
+) -> dict[str, Any]:
+    """Return the settings of one machine."""
+    return {
+        "selfNode": {
+            "nodeName": f"edge-{host}",
+            "ip": host,
+            "zone": zone,
+            "region": "r",
+            "limits": {"memoryMb": 300},
+            "unknown": 1,
+        },
+        "network": {
+            "internalPortRange": [7620, 7635],
+            "seeds": [f"{seed}:8649" for seed in seeds],
+            "listen": {
+                "front": f"{host}:8641",
+                "ready": f"{host}:8640",
+                "control": f"{host}:8649",
+                "directory": f"{host}:8644",
+            },
+            "zones": dict.fromkeys(zones, "r"),
+        },
+        "platform": {"platform": {"address": "10.200.1.7:8642"}},
+        "terms": {
+            "bounds": {
+                "retryBudgetRatio": 0.2,
+                "retryBudgetSlack": 64,
+                "budgetWindowS": 10,
+                "ttl_max_s": 5,
+                "graceS": 6,
+            }
+        },
+    }
--- /dev/null
+++ b/src/currantline/platform/tests/test_documents.py
@@ -0,0 +1,88 @@
+"""Tests of documents of the platform's store."""
+
+import json
+from typing import Any
+
+import pytest
+
+from currantline.exceptions import ConfigurationError
+from currantline.platform import decode_route_table, decode_target
+from currantline.platform.tests.support import make_configuration, make_entry
+
+
+class TestDecodeRouteTable:
+    """The configuration."""
+
+    def test_fields(self) -> None:
+        """Guards against names of the platform that are taken for another field."""
+        table = decode_route_table(json.dumps(make_configuration(0x1C)))
+        assert table.version == 28
+        route = table.find("shop.example", "/orders/7")
+        assert route is not None
+        assert not route.is_idempotent
+        assert (route.timeout_ms, route.objective_ms) == (2000.0, 500.0)
+        assert (route.max_attempts, route.priority) == (2, 1)
+        assert table.limits.head_bytes == 16384
+        assert table.services["svc"].health_path == "/health"
+
+    def test_split(self) -> None:
+        """Guards against splits that go to one part only."""
+        document = make_configuration(1)
+        route = document["routes"]["read"]
+        del route["service"]
+        parts = [{"service": "svc", "weight": 90}, {"service": "two", "weight": 10}]
+        route["trafficSplit"] = parts
+        found = decode_route_table(json.dumps(document)).find("shop.example", "/read/")
+        assert found is not None
+        assert [share.weight for share in found.shares] == [90.0, 10.0]
+
+    @pytest.mark.parametrize(
+        "text", ["", "[]", "{}", '{"version":"x","routes":{},"services":{}}']
+    )
+    def test_unusable(self, text: str) -> None:
+        """Guards against a broken document that replaces a good configuration."""
+        with pytest.raises(ConfigurationError):
+            decode_route_table(text)
+
+    def test_unknown_kind(self) -> None:
+        """Guards against a request that is repeated though nobody allowed it."""
+        document = make_configuration(1)
+        document["routes"]["read"]["kind"] = "maybe"
+        with pytest.raises(ConfigurationError):
+            decode_route_table(json.dumps(document))
+
+
+class TestDecodeTarget:
+    """Entries of targets."""
+
+    def test_fields(self) -> None:
+        """Guards against names of the platform that are taken for another field."""
+        entry = decode_target("servers/i-1", json.dumps(make_entry(state="draining")))
+        assert (entry.name, entry.service, entry.data_centre) == ("i-1", "svc", "a")
+        assert entry.is_draining
+        assert (entry.slots, entry.warmup_ms, entry.born_ms) == (2, 0.0, 5)
+
+    @pytest.mark.parametrize(
+        ("table", "field", "value"),
+        [
+            ("status", "state", "asleep"),
+            ("status", "state", None),
+            ("status", "warmupLeftMs", "soon"),
+            ("info", "slots", "2"),
+            ("info", "slots", True),
+            ("info", "service", 4),
+            ("info", "zone", None),
+        ],
+    )
+    def test_other_writers(self, table: str, field: str, value: Any) -> None:
+        """Guards against entries of other programs that are used as targets."""
+        document = make_entry()
+        document[table][field] = value
+        with pytest.raises(ConfigurationError):
+            decode_target("servers/i-1", json.dumps(document))
+
+    @pytest.mark.parametrize("text", ["", "7", "{}", '{"info":[],"status":{}}', "\x00"])
+    def test_unreadable(self, text: str) -> None:
+        """Guards against bytes that end the reading of all other entries."""
+        with pytest.raises(ConfigurationError):
+            decode_target("servers/i-1", text)
--- a/src/currantline/replica/tests/test_reader.py
+++ b/src/currantline/replica/tests/test_reader.py
@@ -56,7 +56,7 @@
         self.replica = Replica()
         self.is_reader = True
         self.lines: list[bytes] = []
-        log = EventLog("i", clock=clock, write=lambda d: self.lines.append(d) or len(d))
+        log = EventLog("i", clock=clock, write=self._write)
         self.reader = PublicationReader(
             self.platform,
             self.replica,
@@ -66,6 +66,10 @@
             log=log,
         )
 
+    def _write(self, data: bytes) -> int:
+        self.lines.append(data)
+        return len(data)
+
 
 def run(play: Callable[[Bench], Awaitable[None]]) -> None:
     """Run a play beside the reader in virtual time."""
--- a/src/currantline/standin/_transport.py
+++ b/src/currantline/standin/_transport.py
@@ -83,8 +83,13 @@
             self._send(bytes(data))
 
     def can_write_eof(self) -> bool:
-        """Return False: a half-closed connection is not modelled."""
-        return False
+        """Return whether the end of the bytes can be sent before the close."""
+        return True
+
+    def write_eof(self) -> None:
+        """Send the end of the bytes; the other side closes then."""
+        if not self._is_closing:
+            self._send(None)
 
     def close(self) -> None:
         """Close after the bytes already written."""
--- /dev/null
+++ b/src/currantline/telemetry/tests/test_telemetry.py
@@ -0,0 +1,78 @@
+"""Tests of logs and metrics."""
+
+import json
+
+from currantline.clock import ManualClock
+from currantline.telemetry import EventLog, Meter
+
+
+class Sink:
+    """Takes bytes while it is open."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.is_open = True
+
+    def write(self, data: bytes) -> int:
+        """Take up to ten bytes."""
+        if not self.is_open:
+            raise BlockingIOError
+        self.data += data[:10]
+        return len(data[:10])
+
+    def read_lines(self) -> list[dict[str, object]]:
+        """Return the complete lines."""
+        return [json.loads(line) for line in self.data.splitlines()]
+
+
+class TestEventLog:
+    """Lines of the log."""
+
+    def test_whole_lines(self) -> None:
+        """Guards against lines that are cut when the reader takes a part."""
+        sink = Sink()
+        log = EventLog("i", clock=ManualClock(), write=sink.write)
+        log.write("one", value=1)
+        log.write("two")
+        assert [line["event"] for line in sink.read_lines()] == ["one", "two"]
+
+    def test_reader_that_stops(self) -> None:
+        """Guards against a log that blocks or grows while nobody reads it."""
+        sink = Sink()
+        clock = ManualClock()
+        log = EventLog("i", clock=clock, write=sink.write)
+        sink.is_open = False
+        for _ in range(10_000):
+            clock.advance(10)
+            log.write("request", text="x" * 100)
+        assert log.dropped > 0
+        sink.is_open = True
+        log.flush()
+        assert len(sink.data) < 300_000
+
+    def test_rate(self) -> None:
+        """Guards against logs that grow with the load, and losses nobody sees."""
+        sink = Sink()
+        clock = ManualClock()
+        log = EventLog("i", clock=clock, write=sink.write)
+        for _ in range(1_000):
+            log.write("request")
+        assert len(sink.read_lines()) == 400
+        clock.advance(1_000)
+        log.write("request")
+        assert sink.read_lines()[-1]["dropped_lines"] == 600
+
+
+class TestMeter:
+    """Metrics."""
+
+    def test_render(self) -> None:
+        """Guards against metrics that cannot be scraped."""
+        meter = Meter()
+        meter.count("requests", status="200")
+        meter.observe("request_ms", 30.0, service="s")
+        meter.add_gauge("targets", lambda: 4.0)
+        text = meter.render().decode()
+        assert 'currantline_requests_total{status="200"} 1.0' in text
+        assert 'currantline_request_ms_bucket{le="50.0",service="s"} 1.0' in text
+        assert "currantline_targets 4.0" in text
--- /dev/null
+++ b/src/currantline/tests/test_gateway.py
@@ -0,0 +1,309 @@
+"""Tests of whole deployments on the users' platform, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from currantline.gateway import Gateway
+from currantline.platform import HEADERS, decode_settings
+from currantline.platform.tests.support import (
+    make_configuration,
+    make_entry,
+    make_settings,
+)
+from currantline.standin.network import LoopClock, Network, run_on_host, run_session
+from currantline.standin.store import StandinStore
+from currantline.standin.worker import StandinWorker
+from currantline.telemetry import EventLog
+from currantline.wire import Answer, HttpService, Request, fetch
+
+STORE, CALLER = "10.200.1.7", "10.99.0.1"
+ZONES = ("a", "b")
+HOSTS = {"10.1.0.1": "a", "10.1.0.2": "a", "10.1.0.3": "a", "10.2.0.1": "b"}
+
+
+class Deployment:
+    """Four instances in two data centres, a store and two targets."""
+
+    def __init__(self, network: Network) -> None:
+        self.network = network
+        self.store = StandinStore()
+        self.gateways: dict[str, Gateway] = {}
+        self.workers: dict[str, StandinWorker] = {}
+        self.starts = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all instances are ready."""
+        await run_on_host(STORE, HttpService(self.store.handle).start(f"{STORE}:8642"))
+        self.store.put("op/config", make_configuration(1))
+        for number in (1, 2):
+            await self.add_worker(f"i-{number}", f"10.9.0.{number}")
+        await asyncio.gather(*(self.add_instance(host) for host in HOSTS))
+        await asyncio.sleep(3.0)
+
+    async def add_worker(self, name: str, host: str, **values: Any) -> StandinWorker:
+        """Start a target and enter it in the store."""
+        worker = StandinWorker(name=name, names=HEADERS, **values)
+        await run_on_host(host, HttpService(worker.handle).start(f"{host}:80"))
+        self.workers[name] = worker
+        self.store.put(f"servers/{name}", make_entry(f"{host}:80"))
+        return worker
+
+    async def add_instance(self, host: str) -> None:
+        """Start an instance."""
+        self.starts += 1
+        seeds = ("10.1.0.1", "10.2.0.1")
+        document = make_settings(host, HOSTS[host], seeds=seeds, zones=ZONES)
+        clock = LoopClock(asyncio.get_running_loop())
+        gateway = Gateway(
+            decode_settings(document, source=host),
+            clock=clock,
+            rng=random.Random(host),
+            incarnation=self.starts,
+            log=EventLog(host, clock=clock, write=len),
+        )
+        self.gateways[host] = gateway
+        await run_on_host(host, gateway.start())
+
+    async def kill(self, host: str) -> None:
+        """Kill an instance."""
+        self.network.kill(host)
+        del self.gateways[host]
+
+    async def call(
+        self, host: str, path: str = "/read/x", *, request_id: str = "a"
+    ) -> Answer:
+        """Send a request to an instance."""
+        headers = (
+            ("host", "shop.example"),
+            (HEADERS.request_id, request_id),
+            (HEADERS.time_left, "3000"),
+        )
+        request = Request(method="GET", target=path, headers=headers)
+        call = fetch(f"{host}:8641", request, timeout_ms=5_000.0)
+        return await run_on_host(CALLER, call)
+
+    async def ask(self, host: str, port: int, target: str) -> Answer:
+        """Call another address of an instance."""
+        request = Request(method="GET", target=target)
+        call = fetch(f"{host}:{port}", request, timeout_ms=1_000.0)
+        return await run_on_host(CALLER, call)
+
+    def list_versions(self) -> list[int]:
+        """Return the versions in force."""
+        tables = [gateway.table for gateway in self.gateways.values()]
+        return [table.version if table else 0 for table in tables]
+
+
+def run(play: Callable[[Deployment], Awaitable[None]]) -> None:
+    """Run a play on a started deployment."""
+    network = Network(latency_ms=0.5)
+
+    async def session() -> None:
+        deployment = Deployment(network)
+        await deployment.start()
+        await play(deployment)
+
+    run_session(network, session())
+
+
+class TestPath:
+    """Requests and addresses."""
+
+    def test_calm(self) -> None:
+        """Guards against a path that does not hold from caller to target."""
+
+        async def play(deployment: Deployment) -> None:
+            for host in HOSTS:
+                answer = await deployment.call(host)
+                assert (answer.status, answer.body) == (200, b"/read/x")
+                assert (await deployment.ask(host, 8640, "/-/readiness")).status == 200
+            assert (await deployment.call("10.1.0.1", "/none/")).status == 404
+
+        run(play)
+
+    def test_addresses(self) -> None:
+        """Guards against callers that are sent to instances that are gone."""
+
+        async def play(deployment: Deployment) -> None:
+            path = "/-/resolve?name=shop.example&region=r&zone=a"
+            before = await deployment.ask("10.2.0.1", 8644, path)
+            assert before.body.count(b":8641") == 3
+            await deployment.kill("10.1.0.2")
+            await asyncio.sleep(4.0)
+            after = await deployment.ask("10.2.0.1", 8644, path)
+            assert b"10.1.0.2" not in after.body
+
+        run(play)
+
+    def test_metrics(self) -> None:
+        """Guards against metrics that cannot be scraped."""
+
+        async def play(deployment: Deployment) -> None:
+            await deployment.call("10.1.0.1")
+            answer = await deployment.ask("10.1.0.1", 9464, "/metrics")
+            assert b'currantline_requests_total{status="200"} 1.0' in answer.body
+            assert b"currantline_instances 4.0" in answer.body
+
+        run(play)
+
+
+class TestPublished:
+    """Configuration and targets."""
+
+    def test_few_calls(self) -> None:
+        """Guards against a fleet in which every instance reads the store."""
+
+        async def play(deployment: Deployment) -> None:
+            before = deployment.store.calls
+            deployment.store.put("op/config", make_configuration(2))
+            await asyncio.sleep(1.0)
+            assert deployment.list_versions() == [2] * 4
+            assert deployment.store.calls - before <= 6
+
+        run(play)
+
+    def test_drain(self) -> None:
+        """Guards against work for a target that leaves, on any instance."""
+
+        async def play(deployment: Deployment) -> None:
+            entry = make_entry("10.9.0.1:80", state="draining")
+            deployment.store.put("servers/i-1", entry)
+            await asyncio.sleep(1.0)
+            deployment.workers["i-1"].ran.clear()
+            for host in HOSTS:
+                for _ in range(3):
+                    assert (await deployment.call(host)).status == 200
+            assert deployment.workers["i-1"].ran == []
+
+        run(play)
+
+    @pytest.mark.parametrize("value", [b"\xff\x00", {"info": 1}, 7])
+    def test_foreign_entry(self, value: Any) -> None:
+        """Guards against an entry of another program that hides the others."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.store.put("servers/x", value)
+            deployment.store.put("op/config", make_configuration(2))
+            await asyncio.sleep(1.0)
+            assert deployment.list_versions() == [2] * 4
+            assert all(len(g.targets) == 2 for g in deployment.gateways.values())
+
+        run(play)
+
+    def test_reader_dies(self) -> None:
+        """Guards against changes that wait for an instance that is gone."""
+
+        async def play(deployment: Deployment) -> None:
+            await deployment.kill("10.1.0.1")
+            deployment.store.put("op/config", make_configuration(3))
+            await asyncio.sleep(2.0)
+            assert deployment.list_versions() == [3] * 3
+
+        run(play)
+
+    def test_older_version(self) -> None:
+        """Guards against a configuration that reverts."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.store.put("op/config", make_configuration(9))
+            await asyncio.sleep(1.0)
+            deployment.store.put("op/config", make_configuration(4))
+            await asyncio.sleep(1.0)
+            assert deployment.list_versions() == [9] * 4
+
+        run(play)
+
+
+class TestFaults:
+    """The store and instances fail."""
+
+    def test_store_down(self) -> None:
+        """Guards against requests that need the store."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.store.is_down = True
+            await asyncio.sleep(10.0)
+            assert (await deployment.call("10.1.0.2")).status == 200
+            deployment.store.is_down = False
+            deployment.store.put("op/config", make_configuration(5))
+            await asyncio.sleep(8.0)
+            assert deployment.list_versions() == [5] * 4
+
+        run(play)
+
+    def test_history_dropped(self) -> None:
+        """Guards against a target that left while the history was dropped."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.store.remove("servers/i-2")
+            deployment.store.drop_history()
+            await asyncio.sleep(1.0)
+            assert all(len(g.targets) == 1 for g in deployment.gateways.values())
+
+        run(play)
+
+    def test_restart_while_the_store_is_down(self) -> None:
+        """Guards against a restarted instance that waits for the store."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.store.is_down = True
+            await deployment.kill("10.1.0.2")
+            await asyncio.sleep(2.0)
+            deployment.network.release()
+            await deployment.add_instance("10.1.0.2")
+            await asyncio.sleep(1.0)
+            assert (await deployment.call("10.1.0.2")).status == 200
+
+        run(play)
+
+    def test_all_restart(self) -> None:
+        """Guards against a fleet that does not come back by itself."""
+
+        async def play(deployment: Deployment) -> None:
+            for host in HOSTS:
+                await deployment.kill(host)
+            deployment.network.release()
+            await asyncio.gather(*(deployment.add_instance(host) for host in HOSTS))
+            await asyncio.sleep(1.0)
+            for host in HOSTS:
+                assert (await deployment.call(host)).status == 200
+
+        run(play)
+
+    def test_partition(self) -> None:
+        """Guards against a side of a partition that serves nobody."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.network.cut(["10.2.0.1", STORE], ["10.1.0.1", "10.1.0.2"])
+            deployment.store.put("op/config", make_configuration(6))
+            await asyncio.sleep(5.0)
+            assert (await deployment.call("10.1.0.1")).status == 200
+            deployment.network.heal()
+            await asyncio.sleep(5.0)
+            assert deployment.list_versions() == [6] * 4
+
+        run(play)
+
+    def test_leaving(self) -> None:
+        """Guards against a stop that cuts requests or keeps new callers."""
+
+        async def play(deployment: Deployment) -> None:
+            deployment.workers["i-1"].work_ms = deployment.workers["i-2"].work_ms = 800
+            open_call = asyncio.create_task(deployment.call("10.1.0.2"))
+            await asyncio.sleep(0.3)
+            gateway = deployment.gateways["10.1.0.2"]
+            leave = run_on_host("10.1.0.2", gateway.leave())
+            await asyncio.sleep(0.2)
+            ready = await deployment.ask("10.1.0.2", 8640, "/-/readiness")
+            assert ready.status == 503
+            path = "/-/resolve?zone=a"
+            addresses = (await deployment.ask("10.1.0.1", 8644, path)).body
+            assert b"10.1.0.2" not in addresses
+            assert (await open_call).status == 200
+            await leave
+
+        run(play)
