Explain requests from the log lines of gateways

The command explain read eliot records only, and lines of gateways had a monotonic time, by which logs of several instances cannot be put in order. Lines now carry the time of day as well, which no decision uses, and explain shows status, target, reason and attempts of their request lines. The test was seen failing first: the lines were taken for no records.

--- a/src/currantline/cli/_explain.py
+++ b/src/currantline/cli/_explain.py
@@ -18,10 +18,14 @@
 STANDARD_INPUT = "-"
 CANCELLED = "CancelledError"
 DIGITS = 1
+
+# Target, ending, milliseconds and reason of one send in a line of a gateway.
+SEND_FIELDS = 4
 FIELDS = ("service", "route", "outcome", "target", "reason", "attempts", "waited_ms")
 
 DETAILS = """\
-Reads logs of instances (log_path, one JSON record a line) and prints every record
+Reads logs of instances (log_path, or the standard output of instances on the users'
+platform; one JSON record a line) and prints every record
 with the request id in the order of time. Without a FILE, or for -, it reads the
 standard input. One request id shows up more than once if the caller tried again
 at another instance. An outcome of `abandoned` says that the caller closed its
@@ -163,17 +167,17 @@
     """
     logs = list(sources)
     tasks = {
-        record.get("task_uuid")
+        record["task_uuid"]
         for log in logs
         for record in log.read()
-        if record.get("request_id") == request_id
+        if record.get("request_id") == request_id and "task_uuid" in record
     }
     return [
         record
         for log in logs
         for record in log.read()
-        if record.get("task_uuid") in tasks
-        and record.get("request_id", request_id) == request_id
+        if record.get("request_id") == request_id
+        or (record.get("task_uuid") in tasks and "request_id" not in record)
     ]
 
 
@@ -182,11 +186,35 @@
         record = json.loads(line)
     except (ValueError, RecursionError):
         return None
-    is_record = isinstance(record, dict) and isinstance(record.get("task_uuid"), str)
+    if not isinstance(record, dict):
+        return None
+    is_record = any(isinstance(record.get(key), str) for key in ("task_uuid", "event"))
     return record if is_record else None
 
 
+def _read_event(record: dict[str, Any]) -> Step:
+    """Return a line that `currantline.telemetry.EventLog` wrote at an end."""
+    sends = [send for send in record.get("sends") or () if isinstance(send, list)]
+    last = sends[-1] if sends and len(sends[-1]) == SEND_FIELDS else None
+    tried = record.get("tried") or ()
+    fields = {
+        **record,
+        "outcome": str(record.get("status", "")),
+        "target": last[0] if last else ", ".join(map(str, tried)),
+        "reason": record.get("reason") or (last[-1] if last else ""),
+        "attempts": len(tried),
+    }
+    when, took_ms = _read_time(record), record.get("took_ms")
+    kind = str(record["event"])
+    if isinstance(took_ms, int | float) and took_ms >= 0:
+        started = when - took_ms / MS_PER_SECOND
+        return Step(kind=kind, started=started, ended=when, fields=fields)
+    return Step(kind=kind, started=when, fields=fields)
+
+
 def _read_message(record: dict[str, Any]) -> Step:
+    if "event" in record:
+        return _read_event(record)
     kind = str(record.get("message_type", "-"))
     when, duration_ms = _read_time(record), record.get("duration_ms")
     if isinstance(duration_ms, int | float) and duration_ms >= 0:
--- a/src/currantline/cli/tests/test_instances.py
+++ b/src/currantline/cli/tests/test_instances.py
@@ -288,6 +288,21 @@
         assert [step["duration_ms"] for step in steps] == [8.0, 8.0, None]
         assert steps[1]["target"] == "t0"
 
+    def test_lines_of_gateways(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """Guards against logs of the users' platform that cannot be explained."""
+        line = {"event": "request", "instance": "e1", "timestamp": 9.0}
+        line |= {"request_id": "r1", "status": 502, "took_ms": 500.0, "reason": ""}
+        line |= {"sends": [["t4", "unknown", 480.0, "was reset"]], "tried": ["t4"]}
+        other = {"event": "health_check_failed", "instance": "e1", "timestamp": 9.0}
+        path = tmp_path / "a.log"
+        path.write_text("\n".join(map(json.dumps, [other, line])))
+        (step,) = self.explain([str(path)], capsys)
+        assert (step["outcome"], step["target"]) == ("502", "t4")
+        assert (step["reason"], step["attempts"]) == ("was reset", 1)
+        assert step["duration_ms"] == 500.0
+
     def test_one_record(
         self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
     ) -> None:
--- a/src/currantline/gatewayd.py
+++ b/src/currantline/gatewayd.py
@@ -37,7 +37,12 @@
 
 async def _serve(settings: InstanceSettings, path: str) -> int:
     clock = MonotonicClock()
-    log = EventLog(settings.name, clock=clock, write=open_standard_output())
+    log = EventLog(
+        settings.name,
+        clock=clock,
+        write=open_standard_output(),
+        read_time=lambda: time.time_ns() / 1e9,
+    )
     seed = f"{settings.name}:{time.time_ns()}:{os.getpid()}"
     gateway = Gateway(
         settings,
--- a/src/currantline/telemetry/_log.py
+++ b/src/currantline/telemetry/_log.py
@@ -33,13 +33,22 @@
     write : callable
         Writes bytes and returns how many were taken; raises `BlockingIOError` if
         none can be taken now.
+    read_time : callable, optional
+        Returns the time of day in seconds; the lines carry it so that logs of
+        several instances can be put in order. No decision depends on it.
     """
 
     def __init__(
-        self, instance: str, *, clock: Clock, write: Callable[[bytes], int]
+        self,
+        instance: str,
+        *,
+        clock: Clock,
+        write: Callable[[bytes], int],
+        read_time: Callable[[], float] | None = None,
     ) -> None:
         self._instance = instance
         self._clock = clock
+        self._read_time = read_time or (lambda: clock.read() / 1000)
         self._write_bytes = write
         self._buffer = bytearray()
         self._credit = BURST_LINES
@@ -60,7 +69,12 @@
         if not self._take_credit(now) or len(self._buffer) > MAX_BUFFER_BYTES:
             self.dropped += 1
             return
-        line = {"event": event, "ms": round(now, 1), "instance": self._instance}
+        line = {
+            "event": event,
+            "timestamp": round(self._read_time(), 3),
+            "ms": round(now, 1),
+            "instance": self._instance,
+        }
         if self.dropped:
             line["dropped_lines"], self.dropped = self.dropped, 0
         self._buffer += json.dumps({**line, **fields}).encode() + b"\n"
