--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -113,7 +113,9 @@
 
 def _decode_route(name: str, route: Mapping[str, Any]) -> Route:
     if route["kind"] not in KINDS:
-        raise ValueError(f"unknown kind {route['kind']!r} of route {name}")
+        raise ConfigurationError(
+            f"unknown kind {route['kind']!r}", source=CONFIGURATION_KEY, path=name
+        )
     parts = route.get("trafficSplit") or [{"service": route["service"], "weight": 1}]
     timeout_ms = float(route["timeoutMs"])
     return Route(
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -145,6 +145,6 @@
     try:
         data = base64.b64decode(value, validate=True)
     except binascii.Error as error:
-        raise ValueError(str(error)) from error
+        raise PlatformError(f"a value is not base64: {error}") from error
     # Bytes of another writer that are no text stay recognisable as such.
     return data.decode("utf-8", errors="replace")
--- a/src/currantline/platform/tests/support.py
+++ b/src/currantline/platform/tests/support.py
@@ -2,7 +2,10 @@
 
 from typing import Any
 
-__all__ = ["make_configuration", "make_entry", "make_settings"]
+__all__ = ["DIRECTORY_QUERY", "make_configuration", "make_entry", "make_settings"]
+
+# What a caller in the first data centre asks the directory.
+DIRECTORY_QUERY = "/-/resolve?name=shop.example&region=r&zone=a"
 
 
 def make_configuration(version: int, service: str = "svc") -> dict[str, Any]:
@@ -46,7 +49,7 @@
 
 
 def make_settings(
-    host: str, zone: str, *, seeds: tuple[str, ...], zones: tuple[str, ...]
+    host: str, zone: str, *, seeds: tuple[str, ...], data_centres: tuple[str, ...]
 ) -> dict[str, Any]:
     """Return the settings of one machine."""
     return {
--- a/src/currantline/platform/tests/test_settings.py
+++ b/src/currantline/platform/tests/test_settings.py
@@ -12,7 +12,7 @@
 
 def make_document() -> dict[str, Any]:
     """Return valid settings."""
-    return make_settings("10.1.0.1", "b", seeds=("10.1.0.2",), zones=("b", "a"))
+    return make_settings("10.1.0.1", "b", seeds=("10.1.0.2",), data_centres=("b", "a"))
 
 
 class TestDecodeSettings:
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -10,6 +10,7 @@
 from currantline.gateway import Gateway
 from currantline.platform import HEADERS, decode_settings
 from currantline.platform.tests.support import (
+    DIRECTORY_QUERY,
     make_configuration,
     make_entry,
     make_settings,
@@ -21,7 +22,7 @@
 from currantline.wire import Answer, HttpService, Request, fetch
 
 STORE, CALLER = "10.200.1.7", "10.99.0.1"
-ZONES = ("a", "b")
+DATA_CENTRES = ("a", "b")
 HOSTS = {"10.1.0.1": "a", "10.1.0.2": "a", "10.1.0.3": "a", "10.2.0.1": "b"}
 
 
@@ -56,7 +57,9 @@
         """Start an instance."""
         self.starts += 1
         seeds = ("10.1.0.1", "10.2.0.1")
-        document = make_settings(host, HOSTS[host], seeds=seeds, zones=ZONES)
+        document = make_settings(
+            host, HOSTS[host], seeds=seeds, data_centres=DATA_CENTRES
+        )
         clock = LoopClock(asyncio.get_running_loop())
         gateway = Gateway(
             decode_settings(document, source=host),
@@ -92,6 +95,10 @@
         call = fetch(f"{host}:{port}", request, timeout_ms=1_000.0)
         return await run_on_host(CALLER, call)
 
+    async def find_addresses(self, host: str) -> bytes:
+        """Ask an instance where callers of data centre ``a`` should connect."""
+        return (await self.ask(host, 8644, DIRECTORY_QUERY)).body
+
     def list_versions(self) -> list[int]:
         """Return the versions in force."""
         tables = [gateway.table for gateway in self.gateways.values()]
@@ -129,13 +136,10 @@
         """Guards against callers that are sent to instances that are gone."""
 
         async def play(deployment: Deployment) -> None:
-            path = "/-/resolve?name=shop.example&region=r&zone=a"
-            before = await deployment.ask("10.2.0.1", 8644, path)
-            assert before.body.count(b":8641") == 3
+            assert (await deployment.find_addresses("10.2.0.1")).count(b":8641") == 3
             await deployment.kill("10.1.0.2")
             await asyncio.sleep(4.0)
-            after = await deployment.ask("10.2.0.1", 8644, path)
-            assert b"10.1.0.2" not in after.body
+            assert b"10.1.0.2" not in await deployment.find_addresses("10.2.0.1")
 
         run(play)
 
@@ -300,9 +304,7 @@
             await asyncio.sleep(0.2)
             ready = await deployment.ask("10.1.0.2", 8640, "/-/readiness")
             assert ready.status == 503
-            path = "/-/resolve?zone=a"
-            addresses = (await deployment.ask("10.1.0.1", 8644, path)).body
-            assert b"10.1.0.2" not in addresses
+            assert b"10.1.0.2" not in await deployment.find_addresses("10.1.0.1")
             assert (await open_call).status == 200
             await leave
 
