--- a/src/currantline/platform/tests/support.py
+++ b/src/currantline/platform/tests/support.py
@@ -70,7 +70,7 @@
                 "control": f"{host}:8649",
                 "directory": f"{host}:8644",
             },
-            "zones": dict.fromkeys(zones, "r"),
+            "zones": dict.fromkeys(data_centres, "r"),
         },
         "platform": {"platform": {"address": "10.200.1.7:8642"}},
         "terms": {
