Limit the time in which a caller sends the head of a request

The limit of the configuration was added to that of a body, so half a request held a connection for 33 s. The head now has its own limit and the body begins its own when the head is read; the test was seen failing first. A setting that nothing used is gone, and what the store returns is a page, since a reading is what a target reports.

--- a/src/currantline/platform/__init__.py
+++ b/src/currantline/platform/__init__.py
@@ -17,7 +17,7 @@
     decode_settings,
     read_settings,
 )
-from currantline.platform._store import Reading, StoreClient
+from currantline.platform._store import StoreClient, StorePage
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -25,8 +25,8 @@
     "SETTINGS_VARIABLE",
     "TARGET_PREFIX",
     "InstanceSettings",
-    "Reading",
     "StoreClient",
+    "StorePage",
     "answer_directory",
     "answer_readiness",
     "decode_route_table",
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -50,8 +50,6 @@
         Longest time in seconds for which callers keep an address answer.
     grace_ms : float
         Time in milliseconds between SIGTERM and SIGKILL.
-    memory_mb : int
-        Memory of the process in megabytes.
     """
 
     name: str
@@ -68,7 +66,6 @@
     retry_terms: RetryTerms
     directory_ttl_s: float
     grace_ms: float
-    memory_mb: int
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -120,7 +117,6 @@
             ),
             directory_ttl_s=float(bounds["ttl_max_s"]),
             grace_ms=1000.0 * float(bounds["graceS"]),
-            memory_mb=int(own["limits"]["memoryMb"]),
         )
     except KeyError as error:
         key = str(error.args[0])
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -13,7 +13,7 @@
 from currantline.replica import Record
 from currantline.wire import Answer, HttpClient, Request
 
-__all__ = ["Reading", "StoreClient"]
+__all__ = ["StoreClient", "StorePage"]
 
 # All keys that instances use begin so; one watch covers them.
 EVERYTHING = ""
@@ -29,7 +29,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Reading:
+class StorePage:
     """Records that the store returned.
 
     Parameters
@@ -57,7 +57,7 @@
         self._http = http
         self.calls = 0
 
-    async def read_all(self) -> Reading:
+    async def read_all(self) -> StorePage:
         """Return everything that is published.
 
         Pages are not a snapshot, so the reading counts as complete up to the
@@ -77,10 +77,10 @@
             if revision is None:
                 revision = _read_revision(page)
             if not page.get("truncated") or not page.get("items"):
-                return Reading(records=tuple(records), revision=revision)
+                return StorePage(records=tuple(records), revision=revision)
             query["after"] = page["items"][-1]["key"]
 
-    async def watch(self, after: int, *, wait_ms: int) -> Reading:
+    async def watch(self, after: int, *, wait_ms: int) -> StorePage:
         """Wait for changes after a revision; may return without any.
 
         Raises
@@ -93,7 +93,7 @@
         query = {"prefix": EVERYTHING, "after": after, "waitMs": wait_ms}
         page = await self._call("/-/kv-watch", query, wait_ms + WATCH_SLACK_MS)
         records = tuple(_decode_items(page.get("events") or ()))
-        return Reading(records=records, revision=_read_revision(page))
+        return StorePage(records=records, revision=_read_revision(page))
 
     def close(self) -> None:
         """Drop the connection."""
--- a/src/currantline/platform/tests/support.py
+++ b/src/currantline/platform/tests/support.py
@@ -58,7 +58,6 @@
             "ip": host,
             "zone": zone,
             "region": "r",
-            "limits": {"memoryMb": 300},
             "unknown": 1,
         },
         "network": {
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -21,7 +21,7 @@
 # Connections that may wait to be accepted; a full queue costs a caller seconds.
 BACKLOG = 1024
 
-# Longest time in milliseconds for a caller to send a body or to take an answer.
+# Longest time in milliseconds for a caller to send a body.
 BODY_TIMEOUT_MS = 30_000.0
 
 # A caller that stays silent to what is sent to it has gone after this time, in
@@ -161,10 +161,16 @@
             self._idle.discard(connection)
 
     async def _read_request(self, connection: HttpConnection) -> Request | None:
-        limit_ms = self._read_limits().head_timeout_ms + BODY_TIMEOUT_MS
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(limit_ms / 1000):
-                return await connection.read_request()
+            async with asyncio.timeout(
+                self._read_limits().head_timeout_ms / 1000
+            ) as limit:
+                return await connection.read_request(
+                    on_head=lambda: limit.reschedule(
+                        loop.time() + BODY_TIMEOUT_MS / 1000
+                    )
+                )
         except TimeoutError as error:
             raise SlowRequestError("the request did not arrive in time") from error
 
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -108,6 +108,26 @@
 
         run(play)
 
+    def test_slow_head(self) -> None:
+        """Guards against callers that hold a connection with half a request."""
+
+        async def play(bench: Bench) -> None:
+            limits = CallerLimits(head_timeout_ms=500)
+            bench.set_route(make_route(), limits=limits)
+            await bench.add_worker()
+            await bench.server.start(FRONT)
+            slow, steady = await open_connection(), await open_connection()
+            slow.write(b"GET / HTTP/1.1\r\nhost: h\r\n")
+            head = b"POST /a HTTP/1.1\r\nhost: h\r\nx-id: a\r\ncontent-length: 2\r\n"
+            steady.write(head + b"\r\n1")
+            await asyncio.sleep(0.6)
+            assert slow.is_lost
+            steady.write(b"2")
+            await asyncio.sleep(0.2)
+            assert bench.list_ran() == ["a"]
+
+        run(play)
+
     def test_malformed(self) -> None:
         """Guards against bytes after a broken request that run as another one."""
 
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -133,9 +133,16 @@
             await self._wait()
         return self.has_unread
 
-    async def read_request(self) -> Request | None:
+    async def read_request(
+        self, *, on_head: Callable[[], object] | None = None
+    ) -> Request | None:
         """Read one whole request.
 
+        Parameters
+        ----------
+        on_head : callable, optional
+            Called when the request line and the headers have been read.
+
         Returns
         -------
         Request or None
@@ -155,6 +162,8 @@
         headers = _decode(event.headers)
         self._check_head(event.target, headers)
         self._check_length(headers)
+        if on_head is not None:
+            on_head()
         if self._h11.they_are_waiting_for_100_continue and not self.has_unread:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.write(self._h11.send(go_on) or b"")
