Keep the decisions at a peak apart from the questions to targets

Whether a request takes a target, waits or is refused stood in the class that asks targets over the network, so it could only be tried with sockets. A second send also passes over a target that began to leave while it was asked, as first sends did.

--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -1,5 +1,13 @@
 """Where a request goes: targets, what is known of them, and the choice."""
 
+from currantline.placement._admission import (
+    Timed,
+    find_refusal,
+    has_good,
+    is_overdue,
+    select,
+    select_spare,
+)
 from currantline.placement._choice import (
     Candidate,
     choose,
@@ -19,9 +27,15 @@
     "Standing",
     "Target",
     "Targets",
+    "Timed",
     "TypicalTimes",
     "choose",
     "count_useful_slots",
     "estimate_ms",
+    "find_refusal",
+    "has_good",
+    "is_overdue",
     "parse_load",
+    "select",
+    "select_spare",
 ]
--- a/src/currantline/relay/_placer.py
+++ b/src/currantline/relay/_placer.py
@@ -12,7 +12,11 @@
     Target,
     Targets,
     TypicalTimes,
-    choose,
+    find_refusal,
+    has_good,
+    is_overdue,
+    select,
+    select_spare,
 )
 from currantline.relay._line import LookLine, Urgency
 from currantline.relay._pool import Lease
@@ -29,26 +33,6 @@
 NEAR_ASKED_AGAIN = 2
 FAR_ASKED_AGAIN = 1
 
-# A target whose predicted time is within this multiple of the usual one is taken
-# without asking in other data centres.
-GOOD_RATIO = 1.35
-
-# A target is taken if it would answer within this part of the time that is left of
-# the objective; the rest covers the way back and errors of the prediction.
-OBJECTIVE_SHARE = 0.85
-
-# The same for a target whose host is slower than this multiple of the usual; other
-# hosts are faster, and it may stay slow.
-SLOW_HOST = 1.5
-SLOW_HOST_SHARE = 0.6
-
-# A request is overdue once less than this multiple of the usual time is left of its
-# objective: it would be late at any target, and gives way to those that would not.
-OVERDUE_RATIO = 1.2
-
-# Part of its time for which an overdue request waits for a slot that no other needs.
-WAIT_SHARE = 0.5
-
 # Pause between two looks of an overdue request in milliseconds.
 OVERDUE_PAUSE_MS = 60.0
 
@@ -186,13 +170,9 @@
         if len(self._find_line(work)) or not usable:
             return None
         asked = await self._ask(work, usable, looks=1)
-        now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
-        spare = [a.candidate for a in asked if a.candidate.is_spare]
-        best = choose(spare, usual_ms, now, self._rng)
-        if best is None or best[1] > work.ends_ms - now:
-            self._prober.release(asked)
-            return None
-        return self._take(asked, *best)
+        usual_ms, now = self._read_usual(work), self._clock.read()
+        best = select_spare(work, self._list_current(asked), usual_ms, now, self._rng)
+        return self._take(asked, best)
 
     def note_freed(self, work: Work, target: Target) -> None:
         """Offer the slot of a finished request to the next that waits."""
@@ -210,8 +190,10 @@
         return Urgency(self._is_overdue(work), work.route.priority, work.arrived_ms)
 
     def _is_overdue(self, work: Work) -> bool:
-        left_ms = work.due_ms - self._clock.read()
-        return left_ms < OVERDUE_RATIO * self._typical.read(work.route.name)
+        return is_overdue(work, self._read_usual(work), self._clock.read())
+
+    def _read_usual(self, work: Work) -> float:
+        return self._typical.read(work.route.name)
 
     async def _look(
         self,
@@ -220,18 +202,19 @@
         looks: int,
         freed: Target | None,
     ) -> Placement | None:
-        now = self._clock.read()
-        if now >= work.arrived_ms + WAIT_SHARE * (work.ends_ms - work.arrived_ms):
-            return Placement(reason="all targets full")
-        if work.ends_ms - now < self._typical.read(work.route.name):
-            return Placement(reason="too little time left")
+        refusal = find_refusal(work, self._read_usual(work), self._clock.read())
+        if refusal:
+            return Placement(reason=refusal)
         usable = self._list_usable(work, exclude)
         if not usable:
             return Placement(reason="no target")
         if freed is not None:
             freed.full_until_ms = 0.0
             usable = [target for target in usable if target is freed]
-        return self._choose(work, await self._ask(work, usable, looks))
+        asked = await self._ask(work, usable, looks)
+        usual_ms, now = self._read_usual(work), self._clock.read()
+        best = select(work, self._list_current(asked), usual_ms, now, self._rng)
+        return self._take(asked, best)
 
     def _list_usable(self, work: Work, exclude: Collection[str]) -> list[Target]:
         usable = self._targets.list_usable(work.service.name)
@@ -242,7 +225,8 @@
         path = work.service.health_path
         near_most = NEAR_ASKED_AGAIN if looks else NEAR_ASKED
         asked = await self._ask_some(near, near_most, path)
-        if self._has_good(work, asked):
+        readings = [one.candidate for one in asked]
+        if has_good(readings, self._read_usual(work), self._clock.read(), self._rng):
             return asked
         others = [target for target in usable if target not in near]
         most = FAR_ASKED_AGAIN if looks else FAR_ASKED
@@ -270,43 +254,16 @@
                 one.candidate.target.full_until_ms = self._clock.read() + FULL_MS
         return asked
 
-    def _has_good(self, work: Work, asked: list[Asked]) -> bool:
-        now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
-        best = choose((a.candidate for a in asked), usual_ms, now, self._rng)
-        return best is not None and best[1] <= GOOD_RATIO * usual_ms
-
-    def _choose(self, work: Work, asked: list[Asked]) -> Placement | None:
-        now, usual_ms = self._clock.read(), self._typical.read(work.route.name)
-        current = [
-            asked_one.candidate
-            for asked_one in asked
-            if self._targets.is_current(asked_one.candidate.target)
-        ]
-        if self._is_overdue(work):
-            # Slots that are scarce go to requests that can still be in time.
-            fit = [candidate for candidate in current if candidate.has_reserve]
-        else:
-            fit = [candidate for candidate in current if candidate.has_slot]
-        best = choose(fit, usual_ms, now, self._rng)
-        if best is None or not self._is_acceptable(work, *best):
-            self._prober.release(asked)
-            return None
-        return self._take(asked, *best)
-
-    def _is_acceptable(
-        self, work: Work, candidate: Candidate, predicted_ms: float
-    ) -> bool:
-        if self._is_overdue(work):
-            return True
-        is_slow = candidate.reading.slowness > SLOW_HOST
-        share = SLOW_HOST_SHARE if is_slow else OBJECTIVE_SHARE
-        usual_ms = self._typical.read(work.route.name)
-        left_ms = work.due_ms - self._clock.read()
-        return predicted_ms <= max(GOOD_RATIO * usual_ms, share * left_ms)
+    def _list_current(self, asked: list[Asked]) -> list[Candidate]:
+        # A target may have begun to leave while it was asked.
+        candidates = [one.candidate for one in asked]
+        return [c for c in candidates if self._targets.is_current(c.target)]
 
     def _take(
-        self, asked: list[Asked], candidate: Candidate, predicted_ms: float
-    ) -> Placement:
-        chosen = next(a for a in asked if a.candidate is candidate)
+        self, asked: list[Asked], best: tuple[Candidate, float] | None
+    ) -> Placement | None:
+        chosen = next((a for a in asked if best and a.candidate is best[0]), None)
         self._prober.release(a for a in asked if a is not chosen)
-        return Placement(candidate.target, chosen.lease, predicted_ms)
+        if chosen is None or best is None:
+            return None
+        return Placement(chosen.candidate.target, chosen.lease, best[1])
