Refuse late requests after a quarter of their time, and use kept connections

Change: it waits for a quarter, and its caller is asked to return after 0.15 to 0.33 of the time that is left, which is what callers honour.

--- a/src/currantline/placement/_admission.py
+++ b/src/currantline/placement/_admission.py
@@ -31,9 +31,13 @@
 # objective: it would be late at any target, and gives way to those that would not.
 OVERDUE_RATIO = 1.2
 
-# Part of its time for which a request waits for a slot that no other needs.
+# Part of its time for which a request waits for a slot.
 WAIT_SHARE = 0.5
 
+# The same once it is overdue. A caller that is told early when to return has time
+# left to be served after the peak.
+OVERDUE_WAIT_SHARE = 0.25
+
 
 class Timed(Protocol):
     """Times of a request, in milliseconds of the clock."""
@@ -72,7 +76,9 @@
         Current time in milliseconds.
     """
     time_ms = request.ends_ms - request.arrived_ms
-    if now >= request.arrived_ms + WAIT_SHARE * time_ms:
+    is_late = is_overdue(request, usual_ms, now)
+    share = OVERDUE_WAIT_SHARE if is_late else WAIT_SHARE
+    if now >= request.arrived_ms + share * time_ms:
         return "all targets full"
     if request.ends_ms - now < usual_ms:
         return "too little time left"
--- a/src/currantline/relay/_placer.py
+++ b/src/currantline/relay/_placer.py
@@ -12,6 +12,7 @@
     Target,
     Targets,
     TypicalTimes,
+    choose_to_ask,
     find_refusal,
     has_good,
     is_overdue,
@@ -57,7 +58,9 @@
     due_ms : float
         Time by which its answer has its full value.
     ends_ms : float
-        Time at which nobody waits for it any more.
+        Time at which this try of the caller ends.
+    leaves_ms : float
+        Time at which the caller leaves, whatever it is told.
     """
 
     request_id: str
@@ -66,6 +69,7 @@
     arrived_ms: float
     due_ms: float
     ends_ms: float
+    leaves_ms: float
 
 
 @attrs.frozen(eq=False)
@@ -243,12 +247,14 @@
         open_targets = [t for t in targets if t.full_until_ms <= now]
         if not open_targets:
             return []
-        # Targets that failed lately come last, the others in random order.
-        ordered = sorted(
+        chosen = choose_to_ask(
             open_targets,
-            key=lambda t: (t.standing.failures(now) > 0.5, self._rng.random()),
+            most,
+            is_connected=self._prober.is_connected,
+            now=now,
+            rng=self._rng,
         )
-        asked = await self._prober.ask(ordered[:most], path)
+        asked = await self._prober.ask(chosen, path)
         for one in asked:
             if not one.candidate.has_slot:
                 one.candidate.target.full_until_ms = self._clock.read() + FULL_MS
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -47,13 +47,18 @@
 SHORTEST_MS = 5.0
 
 # Bounds of the time after which a refused caller is asked to return, as parts of the
-# objective; drawn between them so that refused callers do not return together.
-RETURN_SHARES = (0.5, 1.5)
+# time that it still waits; drawn between them so that refused callers do not return
+# together. Callers honour up to a third of that time.
+RETURN_SHARES = (0.15, 0.33)
 
-# The same for a caller whose request targets with free slots rejected; another try
-# may succeed at once.
+# The same for a caller whose request targets with free slots rejected, as parts of
+# the objective; another try may succeed at once.
 REJECTED_SHARES = (0.0, 0.05)
 
+# Bounds of the time after which a caller is asked to return to an instance that
+# knows no configuration yet, in milliseconds; it takes some tens of milliseconds.
+UNREADY_MS = (500.0, 1_500.0)
+
 NOT_FOUND, UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 404, 503, 502, 504
 
 
@@ -135,7 +140,7 @@
         arrived_ms = self._clock.read()
         table = self._read_table()
         if table is None:
-            return self._refuse(request, "no configuration is known", 1000.0)
+            return self._refuse(request, "no configuration is known", UNREADY_MS)
         host = find_header(request.headers, "host") or ""
         route = table.find(host, request.target.partition("?")[0])
         if route is None:
@@ -143,7 +148,7 @@
             return _answer_text(NOT_FOUND, "no route fits")
         service = table.services.get(choose_service(route, self._rng))
         if service is None:
-            return self._refuse(request, "unknown service", route.objective_ms)
+            return self._refuse(request, "unknown service", UNREADY_MS)
         stated_ms = self._read_time_left(request, route)
         age_ms = self._patience.find_age(route.name, stated_ms)
         work = Work(
@@ -153,6 +158,7 @@
             arrived_ms=arrived_ms,
             due_ms=arrived_ms + route.objective_ms - age_ms - RETURN_MS,
             ends_ms=arrived_ms + min(stated_ms - RETURN_MS, route.timeout_ms),
+            leaves_ms=arrived_ms + stated_ms - RETURN_MS,
         )
         progress = _Progress(work, request)
         answer = await self._carry(progress)
@@ -317,17 +323,22 @@
 
     def _refuse_work(self, progress: _Progress, reason: str) -> Answer:
         progress.refusal = reason
-        shares = REJECTED_SHARES if progress.results else RETURN_SHARES
-        return self._build_refusal(reason, progress.work.route.objective_ms, shares)
-
-    def _refuse(self, request: Request, reason: str, objective_ms: float) -> Answer:
+        work = progress.work
+        if progress.results:
+            unit_ms, shares = work.route.objective_ms, REJECTED_SHARES
+        else:
+            left_ms = work.leaves_ms - self._clock.read()
+            unit_ms, shares = max(0.0, left_ms), RETURN_SHARES
+        return self._build_refusal(reason, (shares[0] * unit_ms, shares[1] * unit_ms))
+
+    def _refuse(
+        self, request: Request, reason: str, bounds_ms: tuple[float, float]
+    ) -> Answer:
         self._note(request, UNAVAILABLE, reason)
-        return self._build_refusal(reason, objective_ms, RETURN_SHARES)
+        return self._build_refusal(reason, bounds_ms)
 
-    def _build_refusal(
-        self, reason: str, objective_ms: float, shares: tuple[float, float]
-    ) -> Answer:
-        after_s = self._rng.uniform(*shares) * objective_ms / 1000
+    def _build_refusal(self, reason: str, bounds_ms: tuple[float, float]) -> Answer:
+        after_s = self._rng.uniform(*bounds_ms) / 1000
         answer = _answer_text(UNAVAILABLE, reason)
         header = ("retry-after", f"{after_s:.3f}")
         return attrs.evolve(answer, headers=(*answer.headers, header))
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -135,6 +135,39 @@
 
         run(play)
 
+    def test_replay_refusals(self) -> None:
+        """Guards against callers that are held at a peak, or sent back into it.
+
+        Forty requests arrive within 0.2 s at a target that does 7 in that time.
+        """
+
+        async def play(bench: Bench) -> None:
+            await bench.add_worker(work_ms=100.0)
+            held: list[float] = []
+            returns: list[float] = []
+
+            async def call(number: int) -> None:
+                arrived = bench.clock.read()
+                answer = await bench.send(str(number))
+                if answer.status == 503:
+                    held.append(bench.clock.read() - arrived)
+                    after = find_header(answer.headers, "retry-after")
+                    returns.append(1000.0 * float(after or 0.0))
+
+            tasks = []
+            for number in range(40):
+                tasks.append(asyncio.create_task(call(number)))
+                await asyncio.sleep(0.005)
+            await asyncio.gather(*tasks)
+            assert len(held) > 10
+            # A quarter of the route's 2 s and one pause between two looks.
+            assert max(held) <= 600.0
+            assert min(returns) >= 300.0
+            assert max(returns) <= 2_500.0 / 3
+            assert max(returns) - min(returns) > 200.0
+
+        run(play)
+
 
 class TestOutcome:
     """What callers are told."""
