Run real instances under faults from outside, drawn from a seed

The soak starts instances as processes, with stand-ins for store, targets and callers on loopback and proxies that delay, drop one way, silence and reset connections. Faults come in series and overlap: kills, stops, pauses, reloads, the store silent to some, down or without history, targets that reject, fail, lose answers, drain and leave, configurations in quick succession. It checks from what callers and targets saw: at most once, a true "not run", whole own answers, drains and configurations in force within 2 s at instances that were calm, nothing cut off by planned work alone, recovery. Its addresses and documents come from the platform's folder.

--- a/src/currantline/platform/tests/support.py
+++ b/src/currantline/platform/samples.py
@@ -1,18 +1,29 @@
-"""Documents and settings as the platform writes them."""
+"""Documents and settings as the platform writes them, for tests and the soak."""
 
 import json
 from typing import Any
 
+from currantline.platform._endpoints import DIRECTORY_PATH, READINESS_PATH
+
 __all__ = [
-    "DIRECTORY_QUERY",
+    "READINESS_PATH",
     "format_settings",
     "make_configuration",
+    "make_directory_query",
     "make_entry",
     "make_settings",
+    "read_addresses",
 ]
 
-# What a caller in the first data centre asks the directory.
-DIRECTORY_QUERY = "/-/resolve?name=shop.example&region=r&zone=a"
+
+def make_directory_query(data_centre: str) -> str:
+    """Return what a caller in a data centre asks the directory."""
+    return f"{DIRECTORY_PATH}?name=shop.example&region=r&zone={data_centre}"
+
+
+def read_addresses(answer: bytes) -> list[str]:
+    """Return the addresses in an answer of the directory."""
+    return [str(address) for address in json.loads(answer)["addresses"]]
 
 
 def make_configuration(version: int, service: str = "svc") -> dict[str, Any]:
@@ -56,7 +67,12 @@
 
 
 def make_settings(
-    host: str, zone: str, *, seeds: tuple[str, ...], data_centres: tuple[str, ...]
+    host: str,
+    zone: str,
+    *,
+    seeds: tuple[str, ...],
+    data_centres: tuple[str, ...],
+    store: str = "10.200.1.7:8642",
 ) -> dict[str, Any]:
     """Return the settings of one machine."""
     return {
@@ -78,7 +94,7 @@
             },
             "zones": dict.fromkeys(data_centres, "r"),
         },
-        "platform": {"platform": {"address": "10.200.1.7:8642"}},
+        "platform": {"platform": {"address": store}},
         "terms": {
             "bounds": {
                 "retryBudgetRatio": 0.2,
--- a/src/currantline/platform/tests/test_documents.py
+++ b/src/currantline/platform/tests/test_documents.py
@@ -7,7 +7,7 @@
 
 from currantline.exceptions import ConfigurationError
 from currantline.platform import decode_route_table, decode_target
-from currantline.platform.tests.support import make_configuration, make_entry
+from currantline.platform.samples import make_configuration, make_entry
 
 
 class TestDecodeRouteTable:
--- a/src/currantline/platform/tests/test_settings.py
+++ b/src/currantline/platform/tests/test_settings.py
@@ -7,7 +7,7 @@
 
 from currantline.exceptions import SettingsError
 from currantline.platform import decode_settings, read_settings
-from currantline.platform.tests.support import make_settings
+from currantline.platform.samples import make_settings
 
 
 def make_document() -> dict[str, Any]:
--- /dev/null
+++ b/src/currantline/soak/__main__.py
@@ -0,0 +1,46 @@
+"""Runs soaks by hand: ``python -m currantline.soak --first=1 --seeds=50``."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+from absl import app, flags
+
+from currantline.soak._run import run_soak
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("first", 1, "First seed.")
+flags.DEFINE_integer("seeds", 1, "Number of seeds.", lower_bound=1)
+flags.DEFINE_float("seconds", 30.0, "Seconds of faults.", lower_bound=1.0)
+flags.DEFINE_integer("instances", 6, "Instances.", lower_bound=2, upper_bound=200)
+flags.DEFINE_integer("callers", 8, "Callers.", lower_bound=1)
+flags.DEFINE_string("logs", "", "Folder for the logs of instances; kept if given.")
+
+
+def main(_: list[str]) -> int:
+    """Run the seeds one after the other; return 1 if a promise was broken."""
+    failed = []
+    with tempfile.TemporaryDirectory() as temporary:
+        for seed in range(FLAGS.first, FLAGS.first + FLAGS.seeds):
+            folder = Path(FLAGS.logs or temporary) / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+            print(f"seed {seed}", flush=True)
+            broken = asyncio.run(
+                run_soak(
+                    seed,
+                    folder,
+                    duration_s=FLAGS.seconds,
+                    instances=FLAGS.instances,
+                    callers=FLAGS.callers,
+                )
+            )
+            for line in broken[:10]:
+                print(f"  broken: {line}", flush=True)
+            if broken:
+                failed.append(seed)
+    print(f"{FLAGS.seeds} seeds, failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/src/currantline/soak/_faults.py
@@ -0,0 +1,216 @@
+"""Faults of a soak, drawn from a seed; they come in series and overlap."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+
+from currantline.soak._processes import GRACE_S
+from currantline.soak._proxy import ProxyMode
+from currantline.soak._world import World
+
+__all__ = ["FAULTS", "Faults"]
+
+# Time from the start of one fault to the next, in seconds.
+GAP_S = (0.2, 2.0)
+
+# Time that a fault lasts, in seconds.
+LENGTH_S = (0.5, 4.0)
+
+# Time for which a draining target serves on, in seconds: that of the platform and
+# more.
+DRAIN_S = 3.0
+
+
+@attrs.define
+class Faults:
+    """Causes faults.
+
+    Parameters
+    ----------
+    world : World
+        What is harmed.
+    say : callable
+        Takes a line for each fault.
+    """
+
+    world: World
+    say: Callable[[str], object]
+    _running: set["asyncio.Task[None]"] = attrs.field(factory=set)
+    _busy: set[str] = attrs.field(factory=set)
+
+    async def run(self, duration_s: float) -> None:
+        """Cause faults for a time, and wait until all of them are over."""
+        rng, clock = self.world.rng, self.world.clock
+        begun_ms = clock.read()
+        while (passed_ms := clock.read() - begun_ms) < 1000 * duration_s:
+            name = rng.choice(sorted(FAULTS))
+            self.say(f"{passed_ms / 1000:7.1f} s  {name}")
+            task = asyncio.get_running_loop().create_task(FAULTS[name](self))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+            await asyncio.sleep(rng.uniform(*GAP_S))
+        await asyncio.gather(*self._running)
+
+    async def kill(self) -> None:
+        """Kill an instance and start it again."""
+        host = self._take_instance()
+        if host:
+            await self._end_instance(host, "kill")
+
+    async def kill_many(self) -> None:
+        """Kill about half of the instances at once and start them again."""
+        hosts = [self._take_instance() for _ in range(len(self.world.instances) // 2)]
+        await asyncio.gather(
+            *(self._end_instance(host, "kill") for host in hosts if host)
+        )
+
+    async def stop(self) -> None:
+        """Stop an instance as planned and start it again."""
+        host = self._take_instance()
+        if not host:
+            return
+        instance = self.world.instances[host]
+        self.world.disturb(host, "stop")
+        instance.send(signal.SIGTERM)
+        if not await instance.wait(GRACE_S):
+            self.world.disturb(host, "killed after its grace time")
+            await instance.kill()
+        self.world.disturb(host, "stop")
+        instance.start()
+        self._busy.discard(host)
+
+    async def pause(self) -> None:
+        """Let an instance stand still for a while."""
+        host = self._take_instance()
+        if not host:
+            return
+        self.world.disturb(host, "pause")
+        self.world.instances[host].send(signal.SIGSTOP)
+        await self._last()
+        self.world.instances[host].send(signal.SIGCONT)
+        self.world.disturb(host, "pause")
+        self._busy.discard(host)
+
+    async def reload(self) -> None:
+        """Write the settings of an instance with other seeds, and signal it."""
+        host = self._take_instance()
+        if not host:
+            return
+        instance = self.world.instances[host]
+        instance.seeds = (instance.seeds[-1], *instance.seeds[:-1])
+        instance.write_settings()
+        self.world.disturb(host, "reload")
+        if self.world.rng.random() < 0.5:
+            instance.send(signal.SIGHUP)
+        self._busy.discard(host)
+
+    async def silence_store(self) -> None:
+        """Let the store be silent, slow or cut one way for some instances."""
+        rng = self.world.rng
+        modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
+        mode = rng.choice(modes)
+        hosts = rng.sample(list(self.world.store_proxies), k=2)
+        for host in hosts:
+            self.world.disturb(host, "store")
+            self.world.store_proxies[host].mode = mode
+        await self._last()
+        for host in hosts:
+            self.world.disturb(host, "store")
+            self.world.store_proxies[host].mode = ProxyMode.PASS
+            self.world.store_proxies[host].reset()
+
+    async def refuse_store(self) -> None:
+        """Let the store refuse every call, or forget its history."""
+        self.world.disturb("store", "down")
+        if self.world.rng.random() < 0.5:
+            self.world.store.drop_history()
+        else:
+            self.world.store.is_down = True
+            await self._last()
+            self.world.store.is_down = False
+        self.world.disturb("store", "down")
+
+    async def harm_path(self) -> None:
+        """Delay, silence or reset the connections to a target."""
+        name = self.world.rng.choice(list(self.world.workers))
+        proxy = self.world.workers[name].proxy
+        self.world.disturb(name, "path")
+        if self.world.rng.random() < 0.3:
+            proxy.reset()
+        else:
+            modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
+            proxy.mode = self.world.rng.choice(modes)
+            await self._last()
+            proxy.mode = ProxyMode.PASS
+            # What was swallowed never comes, as after a lost connection.
+            proxy.reset()
+        self.world.disturb(name, "path")
+
+    async def harm_target(self) -> None:
+        """Let a target reject, fail, slow down or lose its answers."""
+        name = self.world.rng.choice(list(self.world.workers))
+        worker = self.world.workers[name].worker
+        flaw = self.world.rng.choice(["is_rejecting", "is_failing", "is_losing"])
+        self.world.disturb(name, flaw)
+        setattr(worker, flaw, True)
+        await self._last()
+        setattr(worker, flaw, False)
+        self.world.disturb(name, flaw)
+
+    async def replace_target(self) -> None:
+        """Start a target, drain another one of its service and take that away."""
+        name = self.world.rng.choice(list(self.world.workers))
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        await self.world.add_target(self.world.workers[name].service)
+        self.world.drain_target(name)
+        await asyncio.sleep(DRAIN_S)
+        self.world.disturb(name, "gone")
+        await self.world.remove_target(name)
+
+    async def change_configuration(self) -> None:
+        """Change the configuration, sometimes in quick succession."""
+        for _ in range(self.world.rng.choice([1, 1, 3])):
+            self.world.change_configuration()
+            await asyncio.sleep(0.2)
+
+    def _take_instance(self) -> str:
+        free = [host for host in self.world.instances if host not in self._busy]
+        if len(free) <= 1:
+            return ""
+        host = self.world.rng.choice(free)
+        self._busy.add(host)
+        return host
+
+    async def _end_instance(self, host: str, fault: str) -> None:
+        self.world.disturb(host, fault)
+        await self.world.instances[host].kill()
+        await self._last()
+        self.world.instances[host].start()
+        self.world.disturb(host, fault)
+        self._busy.discard(host)
+
+    async def _last(self) -> None:
+        await asyncio.sleep(self.world.rng.uniform(*LENGTH_S))
+
+
+FAULTS: dict[str, Callable[[Faults], Coroutine[Any, Any, None]]] = {
+    function.__name__.replace("_", " "): function
+    for function in (
+        Faults.kill,
+        Faults.kill_many,
+        Faults.stop,
+        Faults.pause,
+        Faults.reload,
+        Faults.silence_store,
+        Faults.refuse_store,
+        Faults.harm_path,
+        Faults.harm_target,
+        Faults.replace_target,
+        Faults.change_configuration,
+    )
+}
--- /dev/null
+++ b/src/currantline/soak/_processes.py
@@ -0,0 +1,102 @@
+"""The instances of a soak, each as a process of its own."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+
+from currantline.platform import SETTINGS_VARIABLE
+from currantline.platform.samples import format_settings, make_settings
+
+__all__ = ["GRACE_S", "InstanceProcess"]
+
+# Time between SIGTERM and SIGKILL in seconds, as the settings state it.
+GRACE_S = 6.0
+
+POLL_S = 0.02
+
+
+@attrs.define
+class InstanceProcess:
+    """One instance.
+
+    Parameters
+    ----------
+    host : str
+        IP number on loopback.
+    data_centre : str
+        Its data centre.
+    seeds : tuple of str
+        IP numbers of the seeds.
+    data_centres : tuple of str
+        All data centres.
+    store : str
+        Address of the store for this instance.
+    folder : Path
+        Folder for settings and logs.
+    """
+
+    host: str
+    data_centre: str
+    seeds: tuple[str, ...]
+    data_centres: tuple[str, ...]
+    store: str
+    folder: Path
+    _process: "subprocess.Popen[bytes] | None" = None
+
+    @property
+    def settings_path(self) -> Path:
+        """File of its settings."""
+        return self.folder / f"{self.host}.toml"
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        document = make_settings(
+            self.host,
+            self.data_centre,
+            seeds=self.seeds,
+            data_centres=self.data_centres,
+            store=self.store,
+        )
+        new = self.settings_path.with_suffix(".new")
+        new.write_text(format_settings(document), encoding="utf-8")
+        new.replace(self.settings_path)
+
+    def start(self) -> None:
+        """Start the process."""
+        self.write_settings()
+        with (self.folder / f"{self.host}.log").open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "currantline.gatewayd"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={
+                    SETTINGS_VARIABLE: str(self.settings_path),
+                    "PYTHONPATH": ":".join(path for path in sys.path if path),
+                },
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Wait for the end of the process; return whether it came in time."""
+        process = self._process
+        try:
+            async with asyncio.timeout(timeout_s):
+                while process is not None and process.poll() is None:
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            return False
+        return True
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        await self.wait(GRACE_S)
--- /dev/null
+++ b/src/currantline/soak/_proxy.py
@@ -0,0 +1,119 @@
+"""A TCP proxy on loopback that harms the connections that pass it."""
+
+import asyncio
+import contextlib
+import enum
+
+__all__ = ["Proxy", "ProxyMode"]
+
+CHUNK_BYTES = 65_536
+
+# Delay of each piece of data in a delayed connection, in seconds.
+DELAY_S = 0.15
+
+
+class ProxyMode(enum.Enum):
+    """What the proxy does with data."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    # Bytes are taken and go nowhere, in one direction or in both.
+    DROP_REQUESTS = "drop requests"
+    DROP_ANSWERS = "drop answers"
+    SILENCE = "silence"
+
+
+class Proxy:
+    """Passes connections on to an address.
+
+    Parameters
+    ----------
+    destination : str
+        IP number and port.
+    """
+
+    def __init__(self, destination: str) -> None:
+        self._host, _, port = destination.rpartition(":")
+        self._port = int(port)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.mode = ProxyMode.PASS
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port that the proxy listens on."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return str(host), int(port)
+
+    async def start(self, address: str) -> None:
+        """Listen on ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self._writers.add(writer)
+        try:
+            # A refused connection is passed on as a reset.
+            with contextlib.suppress(OSError):
+                await self._join(reader, writer)
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _join(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
+        self._writers.add(far_writer)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._pass_on(reader, far_writer, ProxyMode.DROP_REQUESTS)
+                )
+                group.create_task(
+                    self._pass_on(far_reader, writer, ProxyMode.DROP_ANSWERS)
+                )
+        except* OSError:
+            # One side was reset; the other one is in turn below.
+            pass
+        finally:
+            self._writers.discard(far_writer)
+            far_writer.transport.abort()
+
+    async def _pass_on(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        dropped_in: ProxyMode,
+    ) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            if self.mode in (ProxyMode.SILENCE, dropped_in):
+                continue
+            if self.mode is ProxyMode.DELAY:
+                await asyncio.sleep(DELAY_S)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
--- /dev/null
+++ b/src/currantline/soak/tests/test_soak.py
@@ -0,0 +1,152 @@
+"""A short soak, and tests that its checks find what they look for."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from currantline.soak import Promises, Proxy, ProxyMode, run_soak
+from currantline.soak._promises import Call
+
+
+def make_call(name: str = "r", **values: object) -> Call:
+    """Return an order that was sent at 10 s and answered 10 ms later."""
+    fields = {
+        "is_idempotent": False,
+        "instance": "h",
+        "sent_ms": 10_000.0,
+        "status": 200,
+        "ended_ms": 10_010.0,
+    }
+    return Call(name=name, **{**fields, **values})  # type: ignore[arg-type]
+
+
+def make_promises(call: Call, *targets: str) -> Promises:
+    """Return what was seen of a call that ran at targets of service ``s``."""
+    promises = Promises()
+    promises.note_configuration("s", 0.0)
+    promises.note_call(call)
+    for target in targets:
+        promises.note_run(call.name, target, "s", call.sent_ms)
+    return promises
+
+
+class TestPromises:
+    """Checks of what was seen."""
+
+    def test_kept(self) -> None:
+        """Guards against checks that fail on calls as they should be."""
+        assert make_promises(make_call(), "t").find_broken() == []
+        assert make_promises(make_call(status=503)).find_broken() == []
+        twice = make_promises(make_call(is_idempotent=True), "t", "u")
+        assert twice.find_broken() == []
+
+    @pytest.mark.parametrize(
+        ("call", "targets", "line"),
+        [
+            (make_call(), ("t", "u"), "ran 2 times"),
+            (make_call(status=503), ("t",), "was answered 503"),
+            (make_call(is_own=False), ("t",), "not its own"),
+            (make_call(status=404), (), "answered 404"),
+        ],
+    )
+    def test_broken(self, call: Call, targets: tuple[str, ...], line: str) -> None:
+        """Guards against a soak that does not see what it is meant to find."""
+        [broken] = make_promises(call, *targets).find_broken()
+        assert line in broken
+
+    def test_drained(self) -> None:
+        """Guards against work at a drained target that is not seen."""
+        promises = make_promises(make_call(), "t")
+        promises.note_drain("t", 7_900.0)
+        assert len(promises.find_broken()) == 1
+        assert promises.find_broken(is_timed=False) == []
+        promises.note_disturbance("h", "pause", 9_000.0)
+        assert promises.find_broken() == []
+
+    def test_out_of_force(self) -> None:
+        """Guards against a configuration that comes late and is not seen."""
+        promises = make_promises(make_call(), "t")
+        promises.note_configuration("other", 8_100.0)
+        assert promises.find_broken() == []
+        promises.note_configuration("third", 8_200.0)
+        assert promises.find_broken() == []
+        late = make_promises(make_call(), "t")
+        late.note_configuration("other", 7_900.0)
+        assert len(late.find_broken()) == 1
+
+    def test_planned_work(self) -> None:
+        """Guards against requests cut off by a stop that are not seen."""
+        promises = make_promises(make_call(status=0), "t")
+        assert promises.find_broken() == []
+        promises.note_disturbance("h", "stop", 9_000.0)
+        assert len(promises.find_broken()) == 1
+        promises.note_disturbance("t", "is_losing", 9_500.0)
+        assert promises.find_broken() == []
+
+    def test_not_recovered(self) -> None:
+        """Guards against a fleet that stays down and is not seen."""
+        promises = make_promises(make_call(status=503))
+        assert len(promises.find_unrecovered(5_000.0)) == 1
+        assert make_promises(make_call()).find_unrecovered(5_000.0) == []
+        assert len(Promises().find_unrecovered(0.0)) == 1
+
+
+class TestProxy:
+    """Faults of connections."""
+
+    @pytest.mark.parametrize(
+        ("mode", "is_answered"),
+        [
+            (ProxyMode.PASS, True),
+            (ProxyMode.DELAY, True),
+            (ProxyMode.DROP_REQUESTS, False),
+            (ProxyMode.DROP_ANSWERS, False),
+            (ProxyMode.SILENCE, False),
+        ],
+    )
+    def test_modes(self, mode: ProxyMode, is_answered: bool) -> None:
+        """Guards against faults that harm nothing."""
+
+        async def echo(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(await reader.read(10))
+            await writer.drain()
+
+        async def play() -> bytes:
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            proxy = Proxy(f"127.0.0.1:{port}")
+            await proxy.start("127.0.0.1:0")
+            proxy.mode = mode
+            reader, writer = await asyncio.open_connection(*proxy.address)
+            writer.write(b"x")
+            wait_s = None if is_answered else 0.5
+            try:
+                async with asyncio.timeout(wait_s):
+                    return await reader.read(10)
+            except TimeoutError:
+                return b""
+            finally:
+                writer.close()
+                await proxy.stop()
+                server.close()
+
+        assert asyncio.run(play()) == (b"x" if is_answered else b"")
+
+
+class TestSoak:
+    """Real processes."""
+
+    def test_seed(self, tmp_path: Path) -> None:
+        """Guards against faults from outside that break a promise.
+
+        Only promises without a time bound are checked here.
+        """
+        lines: list[str] = []
+        soak = run_soak(
+            7, tmp_path, duration_s=6.0, instances=4, is_timed=False, say=lines.append
+        )
+        assert asyncio.run(soak) == [], lines
+        assert "200: " in lines[-1]
--- a/src/currantline/standin/worker.py
+++ b/src/currantline/standin/worker.py
@@ -1,6 +1,7 @@
 """Stand-in for a target of the platform: load, health check and faults."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -40,6 +41,8 @@
         Time left that came with each of them.
     cancelled : list of str
         Names of the requests whose connection ended while they ran.
+    on_run : callable
+        Called with the name of each request that begins to run.
     """
 
     name: str
@@ -55,6 +58,7 @@
     ran: list[str] = attrs.field(factory=list)
     stated_ms: list[float] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
+    on_run: Callable[[str], object] = lambda request_id: None
 
     async def handle(self, request: Request) -> Answer:
         """Answer a request or a health check."""
@@ -78,6 +82,7 @@
 
     async def _run(self, request: Request, request_id: str) -> None:
         self.ran.append(request_id)
+        self.on_run(request_id)
         left = find_header(request.headers, self.names.time_left)
         self.stated_ms.append(float(left or "nan"))
         self.running += 1
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -10,9 +10,9 @@
 from currantline.exceptions import WireError
 from currantline.gateway import Gateway
 from currantline.platform import HEADERS, decode_settings
-from currantline.platform.tests.support import (
-    DIRECTORY_QUERY,
+from currantline.platform.samples import (
     make_configuration,
+    make_directory_query,
     make_entry,
     make_settings,
 )
@@ -102,7 +102,7 @@
 
     async def find_addresses(self, host: str) -> bytes:
         """Ask an instance where callers of data centre ``a`` should connect."""
-        return (await self.ask(host, 8644, DIRECTORY_QUERY)).body
+        return (await self.ask(host, 8644, make_directory_query("a"))).body
 
     def list_versions(self) -> list[int]:
         """Return the versions in force."""
--- a/src/currantline/tests/test_gatewayd.py
+++ b/src/currantline/tests/test_gatewayd.py
@@ -11,7 +11,7 @@
 from currantline.gateway import Gateway
 from currantline.gatewayd import follow_settings
 from currantline.platform import InstanceSettings
-from currantline.platform.tests.support import format_settings, make_settings
+from currantline.platform.samples import format_settings, make_settings
 from currantline.telemetry import EventLog
 
 # Turns of the event loop within which a signal is taken; one is needed.
