Harm more connections at once in the soak, and drain targets for longer

Change: the connections of four targets are harmed at once, faults come twice as often, sixteen callers, drains of 6 s. Proxies end their connections by resetting them, since handlers that are cancelled make asyncio print a traceback.

--- a/src/currantline/soak/__main__.py
+++ b/src/currantline/soak/__main__.py
@@ -13,7 +13,7 @@
 flags.DEFINE_integer("seeds", 1, "Number of seeds.", lower_bound=1)
 flags.DEFINE_float("seconds", 30.0, "Seconds of faults.", lower_bound=1.0)
 flags.DEFINE_integer("instances", 6, "Instances.", lower_bound=2, upper_bound=200)
-flags.DEFINE_integer("callers", 8, "Callers.", lower_bound=1)
+flags.DEFINE_integer("callers", 16, "Callers.", lower_bound=1)
 flags.DEFINE_string("logs", "", "Folder for the logs of instances; kept if given.")
 
 
--- a/src/currantline/soak/_faults.py
+++ b/src/currantline/soak/_faults.py
@@ -14,14 +14,17 @@
 __all__ = ["FAULTS", "Faults"]
 
 # Time from the start of one fault to the next, in seconds.
-GAP_S = (0.2, 2.0)
+GAP_S = (0.1, 1.0)
 
 # Time that a fault lasts, in seconds.
 LENGTH_S = (0.5, 4.0)
 
-# Time for which a draining target serves on, in seconds: that of the platform and
-# more.
-DRAIN_S = 3.0
+# Targets whose connections are harmed at once.
+PATHS_AT_ONCE = 4
+
+# Time for which a draining target serves on, in seconds: three times that of the
+# platform, since some serve on for longer.
+DRAIN_S = 6.0
 
 
 @attrs.define
@@ -134,20 +137,21 @@
         self.world.disturb("store", "down")
 
     async def harm_path(self) -> None:
-        """Delay, silence or reset the connections to a target."""
-        name = self.world.rng.choice(list(self.world.workers))
-        proxy = self.world.workers[name].proxy
-        self.world.disturb(name, "path")
-        if self.world.rng.random() < 0.3:
-            proxy.reset()
-        else:
-            modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
-            proxy.mode = self.world.rng.choice(modes)
+        """Delay, silence or reset the connections to some targets."""
+        rng = self.world.rng
+        names = rng.sample(list(self.world.workers), k=PATHS_AT_ONCE)
+        published = [self.world.workers[name] for name in names]
+        mode = rng.choice(list(ProxyMode))
+        for name, target in zip(names, published, strict=True):
+            self.world.disturb(name, "path")
+            target.proxy.mode = mode
+        if mode is not ProxyMode.PASS:
             await self._last()
-            proxy.mode = ProxyMode.PASS
+        for name, target in zip(names, published, strict=True):
+            target.proxy.mode = ProxyMode.PASS
             # What was swallowed never comes, as after a lost connection.
-            proxy.reset()
-        self.world.disturb(name, "path")
+            target.proxy.reset()
+            self.world.disturb(name, "path")
 
     async def harm_target(self) -> None:
         """Let a target reject, fail, slow down or lose its answers."""
--- a/src/currantline/soak/_proxy.py
+++ b/src/currantline/soak/_proxy.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Proxy", "ProxyMode"]
 
+# Time between two attempts to end connections, in seconds.
+STOP_S = 0.1
+
 CHUNK_BYTES = 65_536
 
 # Delay of each piece of data in a delayed connection, in seconds.
@@ -61,10 +64,9 @@
         """Stop listening and drop all connections."""
         if self._server is not None:
             self._server.close()
-        self.reset()
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        while self._tasks:
+            self.reset()
+            await asyncio.wait(self._tasks, timeout=STOP_S)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/currantline/soak/_run.py
+++ b/src/currantline/soak/_run.py
@@ -24,7 +24,7 @@
     *,
     duration_s: float,
     instances: int = 6,
-    callers: int = 8,
+    callers: int = 16,
     is_timed: bool = True,
     say: Callable[[str], object] = print,
 ) -> list[str]:
