--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -54,21 +54,21 @@
     address: str = "10.9.0.1:80",
     *,
     service: str = "svc",
-    zone: str = "a",
+    data_centre: str = "a",
     state: str = "ready",
 ) -> dict[str, Any]:
     """Return the entry of a target."""
     return {
         "address": address,
         "born": 5,
-        "info": {"service": service, "version": "v1", "zone": zone, "slots": 2},
+        "info": {"service": service, "version": "v1", "zone": data_centre, "slots": 2},
         "status": {"state": state, "sequence": 4, "warmupLeftMs": 0},
     }
 
 
 def make_settings(
     host: str,
-    zone: str,
+    data_centre: str,
     *,
     seeds: tuple[str, ...],
     data_centres: tuple[str, ...],
@@ -79,7 +79,7 @@
         "selfNode": {
             "nodeName": f"edge-{host}",
             "ip": host,
-            "zone": zone,
+            "zone": data_centre,
             "region": "r",
             "unknown": 1,
         },
--- a/src/currantline/soak/_world.py
+++ b/src/currantline/soak/_world.py
@@ -9,7 +9,7 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import WireError
-from currantline.platform import HEADERS
+from currantline.platform import CONFIGURATION_KEY, HEADERS, TARGET_PREFIX
 from currantline.platform.samples import (
     READINESS_PATH,
     make_configuration,
@@ -143,7 +143,7 @@
         """Let requests go to the other service."""
         self.version += 1
         service = SERVICES[self.version % len(SERVICES)]
-        self.store.put("op/config", make_configuration(self.version, service))
+        self.store.put(CONFIGURATION_KEY, make_configuration(self.version, service))
         self.promises.note_configuration(service, self.clock.read())
 
     async def add_target(self, service: str) -> str:
@@ -163,9 +163,10 @@
         await proxy.start(address)
         published = PublishedWorker(worker, service, server, proxy, address)
         self.workers[name] = published
-        zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.store.put(
-            f"servers/{name}", make_entry(address, service=service, zone=zone)
+            f"{TARGET_PREFIX}{name}",
+            make_entry(address, service=service, data_centre=data_centre),
         )
         return name
 
@@ -175,12 +176,12 @@
         entry = make_entry(
             published.address, service=published.service, state="draining"
         )
-        self.store.put(f"servers/{name}", entry)
+        self.store.put(f"{TARGET_PREFIX}{name}", entry)
         self.promises.note_drain(name, self.clock.read())
 
     async def remove_target(self, name: str) -> None:
         """Take a target away."""
-        self.store.remove(f"servers/{name}")
+        self.store.remove(f"{TARGET_PREFIX}{name}")
         published = self.workers.pop(name)
         await published.server.stop()
         await published.proxy.stop()
