Count a fault of the soak as lasting until its end

The logs show the store down for the fourth second, so the configuration could not be read: the check took a fault for over 3 s after its beginning, whatever its length. Faults now have a beginning and an end, and a check looks at both; that is as strict after the end, and the case is a test. Overlapping outages of the store end with the last of them.

--- a/src/currantline/soak/_faults.py
+++ b/src/currantline/soak/_faults.py
@@ -43,6 +43,7 @@
     say: Callable[[str], object]
     _running: set["asyncio.Task[None]"] = attrs.field(factory=set)
     _busy: set[str] = attrs.field(factory=set)
+    _outages: int = 0
 
     async def run(self, duration_s: float) -> None:
         """Cause faults for a time, and wait until all of them are over."""
@@ -76,13 +77,12 @@
         if not host:
             return
         instance = self.world.instances[host]
-        self.world.disturb(host, "stop")
-        instance.send(signal.SIGTERM)
-        if not await instance.wait(GRACE_S):
-            self.world.disturb(host, "killed after its grace time")
-            await instance.kill()
-        self.world.disturb(host, "stop")
-        instance.start()
+        with self.world.disturb("stop", host):
+            instance.send(signal.SIGTERM)
+            if not await instance.wait(GRACE_S):
+                with self.world.disturb("killed after its grace time", host):
+                    await instance.kill()
+            instance.start()
         self._busy.discard(host)
 
     async def pause(self) -> None:
@@ -90,11 +90,10 @@
         host = self._take_instance()
         if not host:
             return
-        self.world.disturb(host, "pause")
-        self.world.instances[host].send(signal.SIGSTOP)
-        await self._last()
-        self.world.instances[host].send(signal.SIGCONT)
-        self.world.disturb(host, "pause")
+        with self.world.disturb("pause", host):
+            self.world.instances[host].send(signal.SIGSTOP)
+            await self._last()
+            self.world.instances[host].send(signal.SIGCONT)
         self._busy.discard(host)
 
     async def reload(self) -> None:
@@ -104,10 +103,10 @@
             return
         instance = self.world.instances[host]
         instance.seeds = (instance.seeds[-1], *instance.seeds[:-1])
-        instance.write_settings()
-        self.world.disturb(host, "reload")
-        if self.world.rng.random() < 0.5:
-            instance.send(signal.SIGHUP)
+        with self.world.disturb("reload", host):
+            instance.write_settings()
+            if self.world.rng.random() < 0.5:
+                instance.send(signal.SIGHUP)
         self._busy.discard(host)
 
     async def silence_store(self) -> None:
@@ -116,53 +115,53 @@
         modes = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
         mode = rng.choice(modes)
         hosts = rng.sample(list(self.world.store_proxies), k=2)
-        for host in hosts:
-            self.world.disturb(host, "store")
-            self.world.store_proxies[host].mode = mode
-        await self._last()
-        for host in hosts:
-            self.world.disturb(host, "store")
-            self.world.store_proxies[host].mode = ProxyMode.PASS
-            self.world.store_proxies[host].reset()
+        proxies = [self.world.store_proxies[host] for host in hosts]
+        with self.world.disturb("store", *hosts):
+            for proxy in proxies:
+                proxy.mode = mode
+            await self._last()
+            for proxy in proxies:
+                proxy.mode = ProxyMode.PASS
+                proxy.reset()
 
     async def refuse_store(self) -> None:
         """Let the store refuse every call, or forget its history."""
-        self.world.disturb("store", "down")
-        if self.world.rng.random() < 0.5:
-            self.world.store.drop_history()
-        else:
-            self.world.store.is_down = True
+        store = self.world.store
+        with self.world.disturb("down", "store"):
+            if self.world.rng.random() < 0.5:
+                store.drop_history()
+                return
+            self._outages += 1
+            store.is_down = True
             await self._last()
-            self.world.store.is_down = False
-        self.world.disturb("store", "down")
+            self._outages -= 1
+            store.is_down = self._outages > 0
 
     async def harm_path(self) -> None:
         """Delay, silence or reset the connections to some targets."""
         rng = self.world.rng
         names = rng.sample(list(self.world.workers), k=PATHS_AT_ONCE)
-        published = [self.world.workers[name] for name in names]
+        proxies = [self.world.workers[name].proxy for name in names]
         mode = rng.choice(list(ProxyMode))
-        for name, target in zip(names, published, strict=True):
-            self.world.disturb(name, "path")
-            target.proxy.mode = mode
-        if mode is not ProxyMode.PASS:
-            await self._last()
-        for name, target in zip(names, published, strict=True):
-            target.proxy.mode = ProxyMode.PASS
-            # What was swallowed never comes, as after a lost connection.
-            target.proxy.reset()
-            self.world.disturb(name, "path")
+        with self.world.disturb("path", *names):
+            for proxy in proxies:
+                proxy.mode = mode
+            if mode is not ProxyMode.PASS:
+                await self._last()
+            for proxy in proxies:
+                proxy.mode = ProxyMode.PASS
+                # What was swallowed never comes, as after a lost connection.
+                proxy.reset()
 
     async def harm_target(self) -> None:
-        """Let a target reject, fail, slow down or lose its answers."""
+        """Let a target reject, fail or lose its answers."""
         name = self.world.rng.choice(list(self.world.workers))
         worker = self.world.workers[name].worker
         flaw = self.world.rng.choice(["is_rejecting", "is_failing", "is_losing"])
-        self.world.disturb(name, flaw)
-        setattr(worker, flaw, True)
-        await self._last()
-        setattr(worker, flaw, False)
-        self.world.disturb(name, flaw)
+        with self.world.disturb(flaw, name):
+            setattr(worker, flaw, True)
+            await self._last()
+            setattr(worker, flaw, False)
 
     async def replace_target(self) -> None:
         """Start a target, drain another one of its service and take that away."""
@@ -173,8 +172,8 @@
         await self.world.add_target(self.world.workers[name].service)
         self.world.drain_target(name)
         await asyncio.sleep(DRAIN_S)
-        self.world.disturb(name, "gone")
-        await self.world.remove_target(name)
+        with self.world.disturb("gone", name):
+            await self.world.remove_target(name)
 
     async def change_configuration(self) -> None:
         """Change the configuration, sometimes in quick succession."""
@@ -191,11 +190,10 @@
         return host
 
     async def _end_instance(self, host: str, fault: str) -> None:
-        self.world.disturb(host, fault)
-        await self.world.instances[host].kill()
-        await self._last()
-        self.world.instances[host].start()
-        self.world.disturb(host, fault)
+        with self.world.disturb(fault, host):
+            await self.world.instances[host].kill()
+            await self._last()
+            self.world.instances[host].start()
         self._busy.discard(host)
 
     async def _last(self) -> None:
--- a/src/currantline/soak/_promises.py
+++ b/src/currantline/soak/_promises.py
@@ -1,10 +1,11 @@
 """What callers and targets saw, and the promises that it breaks."""
 
+import math
 from collections import Counter, defaultdict
 
 import attrs
 
-__all__ = ["Call", "Promises"]
+__all__ = ["Call", "Disturbance", "Promises"]
 
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -52,6 +53,29 @@
     ended_ms: float = 0.0
 
 
+@attrs.define
+class Disturbance:
+    """A fault from its beginning to its end.
+
+    Parameters
+    ----------
+    fault : str
+        What it is; ``stop`` and ``reload`` are planned work.
+    begin_ms : float
+        Its beginning.
+    end_ms : float
+        Its end; infinite while it lasts.
+    """
+
+    fault: str
+    begin_ms: float
+    end_ms: float = math.inf
+
+    def is_near(self, begin_ms: float, end_ms: float) -> bool:
+        """Return whether it touched a time or the calm time before it."""
+        return self.begin_ms <= end_ms and self.end_ms >= begin_ms - CALM_MS
+
+
 @attrs.frozen
 class _Run:
     target: str
@@ -68,7 +92,7 @@
 
     _calls: dict[str, Call] = attrs.field(factory=dict)
     _runs: dict[str, list[_Run]] = attrs.field(factory=lambda: defaultdict(list))
-    _disturbed: dict[str, list[tuple[float, str]]] = attrs.field(
+    _disturbed: dict[str, list[Disturbance]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
     _drained: dict[str, float] = attrs.field(factory=dict)
@@ -82,9 +106,17 @@
         """Note that a target began to work on a request."""
         self._runs[name].append(_Run(target, service, ms))
 
-    def note_disturbance(self, what: str, fault: str, ms: float) -> None:
-        """Note a fault of an instance, a target or the ``store``, or its end."""
-        self._disturbed[what].append((ms, fault))
+    def note_disturbance(self, what: str, fault: str, ms: float) -> Disturbance:
+        """Note that a fault of an instance, a target or the ``store`` begins.
+
+        Returns
+        -------
+        Disturbance
+            The caller sets its end.
+        """
+        disturbance = Disturbance(fault, ms)
+        self._disturbed[what].append(disturbance)
+        return disturbance
 
     def note_drain(self, target: str, ms: float) -> None:
         """Note that the store acknowledged that a target leaves."""
@@ -161,16 +193,14 @@
         return {*settled[-1:], *recent}
 
     def _is_calm(self, what: str, ms: float) -> bool:
-        times = [at for at, _ in self._disturbed.get(what, ())]
-        return all(not ms - CALM_MS <= at <= ms for at in times)
+        return not any(d.is_near(ms, ms) for d in self._disturbed.get(what, ()))
 
     def _was_planned(self, call: Call, runs: list[_Run]) -> bool:
         """Return whether only planned work was near when a call was cut off."""
-        begin_ms, end_ms = call.sent_ms - CALM_MS, call.ended_ms
-        near = [
-            fault
+        near = {
+            disturbance.fault
             for what in (call.instance, "store", *(run.target for run in runs))
-            for at, fault in self._disturbed.get(what, ())
-            if begin_ms <= at <= end_ms
-        ]
-        return bool(near) and set(near) <= {"stop", "reload"}
+            for disturbance in self._disturbed.get(what, ())
+            if disturbance.is_near(call.sent_ms, call.ended_ms)
+        }
+        return bool(near) and near <= {"stop", "reload"}
--- a/src/currantline/soak/_world.py
+++ b/src/currantline/soak/_world.py
@@ -1,8 +1,10 @@
 """The stand-ins around the instances of a soak: store, targets and callers."""
 
 import asyncio
+import contextlib
 import os
 import random
+from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
@@ -135,9 +137,16 @@
             await published.server.stop()
         await self._store_server.stop()
 
-    def disturb(self, what: str, fault: str) -> None:
-        """Note a fault, or its end."""
-        self.promises.note_disturbance(what, fault, self.clock.read())
+    @contextlib.contextmanager
+    def disturb(self, fault: str, *names: str) -> Iterator[None]:
+        """Note a fault of instances, targets or the ``store`` while it lasts."""
+        now = self.clock.read()
+        begun = [self.promises.note_disturbance(n, fault, now) for n in names]
+        try:
+            yield
+        finally:
+            for disturbance in begun:
+                disturbance.end_ms = self.clock.read()
 
     def change_configuration(self) -> None:
         """Let requests go to the other service."""
--- a/src/currantline/soak/tests/test_soak.py
+++ b/src/currantline/soak/tests/test_soak.py
@@ -64,6 +64,21 @@
         promises.note_disturbance("h", "pause", 9_000.0)
         assert promises.find_broken() == []
 
+    def test_long_fault(self) -> None:
+        """Guards against a fault that counts as over while it lasts.
+
+        Seed 105 reported a configuration out of force while the store was down for
+        the fourth second.
+        """
+        promises = make_promises(make_call(), "t")
+        promises.note_drain("t", 5_000.0)
+        outage = promises.note_disturbance("store", "down", 4_000.0)
+        assert promises.find_broken() == []
+        outage.end_ms = 7_500.0
+        assert promises.find_broken() == []
+        outage.end_ms = 6_500.0
+        assert len(promises.find_broken()) == 1
+
     def test_out_of_force(self) -> None:
         """Guards against a configuration that comes late and is not seen."""
         promises = make_promises(make_call(), "t")
