--- a/src/currantline/soak/_run.py
+++ b/src/currantline/soak/_run.py
@@ -56,6 +56,7 @@
         await world.start()
         await world.wait_until_ready()
         load = [loop.create_task(world.run_caller()) for _ in range(callers)]
+        load.append(loop.create_task(world.watch_stalls(say)))
         await Faults(world, say).run(duration_s)
         await asyncio.sleep(RECOVERY_S)
         since_ms = clock.read()
--- a/src/currantline/soak/_world.py
+++ b/src/currantline/soak/_world.py
@@ -4,7 +4,7 @@
 import contextlib
 import os
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import attrs
@@ -49,6 +49,11 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 
+# Time between two looks at the clock in seconds, and the time between them in
+# milliseconds from which the process counts as stalled.
+STALL_LOOK_S = 0.05
+STALLED_MS = 500.0
+
 # Second numbers of the loopback addresses in use.
 FIRST_BLOCK, BLOCKS = 100, 100
 
@@ -195,6 +200,22 @@
         await published.server.stop()
         await published.proxy.stop()
 
+    async def watch_stalls(self, say: Callable[[str], object]) -> None:
+        """Note times in which this process did not run, until cancelled.
+
+        A machine that is short of processor time holds up the instances as well, so
+        this counts as a fault of everything.
+        """
+        last_ms = self.clock.read()
+        while True:
+            await asyncio.sleep(STALL_LOOK_S)
+            now = self.clock.read()
+            if now - last_ms > STALLED_MS:
+                say(f"this process stood still for {(now - last_ms) / 1000:.1f} s")
+                for name in ("store", *self.instances, *self.workers):
+                    self.promises.note_disturbance(name, "stall", last_ms).end_ms = now
+            last_ms = now
+
     async def run_caller(self) -> None:
         """Send requests until cancelled, over a connection that is kept."""
         addresses: list[str] = []
