Serve routes of an unknown kind as non-idempotent

Cause: one route of the kind 'upload' made every instance refuse the configuration, for every service; no request of the shared gateway was served. Change: 'upload' is known and never repeated. A route of any other kind is served as non-idempotent, with a log line and a gauge. A kind that is not a name, and every other malformed part, still refuses the whole configuration; the version before stays in force.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -284,6 +284,7 @@
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("instances", lambda: self._count_live())
         self.meter.add_gauge("configuration_version", self._read_version)
+        self.meter.add_gauge("routes_of_unknown_kind", self._count_unknown_kinds)
         self.meter.add_gauge("replica_revision", lambda: self.replica.revision)
         self.meter.add_gauge("platform_calls", lambda: self._store.calls)
         self.meter.add_gauge("caller_connections", lambda: self._server.connections)
@@ -359,6 +360,8 @@
             previous=self._read_version(),
             revision=record.revision,
         )
+        if table.unknown_kinds:
+            self._log.write("unknown_kinds", routes=dict(table.unknown_kinds))
         self._table = table
 
     def _apply_target(self, record: Record) -> None:
@@ -422,3 +425,6 @@
 
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
+
+    def _count_unknown_kinds(self) -> int:
+        return len(self._table.unknown_kinds) if self._table is not None else 0
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -29,13 +29,16 @@
 TARGET_PREFIX = "servers/"
 
 IDEMPOTENT = "idempotent"
-ROUTE_KINDS = frozenset({IDEMPOTENT, "non_idempotent"})
+ROUTE_KINDS = frozenset({IDEMPOTENT, "non_idempotent", "upload"})
 READY, DRAINING = "ready", "draining"
 
 
 def decode_route_table(text: str) -> RouteTable:
     """Decode the configuration that an operator published.
 
+    A route of an unknown kind is served as non-idempotent, since that is safe for every
+    request. Refusing the configuration would stop the other routes as well.
+
     Raises
     ------
     ConfigurationError
@@ -57,6 +60,7 @@
                 for name, service in document["services"].items()
             },
             limits=_decode_limits(document.get("limits") or {}),
+            unknown_kinds=_find_unknown_kinds(document["routes"]),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigurationError(
@@ -118,10 +122,7 @@
 
 
 def _decode_route(name: str, route: Mapping[str, Any]) -> Route:
-    if route["kind"] not in ROUTE_KINDS:
-        raise ConfigurationError(
-            f"unknown kind {route['kind']!r}", source=CONFIGURATION_KEY, path=name
-        )
+    _check_types(CONFIGURATION_KEY, kind=(route["kind"], str))
     parts = route.get("trafficSplit") or [{"service": route["service"], "weight": 1}]
     timeout_ms = float(route["timeoutMs"])
     return Route(
@@ -140,6 +141,11 @@
     )
 
 
+def _find_unknown_kinds(routes: Mapping[str, Any]) -> Mapping[str, str]:
+    kinds = {name: route["kind"] for name, route in routes.items()}
+    return {name: kind for name, kind in kinds.items() if kind not in ROUTE_KINDS}
+
+
 def _decode_limits(limits: Mapping[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
--- a/src/currantline/routing/_table.py
+++ b/src/currantline/routing/_table.py
@@ -24,12 +24,16 @@
         Services by name.
     limits : CallerLimits
         Limits for caller requests.
+    unknown_kinds : mapping of str to str
+        Kind as published, by name of the route, of the routes whose kind is not known
+        and that are therefore served as non-idempotent.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, RoutedService]
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    unknown_kinds: Mapping[str, str] = attrs.field(factory=dict)
     _by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -228,6 +228,22 @@
 
         run(scenario)
 
+    def test_unknown_kind(self) -> None:
+        """Guards against a new kind of route that takes the other routes down."""
+
+        async def scenario(deployment: Deployment) -> None:
+            document = make_configuration(2)
+            document["routes"]["orders"]["kind"] = "maybe"
+            deployment.store.put("op/config", document)
+            await asyncio.sleep(1.0)
+            assert deployment.list_versions() == [2] * 4
+            assert (await deployment.call("10.1.0.1")).status == 200
+            assert (await deployment.call("10.1.0.1", "/orders/x")).status == 200
+            gateway = deployment.gateways["10.1.0.1"]
+            assert b"routes_of_unknown_kind 1.0" in gateway.meter.render()
+
+        run(scenario)
+
 
 class TestFaults:
     """Failures of the store, of instances and of the network."""
