Use the load that responses report before health checks, and limit these

Change: a target of the own data centre whose last response or health check is younger than 40 ms is used without a health check, a freed slot always. ProbeLimit keeps the checks of a target within the limit for the whole fleet, without coordination: equal parts while the fleet is at most as large as the limit, otherwise a different part of the instances for each target. While the limit is reached, the reports of the last second decide.

--- a/src/currantline/fleet/_membership_list.py
+++ b/src/currantline/fleet/_membership_list.py
@@ -67,6 +67,7 @@
         self._transmissions_left: dict[str, int] = {}
         self._peak_size = 1
         self._live_cache: list[Member] | None = None
+        self._rank_cache: int | None = None
 
     @property
     def local_member(self) -> Member:
@@ -78,6 +79,14 @@
         """Highest number of simultaneously live instances, including this one."""
         return self._peak_size
 
+    @property
+    def rank(self) -> int:
+        """Number of live instances that precede this one in the order of hosts."""
+        if self._rank_cache is None:
+            hosts = [member.host for member in self.list_live()]
+            self._rank_cache = sum(1 for host in hosts if host < self._local.host)
+        return self._rank_cache
+
     @property
     def known_count(self) -> int:
         """Number of other known instances, including dead ones."""
@@ -255,6 +264,7 @@
             return
         self._entries[member.host] = _Entry(member, now)
         self._live_cache = None
+        self._rank_cache = None
         self._queue_update(member.host)
 
     def _refute(self, claimed: Member) -> None:
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -15,7 +15,12 @@
     ReplicaPuller,
     choose_hosts,
 )
-from currantline.placement import LatencyAverages, TargetRegistry
+from currantline.placement import (
+    FleetPosition,
+    LatencyAverages,
+    ProbeLimit,
+    TargetRegistry,
+)
 from currantline.platform import (
     CONFIGURATION_KEY,
     HEADERS,
@@ -249,12 +254,18 @@
             self.targets,
             prober=prober,
             latencies=latencies,
+            probe_limit=ProbeLimit(self._settings.max_probes_per_s),
+            read_position=self._read_position,
             data_centre=self._settings.data_centre,
             clock=self._clock,
             rng=self._rng,
         )
         sender = Sender(
-            self._pool, names=HEADERS, latencies=latencies, clock=self._clock
+            self._pool,
+            names=HEADERS,
+            latencies=latencies,
+            clock=self._clock,
+            log=self._log,
         )
         self._relay = Relay(
             read_table=lambda: self._table,
@@ -290,6 +301,10 @@
         self.meter.add_gauge("caller_connections", lambda: self._server.connections)
         self.meter.add_gauge("dropped_log_lines", lambda: self._log.dropped)
 
+    def _read_position(self) -> FleetPosition:
+        size = len(self._membership.list_live()) + 1
+        return FleetPosition(rank=self._membership.rank, size=size)
+
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         task.add_done_callback(self._on_task_done)
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from currantline.placement._load_report import LoadReport
 from currantline.placement._passive_health import PassiveHealth
 
 __all__ = ["PublishedTarget", "Target"]
@@ -59,6 +60,10 @@
         Whether another target responds at the address.
     skip_until_ms : float
         Time until which the target is not probed, since it was full or a probe failed.
+    last_report : LoadReport or None
+        Latest load report, from a health check or from a response to a request.
+    probe_times_ms : list of float
+        Times of the health checks that this instance sent within the last second.
     """
 
     published: PublishedTarget
@@ -67,6 +72,8 @@
     send_times_ms: list[float] = attrs.field(factory=list)
     is_address_reused: bool = False
     skip_until_ms: float = 0.0
+    last_report: LoadReport | None = None
+    probe_times_ms: list[float] = attrs.field(factory=list)
 
     @property
     def name(self) -> str:
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -49,6 +49,8 @@
         Maximum time in seconds for which callers may cache resolved addresses.
     grace_ms : float
         Time in milliseconds between SIGTERM and SIGKILL.
+    max_probes_per_s : int
+        Maximum number of health checks of one target per second, from all instances.
     """
 
     name: str
@@ -65,6 +67,7 @@
     retry_options: RetryBudgetOptions
     directory_ttl_s: float
     grace_ms: float
+    max_probes_per_s: int
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -117,6 +120,7 @@
             ),
             directory_ttl_s=float(bounds["ttl_max_s"]),
             grace_ms=1000.0 * float(bounds["graceS"]),
+            max_probes_per_s=max(1, int(bounds["probesPerS"])),
         )
     except KeyError as error:
         key = str(error.args[0])
--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -102,6 +102,7 @@
                 "budgetWindowS": 10,
                 "ttl_max_s": 5,
                 "graceS": 6,
+                "probesPerS": 60,
             }
         },
     }
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -113,6 +113,14 @@
         """Return whether there is an idle connection to a target."""
         return self._pool.has_idle(target.address)
 
+    async def connect(self, target: Target) -> Lease | None:
+        """Return a connection to a target without a probe, or None if there is none."""
+        try:
+            return await self._pool.acquire(target.address)
+        except TargetConnectError as error:
+            self._record_failure(target, str(error), took_ms=0.0)
+            return None
+
     def release_unused(self, probed: Iterable[ProbeResult]) -> None:
         """Return unused connections to the pool."""
         for probe_result in probed:
@@ -156,6 +164,7 @@
                 lease.connection.write_request(request)
                 response = await lease.connection.read_response()
                 report = self._parse_report(target, response, requested_ms)
+                target.last_report = report
                 if not self._pool.prepare_reuse(lease, response):
                     lease = await self._pool.acquire(target.address)
             probed = ProbeResult(Candidate(target, report), lease)
@@ -171,6 +180,10 @@
         finally:
             if lease is not None:
                 self._pool.drop(lease)
+        self._record_failure(target, reason, self._clock.read() - requested_ms)
+        return None
+
+    def _record_failure(self, target: Target, reason: str, took_ms: float) -> None:
         now = self._clock.read()
         # A target resets connections above its limit, which is lower while it is full.
         target.skip_until_ms = now + FAILED_PROBE_PAUSE_MS
@@ -180,9 +193,8 @@
             "health_check_failed",
             target=target.name,
             reason=reason,
-            took_ms=round(now - requested_ms, 1),
+            took_ms=round(took_ms, 1),
         )
-        return None
 
     def _parse_report(
         self, target: Target, response: Response, requested_ms: float
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import attrs
 
 from currantline.clock import Clock
 from currantline.placement import (
     Candidate,
+    FleetPosition,
     LatencyAverages,
+    LoadReport,
+    ProbeLimit,
     Target,
     TargetRegistry,
     choose_probe_targets,
@@ -40,6 +43,13 @@
 # Time for which a full target is not probed again, in milliseconds.
 FULL_PAUSE_MS = 25.0
 
+# Age up to which a load report is used instead of a health check, in milliseconds.
+# Hosts change their speed every 150 ms.
+MAX_REPORT_AGE_MS = 40.0
+
+# The same while the limit of health checks is reached, in milliseconds.
+MAX_LIMITED_REPORT_AGE_MS = 1_000.0
+
 
 @attrs.frozen(eq=False, kw_only=True)
 class RequestContext:
@@ -105,6 +115,10 @@
         Probes targets for their load.
     latencies : LatencyAverages
         Average response times of routes.
+    probe_limit : ProbeLimit
+        Limit of health checks per target.
+    read_position : callable
+        Returns the position of this instance in the fleet.
     data_centre : str
         Data centre of this instance.
     clock : Clock
@@ -119,6 +133,8 @@
         *,
         prober: LoadProber,
         latencies: LatencyAverages,
+        probe_limit: ProbeLimit,
+        read_position: Callable[[], FleetPosition],
         data_centre: str,
         clock: Clock,
         rng: random.Random,
@@ -126,6 +142,8 @@
         self._targets = targets
         self._prober = prober
         self._latencies = latencies
+        self._probe_limit = probe_limit
+        self._read_position = read_position
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
@@ -223,6 +241,13 @@
         if freed is not None:
             freed.skip_until_ms = 0.0
             usable = [target for target in usable if target is freed]
+        selection = await self._select_known(
+            context, usable, is_freed=freed is not None
+        )
+        if selection is not None:
+            return selection
+        if self._is_limited(usable):
+            return await self._select_presumed(context, usable)
         probed = await self._probe(context, usable, searches)
         average_ms, now = self._read_average(context), self._clock.read()
         best = select_candidate(
@@ -230,6 +255,80 @@
         )
         return self._claim(probed, best)
 
+    async def _select_known(
+        self, context: RequestContext, usable: list[Target], *, is_freed: bool
+    ) -> Selection | None:
+        """Select a target by a recent load report, which costs it no health check."""
+        eligible = [
+            target
+            for target in usable
+            if (is_freed or target.published.data_centre == self._data_centre)
+            and self._prober.is_connected(target)
+        ]
+        candidates = self._list_reported(eligible, MAX_REPORT_AGE_MS)
+        average_ms, now = self._read_average(context), self._clock.read()
+        best = select_candidate(context, candidates, average_ms, now, self._rng)
+        if best is None or not (
+            is_freed or has_good_candidate([best[0]], average_ms, now, self._rng)
+        ):
+            return None
+        return await self._connect(best)
+
+    async def _select_presumed(
+        self, context: RequestContext, usable: list[Target]
+    ) -> Selection | None:
+        """Select a target by older load reports, without a health check.
+
+        An instance that may probe no target of a service presumes that they are idle.
+        """
+        candidates = self._list_reported(usable, MAX_LIMITED_REPORT_AGE_MS)
+        now = self._clock.read()
+        if not candidates:
+            candidates = [
+                Candidate(
+                    target,
+                    LoadReport(
+                        running=0,
+                        waiting=0,
+                        slots=max(1, target.published.slots),
+                        requested_ms=context.arrived_ms,
+                    ),
+                )
+                for target in usable
+            ]
+        average_ms = self._read_average(context)
+        best = select_candidate(context, candidates, average_ms, now, self._rng)
+        return await self._connect(best) if best is not None else None
+
+    async def _connect(self, chosen: tuple[Candidate, float]) -> Selection | None:
+        target = chosen[0].target
+        lease = await self._prober.connect(target)
+        if lease is None:
+            return None
+        if not self._targets.is_current(target):
+            self._prober.release(lease)
+            return None
+        return Selection(target, lease, chosen[1])
+
+    def _list_reported(
+        self, targets: list[Target], max_age_ms: float
+    ) -> list[Candidate]:
+        oldest_ms = self._clock.read() - max_age_ms
+        return [
+            Candidate(target, target.last_report)
+            for target in targets
+            if target.last_report is not None
+            and target.last_report.requested_ms > oldest_ms
+        ]
+
+    def _is_limited(self, usable: list[Target]) -> bool:
+        """Return whether targets are available but none may be probed now."""
+        now, position = self._clock.read(), self._read_position()
+        available = [target for target in usable if target.skip_until_ms <= now]
+        return bool(available) and not any(
+            self._probe_limit.is_allowed(target, position, now) for target in available
+        )
+
     def _list_usable(
         self, context: RequestContext, exclude: Collection[str]
     ) -> list[Target]:
@@ -260,7 +359,13 @@
         self, targets: list[Target], limit: int, path: str
     ) -> list[ProbeResult]:
         now = self._clock.read()
-        eligible = [t for t in targets if t.skip_until_ms <= now]
+        position = self._read_position()
+        eligible = [
+            target
+            for target in targets
+            if target.skip_until_ms <= now
+            and self._probe_limit.is_allowed(target, position, now)
+        ]
         if not eligible:
             return []
         chosen = choose_probe_targets(
@@ -270,6 +375,8 @@
             now=now,
             rng=self._rng,
         )
+        for target in chosen:
+            self._probe_limit.record(target, now)
         probed = await self._prober.probe(chosen, path)
         for result in probed:
             if not result.candidate.has_free_slot:
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -6,11 +6,17 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.exceptions import WireError
-from currantline.placement import LatencyAverages, Target
+from currantline.exceptions import InvalidValueError, WireError
+from currantline.placement import (
+    LatencyAverages,
+    LoadReport,
+    Target,
+    parse_load_header,
+)
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.relay._selector import RequestContext
+from currantline.telemetry import EventLog
 from currantline.wire import Request, Response, find_header, strip_hop_by_hop
 
 __all__ = ["Outcome", "SendResult", "Sender"]
@@ -74,6 +80,8 @@
         Average response times of routes, updated by each success.
     clock : Clock
         Source of time.
+    log : EventLog
+        Log of events.
     """
 
     def __init__(
@@ -83,11 +91,13 @@
         names: HeaderNames,
         latencies: LatencyAverages,
         clock: Clock,
+        log: EventLog,
     ) -> None:
         self._pool = pool
         self._names = names
         self._latencies = latencies
         self._clock = clock
+        self._log = log
 
     async def send(
         self, context: RequestContext, request: Request, target: Target, lease: Lease
@@ -105,6 +115,7 @@
                 self._build_request(request, target, context)
             )
             response = await self._read_matching_response(lease, context)
+            self._record_load(response, target)
         except WireError as error:
             reason = str(error)
         except asyncio.CancelledError:
@@ -178,6 +189,28 @@
             return Outcome.SUCCESS, ""
         return Outcome.FAILURE, f"status {response.status}"
 
+    def _record_load(self, response: Response, target: Target) -> None:
+        load = find_header(response.headers, self._names.load)
+        if load is None or response.status == MISDIRECTED_REQUEST:
+            return
+        try:
+            running, waiting, slots, slowness = parse_load_header(load)
+        except InvalidValueError as error:
+            self._log.write("load_refused", target=target.name, reason=str(error))
+            return
+        # A target counts the answered request among those that it processes.
+        is_counted = find_header(response.headers, self._names.signature) is not None
+        previous = target.last_report
+        target.last_report = LoadReport(
+            running=max(0, running - 1) if is_counted else running,
+            waiting=waiting,
+            slots=slots,
+            slowness=slowness,
+            requested_ms=self._clock.read(),
+            took_ms=previous.took_ms if previous else 0.0,
+            is_healthy=previous.is_healthy if previous else True,
+        )
+
     def _record_slow_cancellation(
         self, target: Target, context: RequestContext, sent_ms: float
     ) -> None:
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -7,7 +7,13 @@
 
 import attrs
 
-from currantline.placement import LatencyAverages, PublishedTarget, TargetRegistry
+from currantline.placement import (
+    FleetPosition,
+    LatencyAverages,
+    ProbeLimit,
+    PublishedTarget,
+    TargetRegistry,
+)
 from currantline.relay import (
     ConnectionPool,
     HeaderNames,
@@ -71,7 +77,10 @@
 class RelayHarness:
     """A relay, its server and its targets."""
 
-    def __init__(self, network: Network, route: Route) -> None:
+    def __init__(
+        self, network: Network, route: Route, *, probes_per_s: int = 60
+    ) -> None:
+        self._probes_per_s = probes_per_s
         self.network = network
         self.clock = LoopClock(asyncio.get_running_loop())
         self.workers: list[StandinWorker] = []
@@ -143,6 +152,8 @@
             self.targets,
             prober=prober,
             latencies=latencies,
+            probe_limit=ProbeLimit(self._probes_per_s),
+            read_position=FleetPosition,
             data_centre="a",
             clock=self.clock,
             rng=rng,
@@ -150,7 +161,9 @@
         self.relay = Relay(
             read_table=lambda: self.table,
             selector=self.selector,
-            sender=Sender(pool, names=NAMES, latencies=latencies, clock=self.clock),
+            sender=Sender(
+                pool, names=NAMES, latencies=latencies, clock=self.clock, log=log
+            ),
             names=NAMES,
             retry_options=RetryBudgetOptions(slack=40.0),
             count_instances=lambda: 1,
@@ -221,14 +234,20 @@
 
 
 def run_scenario(
-    scenario: Callable[[RelayHarness], Awaitable[None]], route: Route | None = None
+    scenario: Callable[[RelayHarness], Awaitable[None]],
+    route: Route | None = None,
+    *,
+    probes_per_s: int = 60,
 ) -> None:
     """Run a scenario on the host of the relay in virtual time."""
     network = Network(latency_ms=0.1)
 
     async def session() -> None:
         async def prepare() -> None:
-            await scenario(RelayHarness(network, route or make_route()))
+            harness = RelayHarness(
+                network, route or make_route(), probes_per_s=probes_per_s
+            )
+            await scenario(harness)
 
         await run_on_host(HOST, prepare())
 
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -83,6 +83,63 @@
         run_scenario(scenario)
 
 
+class TestHealthChecks:
+    """Health checks that requests cause."""
+
+    def test_recent_response(self) -> None:
+        """Guards against health checks of a target that has just reported its load."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker()
+            for number in range(10):
+                assert (await harness.send(str(number))).status == 200
+            assert worker.health_checks == 1
+
+        run_scenario(scenario)
+
+    def test_freed_slot(self) -> None:
+        """Guards against a health check for each request of a full target's queue."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker(slots=1, work_ms=40.0)
+            calls = [harness.send(str(number)) for number in range(6)]
+            responses = await asyncio.gather(*calls)
+            assert [response.status for response in responses] == [200] * 6
+            # One finds the free slot; while it is taken, one check every 30 ms.
+            assert worker.health_checks <= 9
+
+        run_scenario(scenario)
+
+    def test_limit(self) -> None:
+        """Guards against waiting requests that probe a target above its limit.
+
+        The target is full for two seconds; requests search every 30 ms.
+        """
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker(slots=1, work_ms=2_000.0)
+            first = asyncio.ensure_future(harness.send("first"))
+            await asyncio.sleep(0.01)
+            await asyncio.gather(*(harness.send(str(n)) for n in range(10)))
+            assert worker.health_checks <= 10
+            await first
+
+        run_scenario(scenario, make_route(timeout_ms=3_000.0), probes_per_s=5)
+
+    def test_limit_reached(self) -> None:
+        """Guards against requests that wait for a health check at idle targets."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(work_ms=20.0)
+            started = harness.clock.read()
+            for number in range(5):
+                assert (await harness.send(str(number))).status == 200
+                await asyncio.sleep(0.1)
+            assert harness.clock.read() - started < 700.0
+
+        run_scenario(scenario, probes_per_s=1)
+
+
 class TestOverload:
     """Load above the capacity of the targets."""
 
--- a/src/currantline/standin/worker.py
+++ b/src/currantline/standin/worker.py
@@ -66,20 +66,26 @@
         own = ((names.target, self.name),)
         if request.target == HEALTH_PATH:
             self.health_checks += 1
-            load = f"{self.running},0,{self.slots},{self.slowness}"
-            return Response(status=200, headers=(*own, (names.load, load)))
+            return Response(status=200, headers=(*own, self._report_load()))
         request_id = find_header(request.headers, names.request_id) or ""
         expected = find_header(request.headers, names.expected_target)
         echo = (*own, (names.request_id, request_id))
         if expected not in (None, self.name):
             return Response(status=421, headers=echo)
         if self.is_rejecting or self.running >= self.slots:
-            return Response(status=503, headers=(*echo, (names.not_run, "1")))
+            headers = (*echo, (names.not_run, "1"), self._report_load())
+            return Response(status=503, headers=headers)
         await self._run(request, request_id)
-        headers = (*echo, (names.signature, f"{self.name}.{request_id}"))
+        signature = (names.signature, f"{self.name}.{request_id}")
+        load = self._report_load(answered=1)
+        headers = (*echo, signature, load)
         status = 500 if self.is_failing else 200
         return Response(status=status, headers=headers, body=request.target.encode())
 
+    def _report_load(self, *, answered: int = 0) -> tuple[str, str]:
+        load = f"{self.running + answered},0,{self.slots},{self.slowness}"
+        return self.header_names.load, load
+
     async def _run(self, request: Request, request_id: str) -> None:
         self.started_ids.append(request_id)
         self.on_start(request_id)
