Give most of the limit of health checks to the data centre of a target

Change: 0.8 of the limit is divided among the instances in the data centre of the target, the rest among the whole fleet.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -302,8 +302,14 @@
         self.meter.add_gauge("dropped_log_lines", lambda: self._log.dropped)
 
     def _read_position(self) -> FleetPosition:
-        size = len(self._membership.list_live()) + 1
-        return FleetPosition(rank=self._membership.rank, size=size)
+        membership = self._membership
+        return FleetPosition(
+            data_centre=self._settings.data_centre,
+            rank=membership.rank,
+            size=len(membership.list_live()) + 1,
+            local_rank=membership.local_rank,
+            local_size=len(membership.list_neighbours()) + 1,
+        )
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/currantline/placement/_probe_limit.py
+++ b/src/currantline/placement/_probe_limit.py
@@ -5,6 +5,7 @@
 capacity that the waiting requests need.
 """
 
+import functools
 import math
 import zlib
 
@@ -21,29 +22,44 @@
 POSITION_STRIDE = 0.618
 
 
+# Share of the limit that the instances in the data centre of the target use. They send
+# it most of its requests, since others only need it while their own targets are full.
+LOCAL_SHARE = 0.8
+
+
 @attrs.frozen(kw_only=True)
 class FleetPosition:
-    """Position of an instance in the fleet.
+    """Position of an instance in the fleet and in its data centre.
 
     Parameters
     ----------
+    data_centre : str
+        Data centre of the instance.
     rank : int
         Number of instances that precede this one in the order of their hosts.
     size : int
         Number of instances of the fleet.
+    local_rank : int
+        The same as `rank` within the data centre.
+    local_size : int
+        Number of instances of the data centre.
     """
 
+    data_centre: str
     rank: int = 0
     size: int = 1
+    local_rank: int = 0
+    local_size: int = 1
 
 
 class ProbeLimit:
     """Keeps the health checks of a target within a limit for the whole fleet.
 
-    In a fleet of at most `max_per_s` instances, each instance uses an equal, whole
-    part of the limit for every target. In a larger one, each target is probed once a
-    second by `max_per_s` of the instances, which differ between targets. The limit
-    holds in every second while the instances agree on the size of the fleet.
+    One part of the limit belongs to the instances in the data centre of the target,
+    the other to the whole fleet. A part of at least one check a second for each
+    instance is divided equally. Of a smaller part, some instances use one check a
+    second each, and these differ between targets. The limit holds in every second
+    while the instances agree on the members of the fleet.
 
     Parameters
     ----------
@@ -52,37 +68,46 @@
     """
 
     def __init__(self, max_per_s: int) -> None:
-        self._max_per_s = max_per_s
-
-    def count_allowed(self, target: str, position: FleetPosition) -> int:
-        """Return how often an instance may probe a target within one second.
-
-        Examples
-        --------
-        >>> ProbeLimit(60).count_allowed("t", FleetPosition(rank=3, size=16))
-        3
-        >>> fleet = [FleetPosition(rank=rank, size=94) for rank in range(94)]
-        >>> sum(ProbeLimit(42).count_allowed("t", each) for each in fleet)
-        42
-        """
-        equal_part = self._max_per_s // position.size
-        if equal_part:
-            return equal_part
-        offset = zlib.crc32(target.encode())
-        place = (position.rank * _find_stride(position.size) + offset) % position.size
-        return int(place < self._max_per_s)
+        self._local_per_s = max(1, int(LOCAL_SHARE * max_per_s))
+        self._fleet_per_s = max_per_s - self._local_per_s
+
+    def count_allowed(self, target: Target, position: FleetPosition) -> int:
+        """Return how often an instance may probe a target within one second."""
+        name = target.name
+        if target.published.data_centre == position.data_centre:
+            rank, size = position.local_rank, position.local_size
+            return _divide(self._local_per_s, name, rank, size)
+        return _divide(self._fleet_per_s, name, position.rank, position.size)
 
     def is_allowed(self, target: Target, position: FleetPosition, now: float) -> bool:
         """Return whether an instance may probe a target now."""
         recent = [sent for sent in target.probe_times_ms if sent > now - WINDOW_MS]
         target.probe_times_ms[:] = recent
-        return len(recent) < self.count_allowed(target.name, position)
+        return len(recent) < self.count_allowed(target, position)
 
     def record(self, target: Target, now: float) -> None:
         """Count a health check of a target."""
         target.probe_times_ms.append(now)
 
 
+def _divide(total: int, target: str, rank: int, size: int) -> int:
+    """Return the part of one of `size` instances in a whole number.
+
+    Examples
+    --------
+    >>> [_divide(48, "t", rank, 6) for rank in range(6)]
+    [8, 8, 8, 8, 8, 8]
+    >>> sum(_divide(33, "t", rank, 94) for rank in range(94))
+    33
+    """
+    equal_part = total // size
+    if equal_part:
+        return equal_part
+    offset = zlib.crc32(target.encode())
+    return int((rank * _find_stride(size) + offset) % size < total)
+
+
+@functools.cache
 def _find_stride(size: int) -> int:
     stride = max(1, round(POSITION_STRIDE * size))
     while math.gcd(stride, size) > 1:
