Serve pipelined requests of a caller concurrently

Change: up to 16 idempotent requests of a connection are handled at the same time, and their responses are written in the order of the requests. A non-idempotent request waits for those before it: a caller repeats what it sent behind a response that closes the connection, whatever its kind. While draining, only the last response closes, and requests that arrive after it are not handled. A connection is closed after the caller's EOF, since a close with unread bytes resets it and may swallow the response. An unexpected error in one request gives 502 and leaves the others alone.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -282,7 +282,10 @@
 
     def _build_services(self) -> None:
         self._server = RelayServer(
-            self._relay.handle, read_limits=self._read_limits, log=self._log
+            self._relay.handle,
+            is_idempotent=self._relay.is_idempotent,
+            read_limits=self._read_limits,
+            log=self._log,
         )
         ttl_s = min(DIRECTORY_TTL_S, self._settings.directory_ttl_s)
         self._directory = HttpServer(
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -135,6 +135,15 @@
         """Number of non-idempotent sends in progress."""
         return len(self._detached)
 
+    def is_idempotent(self, request: Request) -> bool:
+        """Return whether a request may be executed more than once.
+
+        That includes requests without a route, which are not executed at all.
+        """
+        table = self._read_table()
+        route = _find_route(table, request) if table is not None else None
+        return route is None or route.is_idempotent
+
     async def handle(self, request: Request) -> Response:
         """Return the response to a request."""
         arrived_ms = self._clock.read()
@@ -143,8 +152,7 @@
             return self._refuse(
                 request, "no configuration is known", UNREADY_RETRY_AFTER_MS
             )
-        host = find_header(request.headers, "host") or ""
-        route = table.find(host, request.target.partition("?")[0])
+        route = _find_route(table, request)
         if route is None:
             self._log_unrouted(request, NOT_FOUND, "no route", version=table.version)
             return _build_text_response(NOT_FOUND, "no route fits")
@@ -393,6 +401,11 @@
         )
 
 
+def _find_route(table: RouteTable, request: Request) -> Route | None:
+    host = find_header(request.headers, "host") or ""
+    return table.find(host, request.target.partition("?")[0])
+
+
 def _build_text_response(status: int, text: str) -> Response:
     return Response(
         status=status,
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import attrs
 import h11
 
 from currantline.exceptions import (
@@ -12,6 +11,7 @@
     ProtocolError,
     WireError,
 )
+from currantline.relay._pipeline import Pipeline
 from currantline.routing import CallerLimits
 from currantline.telemetry import EventLog
 from currantline.wire import HttpConnection, Request, Response
@@ -27,7 +27,7 @@
 # Time in milliseconds after which a caller that acknowledges no data counts as gone.
 DEAD_CALLER_TIMEOUT_MS = 10_000
 
-REQUEST_TIMEOUT, BODY_TOO_LARGE, HEAD_TOO_LARGE = 408, 413, 431
+REQUEST_TIMEOUT, BODY_TOO_LARGE, BAD_GATEWAY = 408, 413, 502
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -40,6 +40,9 @@
     handle : callable
         Coroutine function that returns the response to a request. It is cancelled
         when the caller disconnects.
+    is_idempotent : callable
+        Returns whether a request may be executed more than once. Other requests are
+        neither handled before the response to an earlier one nor overtaken.
     read_limits : callable
         Returns the limits for caller requests.
     log : EventLog
@@ -50,10 +53,12 @@
         self,
         handle: Handler,
         *,
+        is_idempotent: Callable[[Request], bool],
         read_limits: Callable[[], CallerLimits],
         log: EventLog,
     ) -> None:
         self._handle = handle
+        self._is_idempotent = is_idempotent
         self._read_limits = read_limits
         self._log = log
         self._server: asyncio.Server | None = None
@@ -118,52 +123,89 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, connection: HttpConnection) -> None:
+        pipeline = Pipeline(
+            connection,
+            is_draining=lambda: self._is_draining,
+            on_complete=self._count_completed,
+            log=self._log,
+        )
         try:
-            while await self._serve_one(connection):
-                connection.start_next_cycle()
+            while await self._serve_next(connection, pipeline):
+                await connection.drain()
+            await pipeline.wait_until_empty()
         except (ProtocolError, BodyTooLargeError, CallerTimeoutError) as error:
-            self._respond_to_error(connection, error)
+            await pipeline.wait_until_empty()
+            if not pipeline.is_closed:
+                self._respond_to_error(connection, error)
         except WireError as error:
             self._log.write("caller_lost", reason=str(error))
             connection.abort()
         except asyncio.CancelledError:
-            connection.abort()
+            if not pipeline.is_empty:
+                connection.abort()
             raise
         finally:
+            pipeline.cancel()
             connection.close()
 
-    async def _serve_one(self, connection: HttpConnection) -> bool:
-        if not await self._wait_for_request(connection):
+    async def _serve_next(self, connection: HttpConnection, pipeline: Pipeline) -> bool:
+        """Read one request and start to handle it; return False at the end."""
+        await pipeline.wait_for_room()
+        if not await self._wait_for_request(connection, pipeline):
             return False
         self.active_requests += 1
+        is_handled = False
         try:
-            request = await self._read_request(connection)
-            if request is None or connection.is_lost:
+            request = await self._read_request(connection, pipeline)
+            if request is None or pipeline.is_closed:
                 return False
-            response = await self._handle_request(connection, request)
-            if response is None:
-                return False
-            if self._is_draining:
-                headers = (*response.headers, ("connection", "close"))
-                response = attrs.evolve(response, headers=headers)
-            connection.write_response(response)
-            await connection.drain()
-            return connection.is_reusable
+            exchange = connection.split_exchange()
+            is_idempotent = self._is_idempotent(request)
+            if not is_idempotent:
+                # An earlier response may still close the connection. The caller would
+                # then send this request again.
+                await pipeline.wait_until_empty()
+                if pipeline.is_closed:
+                    return False
+            is_last = not exchange.is_persistent
+            task = asyncio.get_running_loop().create_task(self._run_handler(request))
+            pipeline.add(request, exchange, task)
+            is_handled = True
         finally:
-            self.active_requests -= 1
+            if not is_handled:
+                self.active_requests -= 1
+        if not is_idempotent:
+            await pipeline.wait_until_empty()
+        return not is_last
+
+    def _count_completed(self) -> None:
+        self.active_requests -= 1
+
+    async def _wait_for_request(
+        self, connection: HttpConnection, pipeline: Pipeline
+    ) -> bool:
+        idle_s = self._read_limits().idle_timeout_ms / 1000
+        loop = asyncio.get_running_loop()
+
+        def start_idle_period() -> None:
+            self._idle.add(connection)
+            limit.reschedule(loop.time() + idle_s)
 
-    async def _wait_for_request(self, connection: HttpConnection) -> bool:
-        self._idle.add(connection)
-        limit_ms = self._read_limits().idle_timeout_ms
         try:
-            async with asyncio.timeout(limit_ms / 1000):
+            async with asyncio.timeout(None) as limit:
+                pipeline.on_empty = start_idle_period
+                if pipeline.is_empty:
+                    start_idle_period()
                 return await connection.wait_for_data()
         except TimeoutError:
             return False
         finally:
+            pipeline.on_empty = None
             self._idle.discard(connection)
 
-    async def _read_request(self, connection: HttpConnection) -> Request | None:
+    async def _read_request(
+        self, connection: HttpConnection, pipeline: Pipeline
+    ) -> Request | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(
@@ -172,26 +214,19 @@
                 return await connection.read_request(
                     on_head=lambda: limit.reschedule(
                         loop.time() + BODY_TIMEOUT_MS / 1000
-                    )
+                    ),
+                    before_continue=pipeline.wait_until_empty,
                 )
         except TimeoutError as error:
             raise CallerTimeoutError("the request did not arrive in time") from error
 
-    async def _handle_request(
-        self, connection: HttpConnection, request: Request
-    ) -> Response | None:
-        handler_task = asyncio.ensure_future(self._handle(request))
-        connection.on_lost = handler_task.cancel
+    async def _run_handler(self, request: Request) -> Response:
         try:
-            return await asyncio.shield(handler_task)
-        except asyncio.CancelledError:
-            if not connection.is_lost:
-                handler_task.cancel()
-                raise
-            self._log.write("caller_left", target=request.target)
-            return None
-        finally:
-            connection.on_lost = None
+            return await self._handle(request)
+        except Exception as error:
+            # A fault in one request must not end the others of its connection.
+            self._log.write("request_failed", target=request.target, reason=repr(error))
+            return Response(status=BAD_GATEWAY)
 
     def _respond_to_error(self, connection: HttpConnection, error: WireError) -> None:
         status = REQUEST_TIMEOUT
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -174,6 +174,7 @@
         )
         self.server = RelayServer(
             self.relay.handle,
+            is_idempotent=self.relay.is_idempotent,
             read_limits=lambda: self.table.limits if self.table else CallerLimits(),
             log=log,
         )
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from currantline.relay import RelayServer
 from currantline.relay.tests.support import (
     CALLER,
     LISTEN_ADDRESS,
@@ -12,7 +13,15 @@
 )
 from currantline.routing import CallerLimits
 from currantline.standin.network import run_on_host
-from currantline.wire import HttpConnection, Request, connect, fetch, find_header
+from currantline.telemetry import EventLog
+from currantline.wire import (
+    HttpConnection,
+    Request,
+    Response,
+    connect,
+    fetch,
+    find_header,
+)
 
 
 async def open_connection() -> HttpConnection:
@@ -20,6 +29,29 @@
     return await run_on_host(CALLER, connect(LISTEN_ADDRESS, max_body_bytes=1_000_000))
 
 
+def encode(request: Request) -> bytes:
+    """Return the bytes of a request without a body."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def write_pipelined(connection: HttpConnection, *names: str) -> None:
+    """Write several requests at once."""
+    connection.write(b"".join(encode(make_request(name)) for name in names))
+
+
+async def read_pipelined(connection: HttpConnection, count: int) -> list[str]:
+    """Return the bodies of several responses, all of which must be successes."""
+    bodies: list[str] = []
+    for _ in range(count):
+        connection.discard_response()
+        response = await connection.read_response()
+        assert response.status == 200
+        bodies.append(response.body.decode())
+    return bodies
+
+
 class TestRelayServer:
     """Behaviour of caller connections."""
 
@@ -142,3 +174,176 @@
             assert connection.is_lost
 
         run_scenario(scenario)
+
+
+class TestPipelining:
+    """Requests that a caller sends before the response to an earlier one."""
+
+    def test_concurrent(self) -> None:
+        """Guards against requests that wait for the response to an earlier one."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=4, work_ms=100.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            started = harness.clock.read()
+            write_pipelined(connection, "a", "b", "c")
+            assert await read_pipelined(connection, 3) == ["/a", "/b", "/c"]
+            assert harness.clock.read() - started < 150.0
+
+        run_scenario(scenario)
+
+    def test_order(self) -> None:
+        """Guards against a response that overtakes that of an earlier request."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker(slots=4)
+            await harness.server.start(LISTEN_ADDRESS)
+
+            def slow_down(request_id: str) -> None:
+                worker.work_ms = {"a": 300.0, "b": 20.0, "c": 100.0}[request_id]
+
+            worker.on_start = slow_down
+            connection = await open_connection()
+            write_pipelined(connection, "a", "b", "c")
+            assert await read_pipelined(connection, 3) == ["/a", "/b", "/c"]
+
+        run_scenario(scenario, make_route(objective_ms=2_000.0))
+
+    def test_failed_request(self) -> None:
+        """Guards against a refusal that spoils the requests behind it."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=4)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            expired = make_request("a", remaining_ms=1.0)
+            connection.discard_response()
+            connection.write(encode(expired) + encode(make_request("b")))
+            first = await connection.read_response()
+            connection.discard_response()
+            second = await connection.read_response()
+            assert (first.status, second.status) == (503, 200)
+            assert harness.list_ran() == ["b"]
+
+        run_scenario(scenario)
+
+    def test_limit(self) -> None:
+        """Guards against a connection that starts any number of requests."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=100, work_ms=300.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            names = [f"n{number}" for number in range(40)]
+            write_pipelined(connection, *names)
+            await asyncio.sleep(0.2)
+            assert harness.server.active_requests <= 17
+            assert await read_pipelined(connection, 40) == [f"/{n}" for n in names]
+            assert harness.server.active_requests == 0
+
+        run_scenario(scenario)
+
+    def test_caller_disconnects(self) -> None:
+        """Guards against requests that continue after their caller has left."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker(slots=4, work_ms=1_000.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            write_pipelined(connection, "a", "b")
+            await asyncio.sleep(0.1)
+            connection.close()
+            await asyncio.sleep(0.1)
+            assert sorted(worker.cancelled) == ["a", "b"]
+            assert harness.server.active_requests == 0
+
+        run_scenario(scenario)
+
+    def test_draining(self) -> None:
+        """Guards against a shutdown that closes before the last response.
+
+        A request that arrives after the closing response counts as not read. Its
+        caller sends it again, so it must not run.
+        """
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=4, work_ms=300.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            connection.discard_response()
+            write_pipelined(connection, "a", "b")
+            await asyncio.sleep(0.1)
+            harness.server.start_draining()
+            harness.server.close_idle()
+            first = await connection.read_response()
+            assert find_header(first.headers, "connection") is None
+            connection.discard_response()
+            second = await connection.read_response()
+            assert find_header(second.headers, "connection") == "close"
+            connection.write(encode(make_request("late")))
+            await asyncio.sleep(0.5)
+            assert harness.list_ran() == ["a", "b"]
+            assert harness.server.connections == 0
+
+        run_scenario(scenario)
+
+    def test_non_idempotent(self) -> None:
+        """Guards against a request that runs behind a response that closes.
+
+        Its caller would send it again, and it would run twice.
+        """
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=4, work_ms=300.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            write_pipelined(connection, "a", "b")
+            await asyncio.sleep(0.1)
+            harness.server.start_draining()
+            await asyncio.sleep(0.5)
+            assert harness.list_ran() == ["a"]
+
+        run_scenario(scenario, make_route(is_idempotent=False))
+
+    def test_malformed(self) -> None:
+        """Guards against malformed bytes that spoil the requests before them."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=4)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            connection.discard_response()
+            connection.write(encode(make_request("a")) + b"nonsense\r\n\r\n")
+            first = await connection.read_response()
+            connection.discard_response()
+            second = await connection.read_response()
+            assert (first.status, second.status) == (200, 400)
+
+        run_scenario(scenario)
+
+    def test_unexpected_error(self) -> None:
+        """Guards against a fault in one request that ends those behind it."""
+
+        async def handle(request: Request) -> Response:
+            await asyncio.sleep(0.01)
+            if request.target == "/a":
+                raise ZeroDivisionError
+            return Response(status=200)
+
+        async def scenario(harness: RelayHarness) -> None:
+            server = RelayServer(
+                handle,
+                is_idempotent=lambda request: True,
+                read_limits=CallerLimits,
+                log=EventLog("i", clock=harness.clock, write=len),
+            )
+            await server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            write_pipelined(connection, "a", "b")
+            connection.discard_response()
+            assert (await connection.read_response()).status == 502
+            connection.discard_response()
+            assert (await connection.read_response()).status == 200
+
+        run_scenario(scenario)
--- a/src/currantline/standin/_transport.py
+++ b/src/currantline/standin/_transport.py
@@ -138,7 +138,10 @@
                 self._protocol.data_received(chunk)
                 continue
             self._protocol.eof_received()
-            self._is_closing = True
+            if not self._is_closing:
+                # A closing socket sends EOF as well.
+                self._is_closing = True
+                self._send(None)
             self._report_lost(None)
 
     def _report_lost(self, error: Exception | None) -> None:
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client and server connections on h11."""
 
 from currantline.wire._client import HttpClient
-from currantline.wire._connection import HttpConnection, connect
+from currantline.wire._connection import HttpConnection, ServerExchange, connect
 from currantline.wire._fetch import fetch
 from currantline.wire._messages import (
     HOP_BY_HOP,
@@ -21,6 +21,7 @@
     "HttpServer",
     "Request",
     "Response",
+    "ServerExchange",
     "connect",
     "fetch",
     "find_header",
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages over one asyncio connection, parsed by h11."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import h11
@@ -13,7 +13,7 @@
 from currantline.wire._messages import Headers, Request, Response
 from currantline.wire._stream import ByteStream
 
-__all__ = ["HttpConnection", "connect"]
+__all__ = ["HttpConnection", "ServerExchange", "connect"]
 
 MAX_HEAD_BYTES = 32768
 # Maximum time without an acknowledgement of sent bytes or of a keep-alive probe. Hosts
@@ -23,6 +23,49 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
+class ServerExchange:
+    """A request that a server has read, and the encoding of its response.
+
+    Parameters
+    ----------
+    state : h11.Connection
+        State of the exchange.
+    is_head_request : bool
+        Whether the request is a HEAD request.
+    """
+
+    def __init__(self, state: h11.Connection, *, is_head_request: bool) -> None:
+        self._h11 = state
+        self._is_head_request = is_head_request
+
+    @property
+    def is_persistent(self) -> bool:
+        """Whether the connection stays open after the response."""
+        return self._h11.our_state in (h11.SEND_RESPONSE, h11.DONE) and (
+            self._h11.their_state is h11.DONE
+        )
+
+    def encode_response(self, response: Response) -> bytes:
+        """Encode a complete response as bytes for `ByteStream.write`.
+
+        Raises
+        ------
+        ProtocolError
+            If it is not a valid HTTP response.
+        """
+        headers = list(response.headers)
+        # The content length of a response to HEAD without a body is not known here.
+        is_length_known = response.body or not self._is_head_request
+        if response.status not in NO_BODY_STATUSES and is_length_known:
+            headers = _add_length(response.headers, response.body)
+        try:
+            head = h11.Response(status_code=response.status, headers=headers)
+        except h11.LocalProtocolError as error:
+            raise ProtocolError(str(error)) from error
+        body = b"" if self._is_head_request else response.body
+        return _encode(self._h11, head, body)
+
+
 class HttpConnection(ByteStream):
     """One side of an HTTP/1.1 connection.
 
@@ -102,7 +145,7 @@
             )
         except h11.LocalProtocolError as error:
             raise ProtocolError(str(error)) from error
-        return self._encode(head, request.body)
+        return _encode(self._h11, head, request.body)
 
     def write_request(self, request: Request) -> None:
         """Write a complete request to the transport without suspending."""
@@ -110,16 +153,21 @@
 
     def write_response(self, response: Response) -> None:
         """Write a complete response to the transport without suspending."""
-        headers = list(response.headers)
-        # The content length of a response to HEAD without a body is not known here.
-        is_length_known = response.body or not self._is_head_request
-        if response.status not in NO_BODY_STATUSES and is_length_known:
-            headers = _add_length(response.headers, response.body)
-        try:
-            head = h11.Response(status_code=response.status, headers=headers)
-        except h11.LocalProtocolError as error:
-            raise ProtocolError(str(error)) from error
-        self.write(self._encode(head, b"" if self._is_head_request else response.body))
+        self.write(self._open_exchange().encode_response(response))
+
+    def split_exchange(self) -> ServerExchange:
+        """Detach the request just read, so that the next one can be read already.
+
+        Bytes of the next request that have been received stay on the connection.
+        """
+        exchange = self._open_exchange()
+        unread = self._h11.trailing_data[0]
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._max_head_bytes
+        )
+        if unread:
+            self._h11.receive_data(unread)
+        return exchange
 
     async def wait_for_data(self) -> bool:
         """Wait for the first byte of a message; return False at the end of the stream.
@@ -134,7 +182,10 @@
         return self.has_unread
 
     async def read_request(
-        self, *, on_head: Callable[[], object] | None = None
+        self,
+        *,
+        on_head: Callable[[], object] | None = None,
+        before_continue: Callable[[], Awaitable[object]] | None = None,
     ) -> Request | None:
         """Read one complete request.
 
@@ -142,6 +193,9 @@
         ----------
         on_head : callable, optional
             Called when the request line and the headers have been read.
+        before_continue : callable, optional
+            Awaited before an interim response 100 is written, which must not precede
+            the responses to earlier requests.
 
         Returns
         -------
@@ -165,6 +219,8 @@
         if on_head is not None:
             on_head()
         if self._h11.they_are_waiting_for_100_continue and not self.has_unread:
+            if before_continue is not None:
+                await before_continue()
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self.write(self._h11.send(interim) or b"")
         return Request(
@@ -210,14 +266,8 @@
         body = await self._read_body()
         return Response(status=event.status_code, headers=headers, body=body)
 
-    def _encode(self, head: h11.Request | h11.Response, body: bytes) -> bytes:
-        try:
-            data = self._h11.send(head) or b""
-            if body:
-                data += self._h11.send(h11.Data(data=body)) or b""
-            return data + (self._h11.send(h11.EndOfMessage()) or b"")
-        except h11.LocalProtocolError as error:
-            raise ProtocolError(str(error)) from error
+    def _open_exchange(self) -> ServerExchange:
+        return ServerExchange(self._h11, is_head_request=self._is_head_request)
 
     def _check_length(self, headers: Headers) -> None:
         for name, value in headers:
@@ -296,6 +346,18 @@
     return connection
 
 
+def _encode(
+    state: h11.Connection, head: h11.Request | h11.Response, body: bytes
+) -> bytes:
+    try:
+        data = state.send(head) or b""
+        if body:
+            data += state.send(h11.Data(data=body)) or b""
+        return data + (state.send(h11.EndOfMessage()) or b"")
+    except h11.LocalProtocolError as error:
+        raise ProtocolError(str(error)) from error
+
+
 def _add_length(headers: Headers, body: bytes) -> list[tuple[str, str]]:
     if any(name == "content-length" for name, _ in headers):
         return list(headers)
