Bound the memory for request bodies, and count time from arrival

Cause: bodies were read whole without a common bound, so 200 uploads of 1 MB at once could exceed the memory of an instance and kill it. The time that a body took to arrive, or that a request waited behind another, was not taken off the time given to the target. Change: BodyBudget reserves 40 MB for whole bodies in the order of arrival; meanwhile the body stays with its caller by flow control. A caller without room for a second is refused with 503 and Retry-After before a byte of its body is read. Deadline and objective count from the first byte of a request; waiting for a target counts from its last byte. An interim response 100 waits for the responses before it.

--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -138,6 +138,10 @@
     """A caller did not send its request or receive its response in time."""
 
 
+class NoMemoryForBodyError(WireError):
+    """The memory for request bodies stayed full, so that no body byte was read."""
+
+
 class TargetError(CurrantlineError):
     """An exchange with a target failed."""
 
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -285,6 +285,7 @@
             self._relay.handle,
             is_idempotent=self._relay.is_idempotent,
             read_limits=self._read_limits,
+            clock=self._clock,
             log=self._log,
         )
         ttl_s = min(DIRECTORY_TTL_S, self._settings.directory_ttl_s)
@@ -302,6 +303,7 @@
         self.meter.add_gauge("replica_revision", lambda: self.replica.revision)
         self.meter.add_gauge("platform_calls", lambda: self._store.calls)
         self.meter.add_gauge("caller_connections", lambda: self._server.connections)
+        self.meter.add_gauge("held_body_bytes", lambda: self._server.held_body_bytes)
         self.meter.add_gauge("dropped_log_lines", lambda: self._log.dropped)
 
     def _read_position(self) -> FleetPosition:
--- /dev/null
+++ b/src/currantline/relay/_body_budget.py
@@ -0,0 +1,77 @@
+"""Memory for the request bodies that an instance holds.
+
+A body is held until a target has it, for a retry after a rejection. When many callers
+upload at once, the bodies would exceed the memory of the instance. Each caller
+therefore waits, before its body is read, until there is room for the whole of it;
+meanwhile TCP flow control holds the body back at the caller. Reserving whole bodies
+rules out that many partly read ones fill the memory and none can be completed.
+"""
+
+import asyncio
+from collections import deque
+
+import attrs
+
+__all__ = ["BodyBudget"]
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    size: int
+    turn: "asyncio.Future[None]"
+
+
+class BodyBudget:
+    """Reserves memory for request bodies in the order of their arrival.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Total size of the bodies held at the same time. A larger body counts as this
+        size, so that it is read alone.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._waiters: deque[_Waiter] = deque()
+        self.held_bytes = 0
+
+    async def reserve(self, size: int) -> int:
+        """Wait for room and return the reserved size, which `release` takes.
+
+        Parameters
+        ----------
+        size : int
+            Size of the body in bytes.
+        """
+        bounded = min(size, self._max_bytes)
+        if not self._waiters and self._has_room(bounded):
+            self.held_bytes += bounded
+            return bounded
+        waiter = _Waiter(bounded, asyncio.get_running_loop().create_future())
+        self._waiters.append(waiter)
+        try:
+            await waiter.turn
+        except asyncio.CancelledError:
+            if waiter.turn.done() and not waiter.turn.cancelled():
+                self.held_bytes -= bounded
+            else:
+                self._waiters.remove(waiter)
+            self._admit()
+            raise
+        return bounded
+
+    def release(self, size: int) -> None:
+        """Return reserved memory."""
+        self.held_bytes -= size
+        self._admit()
+
+    def _has_room(self, size: int) -> bool:
+        return self.held_bytes + size <= self._max_bytes
+
+    def _admit(self) -> None:
+        while self._waiters and self._has_room(self._waiters[0].size):
+            waiter = self._waiters.popleft()
+            if not waiter.turn.done():
+                self.held_bytes += waiter.size
+                waiter.turn.set_result(None)
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -144,9 +144,17 @@
         route = _find_route(table, request) if table is not None else None
         return route is None or route.is_idempotent
 
-    async def handle(self, request: Request) -> Response:
-        """Return the response to a request."""
-        arrived_ms = self._clock.read()
+    async def handle(self, request: Request, arrived_ms: float) -> Response:
+        """Return the response to a request.
+
+        Parameters
+        ----------
+        request : Request
+            The request.
+        arrived_ms : float
+            Time at which its first byte arrived, in milliseconds. Its deadline counts
+            from then, also if its body took long or it waited behind another request.
+        """
         table = self._read_table()
         if table is None:
             return self._refuse(
@@ -165,7 +173,7 @@
             request_id=find_header(request.headers, self._names.request_id) or "",
             route=route,
             service=service,
-            arrived_ms=arrived_ms,
+            arrived_ms=self._clock.read(),
             objective_deadline_ms=arrived_ms + route.objective_ms - age_ms - TRANSIT_MS,
             deadline_ms=arrived_ms + min(remaining_ms - TRANSIT_MS, route.timeout_ms),
             caller_deadline_ms=arrived_ms + remaining_ms - TRANSIT_MS,
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -64,7 +64,7 @@
     service : RoutedService
         Service that was chosen for the request.
     arrived_ms : float
-        Arrival time in milliseconds.
+        Time at which the request had arrived completely, in milliseconds.
     objective_deadline_ms : float
         Time at which the latency objective ends.
     deadline_ms : float
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -5,16 +5,19 @@
 
 import h11
 
+from currantline.clock import Clock
 from currantline.exceptions import (
     BodyTooLargeError,
     CallerTimeoutError,
+    NoMemoryForBodyError,
     ProtocolError,
     WireError,
 )
+from currantline.relay._body_budget import BodyBudget
 from currantline.relay._pipeline import Pipeline
 from currantline.routing import CallerLimits
 from currantline.telemetry import EventLog
-from currantline.wire import HttpConnection, Request, Response
+from currantline.wire import HttpConnection, Request, Response, find_header
 
 __all__ = ["RelayServer"]
 
@@ -27,9 +30,26 @@
 # Time in milliseconds after which a caller that acknowledges no data counts as gone.
 DEAD_CALLER_TIMEOUT_MS = 10_000
 
-REQUEST_TIMEOUT, BODY_TOO_LARGE, BAD_GATEWAY = 408, 413, 502
+# Total size of the request bodies held by an instance. The smallest machines have
+# 200 MB, and a body is copied once when it is encoded and once when it is written.
+MAX_BODY_BYTES_HELD = 40 * 1024 * 1024
 
-Handler = Callable[[Request], Awaitable[Response]]
+# Memory reserved for a body in chunks, whose size is not known before its end.
+UNKNOWN_BODY_BYTES = 1024 * 1024
+
+# Time in milliseconds for which a caller waits for memory before it is refused.
+BODY_ROOM_TIMEOUT_MS = 1_000.0
+
+REQUEST_TIMEOUT, BODY_TOO_LARGE, BAD_GATEWAY, UNAVAILABLE = 408, 413, 502, 503
+
+REFUSED_ERRORS = (
+    ProtocolError,
+    BodyTooLargeError,
+    CallerTimeoutError,
+    NoMemoryForBodyError,
+)
+
+Handler = Callable[[Request, float], Awaitable[Response]]
 
 
 class RelayServer:
@@ -38,13 +58,15 @@
     Parameters
     ----------
     handle : callable
-        Coroutine function that returns the response to a request. It is cancelled
-        when the caller disconnects.
+        Coroutine function that returns the response to a request, which it gets with
+        its arrival time in milliseconds. It is cancelled when the caller disconnects.
     is_idempotent : callable
         Returns whether a request may be executed more than once. Other requests are
         neither handled before the response to an earlier one nor overtaken.
     read_limits : callable
         Returns the limits for caller requests.
+    clock : Clock
+        Source of time.
     log : EventLog
         Log of events.
     """
@@ -55,18 +77,26 @@
         *,
         is_idempotent: Callable[[Request], bool],
         read_limits: Callable[[], CallerLimits],
+        clock: Clock,
         log: EventLog,
     ) -> None:
         self._handle = handle
         self._is_idempotent = is_idempotent
         self._read_limits = read_limits
+        self._clock = clock
         self._log = log
+        self._body_budget = BodyBudget(MAX_BODY_BYTES_HELD)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[HttpConnection] = set()
         self._is_draining = False
         self.active_requests = 0
 
+    @property
+    def held_body_bytes(self) -> int:
+        """Memory reserved for request bodies."""
+        return self._body_budget.held_bytes
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -133,7 +163,7 @@
             while await self._serve_next(connection, pipeline):
                 await connection.drain()
             await pipeline.wait_until_empty()
-        except (ProtocolError, BodyTooLargeError, CallerTimeoutError) as error:
+        except REFUSED_ERRORS as error:
             await pipeline.wait_until_empty()
             if not pipeline.is_closed:
                 self._respond_to_error(connection, error)
@@ -153,31 +183,57 @@
         await pipeline.wait_for_room()
         if not await self._wait_for_request(connection, pipeline):
             return False
+        arrived_ms = self._clock.read()
         self.active_requests += 1
-        is_handled = False
+        reserved = 0
+        task: asyncio.Task[Response] | None = None
         try:
-            request = await self._read_request(connection, pipeline)
-            if request is None or pipeline.is_closed:
+            head = await self._read_head(connection)
+            if head is None or pipeline.is_closed:
                 return False
+            if _has_body(head):
+                reserved = await self._reserve_body(head)
+            if connection.is_continue_expected:
+                # An interim response must not precede those to earlier requests.
+                await pipeline.wait_until_empty()
+            request = await self._read_body(connection, head)
             exchange = connection.split_exchange()
             is_idempotent = self._is_idempotent(request)
             if not is_idempotent:
                 # An earlier response may still close the connection. The caller would
                 # then send this request again.
                 await pipeline.wait_until_empty()
-                if pipeline.is_closed:
-                    return False
+            if pipeline.is_closed:
+                return False
             is_last = not exchange.is_persistent
-            task = asyncio.get_running_loop().create_task(self._run_handler(request))
+            task = self._start_handler(request, arrived_ms, reserved)
             pipeline.add(request, exchange, task)
-            is_handled = True
         finally:
-            if not is_handled:
+            if task is None:
                 self.active_requests -= 1
+                self._body_budget.release(reserved)
         if not is_idempotent:
             await pipeline.wait_until_empty()
         return not is_last
 
+    def _start_handler(
+        self, request: Request, arrived_ms: float, reserved: int
+    ) -> "asyncio.Task[Response]":
+        task = asyncio.get_running_loop().create_task(
+            self._run_handler(request, arrived_ms)
+        )
+        task.add_done_callback(lambda _: self._body_budget.release(reserved))
+        return task
+
+    async def _reserve_body(self, head: Request) -> int:
+        length = find_header(head.headers, "content-length")
+        size = UNKNOWN_BODY_BYTES if length is None else int(length)
+        try:
+            async with asyncio.timeout(BODY_ROOM_TIMEOUT_MS / 1000):
+                return await self._body_budget.reserve(size)
+        except TimeoutError as error:
+            raise NoMemoryForBodyError(f"no memory for {size} bytes") from error
+
     def _count_completed(self) -> None:
         self.active_requests -= 1
 
@@ -203,26 +259,23 @@
             pipeline.on_empty = None
             self._idle.discard(connection)
 
-    async def _read_request(
-        self, connection: HttpConnection, pipeline: Pipeline
-    ) -> Request | None:
-        loop = asyncio.get_running_loop()
+    async def _read_head(self, connection: HttpConnection) -> Request | None:
+        try:
+            async with asyncio.timeout(self._read_limits().head_timeout_ms / 1000):
+                return await connection.read_request_head()
+        except TimeoutError as error:
+            raise CallerTimeoutError("the head did not arrive in time") from error
+
+    async def _read_body(self, connection: HttpConnection, head: Request) -> Request:
         try:
-            async with asyncio.timeout(
-                self._read_limits().head_timeout_ms / 1000
-            ) as limit:
-                return await connection.read_request(
-                    on_head=lambda: limit.reschedule(
-                        loop.time() + BODY_TIMEOUT_MS / 1000
-                    ),
-                    before_continue=pipeline.wait_until_empty,
-                )
+            async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
+                return await connection.read_request_body(head)
         except TimeoutError as error:
-            raise CallerTimeoutError("the request did not arrive in time") from error
+            raise CallerTimeoutError("the body did not arrive in time") from error
 
-    async def _run_handler(self, request: Request) -> Response:
+    async def _run_handler(self, request: Request, arrived_ms: float) -> Response:
         try:
-            return await self._handle(request)
+            return await self._handle(request, arrived_ms)
         except Exception as error:
             # A fault in one request must not end the others of its connection.
             self._log.write("request_failed", target=request.target, reason=repr(error))
@@ -230,12 +283,16 @@
 
     def _respond_to_error(self, connection: HttpConnection, error: WireError) -> None:
         status = REQUEST_TIMEOUT
+        headers = [("connection", "close")]
         if isinstance(error, BodyTooLargeError):
             status = BODY_TOO_LARGE
+        elif isinstance(error, NoMemoryForBodyError):
+            status = UNAVAILABLE
+            headers.append(("retry-after", f"{BODY_ROOM_TIMEOUT_MS / 1000:.3f}"))
         elif isinstance(error, ProtocolError):
             status = error.status
         self._log.write("request_refused", status=status, reason=str(error))
-        response = Response(status=status, headers=(("connection", "close"),))
+        response = Response(status=status, headers=tuple(headers))
         try:
             connection.write_response(response)
         except ProtocolError as reason:
@@ -243,3 +300,9 @@
             connection.abort()
         else:
             connection.close_after_eof()
+
+
+def _has_body(head: Request) -> bool:
+    length = find_header(head.headers, "content-length")
+    is_chunked = find_header(head.headers, "transfer-encoding") is not None
+    return is_chunked or length not in (None, "0")
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -134,7 +134,8 @@
 
     async def send(self, request_id: str = "a", **values: Any) -> Response:
         """Send a request through the relay."""
-        return await self.relay.handle(make_request(request_id, **values))
+        request = make_request(request_id, **values)
+        return await self.relay.handle(request, self.clock.read())
 
     def list_ran(self) -> list[str]:
         """Return the ids of all requests that targets executed."""
@@ -175,6 +176,7 @@
         self.server = RelayServer(
             self.relay.handle,
             is_idempotent=self.relay.is_idempotent,
+            clock=self.clock,
             read_limits=lambda: self.table.limits if self.table else CallerLimits(),
             log=log,
         )
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import attrs
+
 from currantline.relay import RelayServer
+from currantline.relay._body_budget import BodyBudget
 from currantline.relay.tests.support import (
     CALLER,
     LISTEN_ADDRESS,
@@ -29,6 +32,15 @@
     return await run_on_host(CALLER, connect(LISTEN_ADDRESS, max_body_bytes=1_000_000))
 
 
+MEBIBYTE = 1024 * 1024
+UPLOADS = make_route(is_idempotent=False, timeout_ms=4_000.0)
+
+
+def make_upload(request_id: str, size: int) -> Request:
+    """Return a request with a body."""
+    return attrs.evolve(make_request(request_id), method="POST", body=bytes(size))
+
+
 def encode(request: Request) -> bytes:
     """Return the bytes of a request without a body."""
     lines = [f"{request.method} {request.target} HTTP/1.1"]
@@ -325,7 +337,7 @@
     def test_unexpected_error(self) -> None:
         """Guards against a fault in one request that ends those behind it."""
 
-        async def handle(request: Request) -> Response:
+        async def handle(request: Request, arrived_ms: float) -> Response:
             await asyncio.sleep(0.01)
             if request.target == "/a":
                 raise ZeroDivisionError
@@ -336,6 +348,7 @@
                 handle,
                 is_idempotent=lambda request: True,
                 read_limits=CallerLimits,
+                clock=harness.clock,
                 log=EventLog("i", clock=harness.clock, write=len),
             )
             await server.start(LISTEN_ADDRESS)
@@ -347,3 +360,149 @@
             assert (await connection.read_response()).status == 200
 
         run_scenario(scenario)
+
+
+class TestBodies:
+    """Request bodies, which may be large."""
+
+    def test_memory(self) -> None:
+        """Guards against simultaneous uploads that exceed the memory of an instance."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=200, work_ms=100.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            uploads = [make_upload(f"u{number}", MEBIBYTE) for number in range(100)]
+            calls = [
+                fetch(LISTEN_ADDRESS, upload, timeout_ms=3_000.0) for upload in uploads
+            ]
+            responses = asyncio.gather(*(run_on_host(CALLER, call) for call in calls))
+            held = 0
+            while not responses.done():
+                held = max(held, harness.server.held_body_bytes)
+                await asyncio.sleep(0.01)
+            assert [response.status for response in await responses] == [200] * 100
+            assert 20 * MEBIBYTE < held <= 40 * MEBIBYTE
+            assert harness.server.held_body_bytes == 0
+            assert len(harness.list_ran()) == 100
+
+        run_scenario(scenario, UPLOADS)
+
+    def test_no_memory(self) -> None:
+        """Guards against uploads that wait for memory until their callers give up."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=200, work_ms=2_000.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            uploads = [make_upload(f"u{n}", 700 * 1024) for n in range(80)]
+            responses = await asyncio.gather(
+                *(
+                    run_on_host(CALLER, fetch(LISTEN_ADDRESS, each, timeout_ms=5_000.0))
+                    for each in uploads
+                )
+            )
+            assert sorted(each.status for each in responses) == [200] * 58 + [503] * 22
+            refusal = next(each for each in responses if each.status == 503)
+            assert find_header(refusal.headers, "retry-after") == "1.000"
+            assert len(harness.list_ran()) == 58
+
+        run_scenario(scenario, UPLOADS)
+
+    def test_caller_stops(self) -> None:
+        """Guards against memory that stays reserved after a caller left midway."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker()
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            head = b"POST /a HTTP/1.1\r\nhost: h\r\nx-id: a\r\ncontent-length: 9000\r\n"
+            connection.write(head + b"\r\n" + bytes(1_000))
+            await asyncio.sleep(0.1)
+            assert harness.server.held_body_bytes == 9_000
+            connection.close()
+            await asyncio.sleep(0.1)
+            assert harness.server.held_body_bytes == 0
+            assert harness.server.active_requests == 0
+            assert harness.list_ran() == []
+
+        run_scenario(scenario, UPLOADS)
+
+    def test_slow_body(self) -> None:
+        """Guards against a target that is given the time that the body took."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker()
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            head = b"POST /a HTTP/1.1\r\nhost: h\r\nx-id: a\r\nx-left: 2000\r\n"
+            connection.write(head + b"content-length: 2\r\n\r\n1")
+            await asyncio.sleep(1.0)
+            connection.write(b"2")
+            await asyncio.sleep(0.2)
+            assert worker.time_left_ms[0] < 1_010.0
+
+        run_scenario(scenario, UPLOADS)
+
+    def test_continue_behind_request(self) -> None:
+        """Guards against an interim response before that to an earlier request."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=4, work_ms=200.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            head = b"POST /b HTTP/1.1\r\nhost: h\r\nx-id: b\r\nexpect: 100-continue\r\n"
+            connection.discard_response()
+            connection.write(encode(make_request("a")))
+            connection.write(head + b"content-length: 2\r\n\r\n")
+            first = await connection.read_response()
+            connection.write(b"12")
+            connection.discard_response()
+            second = await connection.read_response()
+            assert (first.body, second.body) == (b"/a", b"/b")
+
+        run_scenario(scenario)
+
+
+class TestBodyBudget:
+    """Reservations of memory."""
+
+    def test_order(self) -> None:
+        """Guards against a large body that waits while smaller ones overtake it."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            budget = BodyBudget(10)
+            first = await budget.reserve(6)
+            large = asyncio.ensure_future(budget.reserve(8))
+            small = asyncio.ensure_future(budget.reserve(1))
+            await asyncio.sleep(0)
+            assert not small.done()
+            budget.release(first)
+            assert (await large, await small) == (8, 1)
+
+        run_scenario(scenario)
+
+    def test_cancelled(self) -> None:
+        """Guards against memory lost to a caller that left while it waited."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            budget = BodyBudget(10)
+            first = await budget.reserve(10)
+            left = asyncio.ensure_future(budget.reserve(10))
+            granted = asyncio.ensure_future(budget.reserve(5))
+            await asyncio.sleep(0)
+            left.cancel()
+            await asyncio.sleep(0)
+            budget.release(first)
+            granted.cancel()
+            await asyncio.sleep(0)
+            assert budget.held_bytes == 0
+
+        run_scenario(scenario)
+
+    def test_larger_than_budget(self) -> None:
+        """Guards against a body that can never be read."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            budget = BodyBudget(10)
+            assert await budget.reserve(64) == 10
+
+        run_scenario(scenario)
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,9 +1,10 @@
 """HTTP/1.1 messages over one asyncio connection, parsed by h11."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
+import attrs
 import h11
 
 from currantline.exceptions import (
@@ -181,22 +182,9 @@
             await self._wait()
         return self.has_unread
 
-    async def read_request(
-        self,
-        *,
-        on_head: Callable[[], object] | None = None,
-        before_continue: Callable[[], Awaitable[object]] | None = None,
-    ) -> Request | None:
+    async def read_request(self) -> Request | None:
         """Read one complete request.
 
-        Parameters
-        ----------
-        on_head : callable, optional
-            Called when the request line and the headers have been read.
-        before_continue : callable, optional
-            Awaited before an interim response 100 is written, which must not precede
-            the responses to earlier requests.
-
         Returns
         -------
         Request or None
@@ -209,6 +197,25 @@
         BodyTooLargeError
             If the body exceeds the limit.
         """
+        head = await self.read_request_head()
+        return await self.read_request_body(head) if head is not None else None
+
+    async def read_request_head(self) -> Request | None:
+        """Read the request line and the headers; `read_request_body` must follow.
+
+        Returns
+        -------
+        Request or None
+            The request without its body, None if the peer closed the connection before
+            a new request.
+
+        Raises
+        ------
+        ProtocolError
+            If the bytes are not valid HTTP or end within the head.
+        BodyTooLargeError
+            If the head states a length above the limit.
+        """
         event = await self._next_event()
         if not isinstance(event, h11.Request):
             return None
@@ -216,20 +223,32 @@
         headers = _decode(event.headers)
         self._check_head(event.target, headers)
         self._check_length(headers)
-        if on_head is not None:
-            on_head()
-        if self._h11.they_are_waiting_for_100_continue and not self.has_unread:
-            if before_continue is not None:
-                await before_continue()
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            self.write(self._h11.send(interim) or b"")
         return Request(
             method=event.method.decode("ascii"),
             target=event.target.decode("latin-1"),
             headers=headers,
-            body=await self._read_body(),
         )
 
+    @property
+    def is_continue_expected(self) -> bool:
+        """Whether the peer sends the body only after an interim response 100."""
+        return self._h11.they_are_waiting_for_100_continue and not self.has_unread
+
+    async def read_request_body(self, head: Request) -> Request:
+        """Read the body of a request and return the complete request.
+
+        Raises
+        ------
+        ProtocolError
+            If the bytes are not valid HTTP or end within the body.
+        BodyTooLargeError
+            If the body exceeds the limit.
+        """
+        if self.is_continue_expected:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            self.write(self._h11.send(interim) or b"")
+        return attrs.evolve(head, body=await self._read_body())
+
     async def read_response(self, *, accept_unframed: bool = False) -> Response:
         """Read one complete response.
 
