Bound the memory for responses that never end

Cause: each response body was limited to 32 MB, but several targets in trouble that send bytes without end could together exceed the 200 MB of a small machine, which is killed then. Change: BodyMemory limits the response bodies being received to 48 MB; above it the longest one is given up, so that short responses are still received. Heads, interim responses and bytes that are no HTTP were bounded already.

--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -8,7 +8,13 @@
 from currantline.clock import Clock
 from currantline.exceptions import TargetConnectError
 from currantline.telemetry import Meter
-from currantline.wire import HttpConnection, Response, connect, find_header
+from currantline.wire import (
+    BodyMemory,
+    HttpConnection,
+    Response,
+    connect,
+    find_header,
+)
 
 __all__ = ["ConnectionPool", "Lease"]
 
@@ -28,6 +34,10 @@
 
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 
+# Maximum total size of the response bodies that are being received. The smallest
+# machines have 200 MB.
+MAX_RESPONSE_BYTES_HELD = 48 * 1024 * 1024
+
 KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
 
 
@@ -70,6 +80,7 @@
     def __init__(self, *, clock: Clock, meter: Meter) -> None:
         self._clock = clock
         self._meter = meter
+        self._body_memory = BodyMemory(MAX_RESPONSE_BYTES_HELD)
         self._idle: dict[str, list[_IdleConnection]] = {}
 
     async def acquire(self, address: str) -> Lease:
@@ -87,12 +98,19 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 connection = await connect(
-                    address, max_body_bytes=MAX_RESPONSE_BODY_BYTES
+                    address,
+                    max_body_bytes=MAX_RESPONSE_BODY_BYTES,
+                    body_memory=self._body_memory,
                 )
         except (OSError, TimeoutError) as error:
             raise TargetConnectError(f"cannot reach {address}: {error!r}") from error
         return Lease(address, connection)
 
+    @property
+    def receiving_bytes(self) -> int:
+        """Total size of the response bodies that are being received."""
+        return self._body_memory.total_bytes
+
     def has_idle(self, address: str) -> bool:
         """Return whether there is an idle connection; it may turn out to be closed."""
         now = self._clock.read()
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -110,14 +110,16 @@
         self.publish(worker.name, address, slots=worker.slots)
         return worker
 
-    async def add_scripted_target(self, *responses: bytes) -> "ScriptedTarget":
+    async def add_scripted_target(
+        self, *responses: bytes, endless: bytes = b"", slots: int = 2
+    ) -> "ScriptedTarget":
         """Start and publish a target that sends the given bytes as responses."""
         number = len(self.workers) + 1
         self.workers.append(StandinWorker(name=f"t{number}", header_names=NAMES))
-        script = ScriptedTarget(f"t{number}", list(responses))
+        script = ScriptedTarget(f"t{number}", list(responses), endless)
         address = f"10.0.1.{number}:80"
         await run_on_host(f"10.0.1.{number}", script.start(address))
-        self.publish(f"t{number}", address, slots=2)
+        self.publish(f"t{number}", address, slots=slots)
         return script
 
     def publish(self, name: str, address: str, *, slots: int, **values: Any) -> None:
@@ -146,6 +148,7 @@
         latencies = LatencyAverages()
         log = EventLog("i", clock=self.clock, write=len)
         pool = ConnectionPool(clock=self.clock, meter=self.meter)
+        self.pool = pool
         prober = LoadProber(
             pool, names=NAMES, clock=self.clock, meter=self.meter, log=log
         )
@@ -192,12 +195,15 @@
         Name of the target.
     responses : list of bytes
         One response per request; an empty one closes the connection.
+    endless : bytes
+        Repeated after each response until the connection is closed, if not empty.
     requests : int
         Number of received requests.
     """
 
     name: str
     responses: list[bytes]
+    endless: bytes = b""
     requests: int = 0
 
     async def start(self, address: str) -> None:
@@ -232,9 +238,15 @@
         response = self._script.responses.pop(0) if self._script.responses else b""
         if response:
             self._transport.write(response)
+            self._write_endless()
         else:
             self._transport.close()
 
+    def _write_endless(self) -> None:
+        if self._script.endless and not self._transport.is_closing():
+            self._transport.write(self._script.endless)
+            asyncio.get_running_loop().call_later(0.001, self._write_endless)
+
 
 def run_scenario(
     scenario: Callable[[RelayHarness], Awaitable[None]],
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -375,3 +375,73 @@
             assert (response.status, response.body) == (200, b"whole")
 
         run_scenario(scenario)
+
+
+class TestEndlessResponses:
+    """Targets that send bytes until the connection is closed."""
+
+    @pytest.mark.parametrize(
+        "start",
+        [
+            b"HTTP/1.1 200 OK\r\nx-long: ",
+            b"HTTP/1.1 100 Continue\r\nx-long: ",
+            b"\x00\xff no response ",
+        ],
+    )
+    def test_head(self, start: bytes) -> None:
+        """Guards against a head that is buffered without a limit."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_scripted_target(start, endless=b"x" * 4_096)
+            started = harness.clock.read()
+            assert (await harness.send()).status == 502
+            assert harness.clock.read() - started < 100.0
+
+        run_scenario(scenario, make_route(max_attempts=1))
+
+    def test_informational(self) -> None:
+        """Guards against interim responses that never end."""
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_scripted_target(interim, endless=interim * 10)
+            assert (await harness.send(remaining_ms=500.0)).status == 504
+            assert harness.pool.receiving_bytes == 0
+
+        run_scenario(scenario, make_route(max_attempts=1))
+
+    def test_body(self) -> None:
+        """Guards against bodies that together exceed the memory of the instance."""
+        start = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"transfer-encoding: chunked\r\n\r\n"
+        chunk = b"40000\r\n" + bytes(0x40000) + b"\r\n"
+
+        async def scenario(harness: RelayHarness) -> None:
+            responses = [start] * 8
+            await harness.add_scripted_target(*responses, endless=chunk, slots=16)
+            calls = asyncio.gather(*(harness.send("a") for _ in range(8)))
+            held = 0
+            while not calls.done():
+                held = max(held, harness.pool.receiving_bytes)
+                await asyncio.sleep(0.001)
+            assert [response.status for response in await calls] == [502] * 8
+            assert 32 * 2**20 < held <= 48 * 2**20
+            assert harness.pool.receiving_bytes == 0
+
+        run_scenario(scenario, make_route(max_attempts=1, objective_ms=1_900.0))
+
+    def test_short_response_beside_endless_ones(self) -> None:
+        """Guards against endless bodies that leave no memory for the others."""
+        start = b"HTTP/1.1 200 OK\r\n" + SIGNED + b"transfer-encoding: chunked\r\n\r\n"
+        chunk = b"40000\r\n" + bytes(0x40000) + b"\r\n"
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_scripted_target(*[start] * 4, endless=chunk, slots=16)
+            endless = [asyncio.ensure_future(harness.send("a")) for _ in range(4)]
+            await asyncio.sleep(0.05)
+            harness.targets.remove("t1")
+            await harness.add_worker(work_ms=10.0)
+            for number in range(10):
+                assert (await harness.send(str(number))).status == 200
+            await asyncio.gather(*endless)
+
+        run_scenario(scenario, make_route(max_attempts=1, objective_ms=1_900.0))
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client and server connections on h11."""
 
+from currantline.wire._body_memory import BodyMemory
 from currantline.wire._client import HttpClient
 from currantline.wire._connection import HttpConnection, ServerExchange, connect
 from currantline.wire._fetch import fetch
@@ -15,6 +16,7 @@
 
 __all__ = [
     "HOP_BY_HOP",
+    "BodyMemory",
     "Headers",
     "HttpClient",
     "HttpConnection",
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -11,6 +11,7 @@
     BodyTooLargeError,
     ProtocolError,
 )
+from currantline.wire._body_memory import BodyMemory
 from currantline.wire._messages import Headers, Request, Response
 from currantline.wire._stream import ByteStream
 
@@ -78,6 +79,8 @@
         Maximum size of a received body.
     max_head_bytes : int
         Maximum size of the start line and headers of a received message.
+    body_memory : BodyMemory, optional
+        Limits the total size of the bodies that several connections receive.
     on_open : callable, optional
         Called with this object once the connection is open.
     """
@@ -88,11 +91,13 @@
         *,
         max_body_bytes: int,
         max_head_bytes: int = MAX_HEAD_BYTES,
+        body_memory: BodyMemory | None = None,
         on_open: Callable[["HttpConnection"], object] | None = None,
     ) -> None:
         super().__init__(is_client=role is h11.CLIENT, on_open=on_open)
         self._max_body_bytes = max_body_bytes
         self._max_head_bytes = max_head_bytes
+        self._body_memory = body_memory
         self._is_head_request = False
         self._h11 = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
 
@@ -312,6 +317,13 @@
         return self._is_head_request
 
     async def _read_body(self) -> bytes:
+        try:
+            return await self._collect_body()
+        finally:
+            if self._body_memory is not None:
+                self._body_memory.release(self)
+
+    async def _collect_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
         while True:
@@ -326,6 +338,8 @@
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
             parts.append(bytes(event.data))
+            if self._body_memory is not None:
+                self._body_memory.add(self, len(event.data))
 
     async def _next_event(self) -> Any:
         while True:
@@ -344,7 +358,9 @@
             self._h11.receive_data(self._take_bytes())
 
 
-async def connect(address: str, *, max_body_bytes: int) -> HttpConnection:
+async def connect(
+    address: str, *, max_body_bytes: int, body_memory: BodyMemory | None = None
+) -> HttpConnection:
     """Open a connection to ``ip:port``.
 
     The connection is dropped if the peer acknowledges nothing for
@@ -357,7 +373,9 @@
     """
     host, _, port = address.rpartition(":")
     _, connection = await asyncio.get_running_loop().create_connection(
-        lambda: HttpConnection(h11.CLIENT, max_body_bytes=max_body_bytes),
+        lambda: HttpConnection(
+            h11.CLIENT, max_body_bytes=max_body_bytes, body_memory=body_memory
+        ),
         host,
         int(port),
     )
