Log requests that are not handled behind a closing response or for their body

Cause: a request that was dropped behind a closing response, or refused for want of memory for its body, left no line with its id. Change: request_not_handled and body_refused carry the request id, as request_failed does. A test keeps a split route's requests from moving to another service while one has no targets; it passed at once.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -283,6 +283,7 @@
         self._server = RelayServer(
             self._relay.handle,
             is_idempotent=self._relay.is_idempotent,
+            names=HEADERS,
             read_limits=self._read_limits,
             clock=self._clock,
             log=self._log,
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -14,6 +14,7 @@
     WireError,
 )
 from currantline.relay._body_budget import BodyBudget
+from currantline.relay._names import HeaderNames
 from currantline.relay._pipeline import Pipeline
 from currantline.routing import CallerLimits
 from currantline.telemetry import EventLog
@@ -63,6 +64,8 @@
     is_idempotent : callable
         Returns whether a request may be executed more than once. Other requests are
         neither handled before the response to an earlier one nor overtaken.
+    names : HeaderNames
+        Header names.
     read_limits : callable
         Returns the limits for caller requests.
     clock : Clock
@@ -76,12 +79,14 @@
         handle: Handler,
         *,
         is_idempotent: Callable[[Request], bool],
+        names: HeaderNames,
         read_limits: Callable[[], CallerLimits],
         clock: Clock,
         log: EventLog,
     ) -> None:
         self._handle = handle
         self._is_idempotent = is_idempotent
+        self._names = names
         self._read_limits = read_limits
         self._clock = clock
         self._log = log
@@ -204,6 +209,11 @@
                 # then send this request again.
                 await pipeline.wait_until_empty()
             if pipeline.is_closed:
+                self._log.write(
+                    "request_not_handled",
+                    request_id=self._read_id(request),
+                    reason="an earlier response closed the connection",
+                )
                 return False
             is_last = not exchange.is_persistent
             task = self._start_handler(request, arrived_ms, reserved)
@@ -232,7 +242,14 @@
             async with asyncio.timeout(BODY_ROOM_TIMEOUT_MS / 1000):
                 return await self._body_budget.reserve(size)
         except TimeoutError as error:
-            raise NoMemoryForBodyError(f"no memory for {size} bytes") from error
+            reason = f"no memory for a body of {size} bytes"
+            self._log.write(
+                "body_refused", request_id=self._read_id(head), reason=reason
+            )
+            raise NoMemoryForBodyError(reason) from error
+
+    def _read_id(self, request: Request) -> str:
+        return find_header(request.headers, self._names.request_id) or ""
 
     def _count_completed(self) -> None:
         self.active_requests -= 1
@@ -278,7 +295,11 @@
             return await self._handle(request, arrived_ms)
         except Exception as error:
             # A fault in one request must not end the others of its connection.
-            self._log.write("request_failed", target=request.target, reason=repr(error))
+            self._log.write(
+                "request_failed",
+                request_id=self._read_id(request),
+                reason=repr(error),
+            )
             return Response(status=BAD_GATEWAY)
 
     def _respond_to_error(self, connection: HttpConnection, error: WireError) -> None:
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -99,6 +99,13 @@
             limits=limits or CallerLimits(),
         )
 
+    def add_service(self, name: str) -> None:
+        """Add a service without targets to the route table."""
+        assert self.table is not None
+        service = RoutedService(name=name, health_path=HEALTH_PATH, max_connections=9)
+        services = {**self.table.services, name: service}
+        self.table = attrs.evolve(self.table, services=services)
+
     async def add_worker(self, **values: Any) -> StandinWorker:
         """Start and publish a target."""
         number = len(self.workers) + 1
@@ -178,6 +185,7 @@
         self.server = RelayServer(
             self.relay.handle,
             is_idempotent=self.relay.is_idempotent,
+            names=NAMES,
             clock=self.clock,
             read_limits=lambda: self.table.limits if self.table else CallerLimits(),
             log=log,
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -5,6 +5,7 @@
 import pytest
 
 from currantline.relay.tests.support import RelayHarness, make_route, run_scenario
+from currantline.routing import WeightedService
 from currantline.wire import Response, find_header
 
 SIGNED = b"x-id: a\r\nx-signature: s\r\n"
@@ -83,6 +84,26 @@
         run_scenario(scenario)
 
 
+class TestTrafficSplit:
+    """Requests of a route that is split among services."""
+
+    def test_service_without_targets(self) -> None:
+        """Guards against requests moved to another service than the weights say."""
+        shares = (
+            WeightedService(service="s", weight=70.0),
+            WeightedService(service="gone", weight=30.0),
+        )
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=8, work_ms=10.0)
+            harness.add_service("gone")
+            statuses = [(await harness.send(str(n))).status for n in range(300)]
+            assert 0.6 < statuses.count(200) / 300 < 0.8
+            assert statuses.count(200) + statuses.count(503) == 300
+
+        run_scenario(scenario, make_route(weighted_services=shares))
+
+
 class TestHealthChecks:
     """Health checks that requests cause."""
 
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -9,6 +9,7 @@
 from currantline.relay.tests.support import (
     CALLER,
     LISTEN_ADDRESS,
+    NAMES,
     RelayHarness,
     make_request,
     make_route,
@@ -347,6 +348,7 @@
             server = RelayServer(
                 handle,
                 is_idempotent=lambda request: True,
+                names=NAMES,
                 read_limits=CallerLimits,
                 clock=harness.clock,
                 log=EventLog("i", clock=harness.clock, write=len),
