Leave out targets that were full or failed while health checks are limited

Cause: found by reading: while the limit of health checks is reached, a target that had just failed one was still a candidate. Change: only targets that may be probed again are presumed idle. Result: test_limit_reached_beside_failed_target guards it and passed before the change too, since a refused connection is noticed.

--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -280,8 +280,9 @@
 
         An instance that may probe no target of a service presumes that they are idle.
         """
-        candidates = self._list_reported(usable, MAX_LIMITED_REPORT_AGE_MS)
         now = self._clock.read()
+        available = [target for target in usable if target.skip_until_ms <= now]
+        candidates = self._list_reported(available, MAX_LIMITED_REPORT_AGE_MS)
         if not candidates:
             candidates = [
                 Candidate(
@@ -293,7 +294,7 @@
                         requested_ms=context.arrived_ms,
                     ),
                 )
-                for target in usable
+                for target in available
             ]
         average_ms = self._read_average(context)
         best = select_candidate(context, candidates, average_ms, now, self._rng)
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -182,6 +182,18 @@
 
         run_scenario(scenario, probes_per_s=1)
 
+    def test_limit_reached_beside_failed_target(self) -> None:
+        """Guards against orders sent to a target that has just not answered."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(work_ms=20.0)
+            harness.publish("down", "10.0.1.9:80", slots=8)
+            for number in range(20):
+                assert (await harness.send(str(number))).status == 200
+                await asyncio.sleep(0.05)
+
+        run_scenario(scenario, NON_IDEMPOTENT, probes_per_s=1)
+
 
 class TestOverload:
     """Load above the capacity of the targets."""
