Save unused health checks for a surge

Cause: with a limit over windows of ten seconds, an instance could not use at a peak what it left unused before. Change: a token bucket for each service, filled at the permitted rate from the start of the instance and holding up to thirty seconds of it. The mean since the start stays within the limit, apart from one second's worth at the start.

--- a/src/currantline/placement/_probe_limit.py
+++ b/src/currantline/placement/_probe_limit.py
@@ -5,13 +5,23 @@
 capacity that the waiting requests need.
 """
 
-from collections import deque
+import attrs
 
 __all__ = ["ProbeLimit"]
 
-# Window in which the limit holds. Within it, an instance may save checks for a surge,
-# which lasts some seconds.
-WINDOW_S = 10
+# Time for which unused health checks are saved for a surge, in seconds. Demand swings
+# within some ten seconds.
+MAX_SAVED_S = 30.0
+
+# Health checks that a started instance has at once, as a time at the permitted rate.
+# Searches begin before any checks could be saved.
+INITIAL_S = 1.0
+
+
+@attrs.define
+class _Bucket:
+    tokens: float
+    updated_ms: float
 
 
 class ProbeLimit:
@@ -19,8 +29,8 @@
 
     Each instance may use an equal part of the checks that all targets of the service
     may get. Which targets it probes is its own choice, so that it can prefer those of
-    its data centre. The limit for the mean of the targets holds in every window of
-    10 s while the instances agree on the size of the fleet.
+    its data centre. Unused checks are saved for a surge (token bucket), so the limit
+    holds for the mean since the instance started.
 
     Parameters
     ----------
@@ -30,7 +40,7 @@
 
     def __init__(self, max_per_s: int) -> None:
         self._max_per_s = max_per_s
-        self._sent_ms: dict[str, deque[float]] = {}
+        self._buckets: dict[str, _Bucket] = {}
 
     def count_left(
         self, service: str, *, targets: int, instances: int, now: float
@@ -52,14 +62,19 @@
         --------
         >>> limit = ProbeLimit(60)
         >>> limit.count_left("s", targets=15, instances=16, now=0.0)
-        562
+        56
+        >>> limit.count_left("s", targets=15, instances=16, now=60_000.0)
+        1687
         """
-        sent = self._sent_ms.setdefault(service, deque())
-        while sent and sent[0] <= now - 1_000.0 * WINDOW_S:
-            sent.popleft()
-        allowed = self._max_per_s * WINDOW_S * targets // instances
-        return max(0, allowed - len(sent))
-
-    def record(self, service: str, count: int, now: float) -> None:
-        """Count health checks of targets of a service."""
-        self._sent_ms.setdefault(service, deque()).extend([now] * count)
+        rate_per_s = self._max_per_s * targets / instances
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = self._buckets[service] = _Bucket(INITIAL_S * rate_per_s, now)
+        saved = bucket.tokens + rate_per_s * (now - bucket.updated_ms) / 1_000.0
+        bucket.tokens = min(MAX_SAVED_S * rate_per_s, saved)
+        bucket.updated_ms = now
+        return max(0, int(bucket.tokens))
+
+    def record(self, service: str, count: int) -> None:
+        """Count health checks that `count_left` allowed."""
+        self._buckets[service].tokens -= count
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -377,7 +377,7 @@
             now=now,
             rng=self._rng,
         )
-        self._probe_limit.record(context.service.name, len(chosen), now)
+        self._probe_limit.record(context.service.name, len(chosen))
         probed = await self._prober.probe(chosen, context.service.health_path)
         for result in probed:
             if not result.candidate.has_free_slot:
