Say when the limit of health checks may be exceeded

Cause: the docstring of ProbeLimit claimed that the limit holds from the start; a started instance counts a fleet of one until it knows others. Change: one sentence.

--- a/src/currantline/placement/_probe_limit.py
+++ b/src/currantline/placement/_probe_limit.py
@@ -30,7 +30,8 @@
     Each instance may use an equal part of the checks that all targets of the service
     may get. Which targets it probes is its own choice, so that it can prefer those of
     its data centre. Unused checks are saved for a surge (token bucket), so the limit
-    holds for the mean since the instance started.
+    holds for the mean since the instance started. Until a started instance knows the
+    others, it counts a smaller fleet and may send more than its part.
 
     Parameters
     ----------
