Close the connections of tests before their event loop ends

Cause: stand-ins of forwarding, load, peer and soak left StreamWriters open. Under Python 3.11.6 StreamWriter.__del__ closes the transport of a closed loop, and the filter on unraisable exceptions makes an error of it, in whichever test the collector runs. Change: each stand-in closes its writer, also when it is cancelled. The filter stays. The instances themselves use no StreamWriter: their connections are protocols without __del__.

--- a/src/currantline/forwarding/tests/support.py
+++ b/src/currantline/forwarding/tests/support.py
@@ -22,9 +22,21 @@
 DEADLINE = 60_000.0
 
 
+# Connections that the running test has opened or accepted.
+open_connections: "list[RawConnection]" = []
+
+
 def run(test: Coroutine[Any, Any, None]) -> None:
-    """Run a test and end it if it hangs."""
-    asyncio.run(asyncio.wait_for(test, HANG_S))
+    """Run a test, end it if it hangs and close its connections."""
+
+    async def session() -> None:
+        try:
+            await asyncio.wait_for(test, HANG_S)
+        finally:
+            while open_connections:
+                open_connections.pop().writer.transport.abort()
+
+    asyncio.run(session())
 
 
 @attrs.define(eq=False)
@@ -67,6 +79,7 @@
     ) -> None:
         self.reader = reader
         self.writer = writer
+        open_connections.append(self)
 
     async def read_head(self) -> str:
         """Return the next head."""
--- a/src/currantline/load/tests/test_prober.py
+++ b/src/currantline/load/tests/test_prober.py
@@ -1,6 +1,7 @@
 """Tests of the task that sends probes."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 
 import pytest
@@ -222,14 +223,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Read one request head, respond and close the connection."""
-        self.received.append(await reader.read(4096))
-        if self.received[-1]:
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-                b"Target-Load: in-flight=1, slots=2, state=starting\r\n\r\n"
-            )
-            await writer.drain()
-        writer.close()
+        with contextlib.closing(writer):
+            self.received.append(await reader.read(4096))
+            if self.received[-1]:
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                    b"Target-Load: in-flight=1, slots=2, state=starting\r\n\r\n"
+                )
+                await writer.drain()
 
     async def exchange(self, *, may_send: bool) -> Response | None:
         """Send one probe to this server."""
--- a/src/currantline/peer/tests/test_peer.py
+++ b/src/currantline/peer/tests/test_peer.py
@@ -1,6 +1,7 @@
 """Tests of calls between instances over loopback."""
 
 import asyncio
+import contextlib
 import random
 import socket
 from collections.abc import AsyncIterator, Callable
@@ -319,8 +320,8 @@
             async def hold(_: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
                 nonlocal opened
                 opened += 1
-                await done.wait()
-                w.close()
+                with contextlib.closing(w):
+                    await done.wait()
 
             server = await asyncio.start_server(hold, "127.0.0.1", 0)
             address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
--- a/src/currantline/soak/tests/test_soak.py
+++ b/src/currantline/soak/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak test: its checks, its proxy and a short run."""
 
 import asyncio
+import contextlib
 from pathlib import Path
 
 import pytest
@@ -126,8 +127,9 @@
         async def echo(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            writer.write(await reader.read(10))
-            await writer.drain()
+            with contextlib.closing(writer):
+                writer.write(await reader.read(10))
+                await writer.drain()
 
         async def exchange() -> bytes:
             server = await asyncio.start_server(echo, "127.0.0.1", 0)
