Key the incarnations seen by a table by its process

Cause: TestFleet kept the incarnations that each table had seen by the id of the table. Change: the key is a number of the process. Incarnations seen by paused processes are no longer forgotten, so the check is stricter.

--- a/src/currantline/membership/tests/test_table.py
+++ b/src/currantline/membership/tests/test_table.py
@@ -69,7 +69,10 @@
         self.side = dict.fromkeys(NAMES, 0)
         self.paused: set[str] = set()
         self.ticked: dict[tuple[str, int], float] = {}
+        # By process, not by `id` of its table, which a later table may reuse.
         self.seen: dict[tuple[int, str], int] = {}
+        self.starts = 0
+        self.processes: dict[str, int] = {}
         self.tables: dict[str, GossipTable] = {}
         for name in NAMES:
             self.start(name, 1)
@@ -79,6 +82,8 @@
         table = GossipTable(make_entry(name, incarnation))
         table.set_published(make_contact(other) for other in NAMES)
         self.tables[name] = table
+        self.starts += 1
+        self.processes[name] = self.starts
         self.paused.discard(name)
 
     @rule(rounds=st.integers(1, 16))
@@ -120,8 +125,6 @@
     def restart(self, name: str, step: int) -> None:
         """Replace a process; the wall clock may have stepped forwards or backwards."""
         self.start(name, max(1, int(self.now) + step))
-        for key in [key for key in self.seen if key[0] not in map(id, self.running())]:
-            del self.seen[key]
 
     @rule(name=st.sampled_from(NAMES))
     def pause(self, name: str) -> None:
@@ -163,9 +166,9 @@
             for name in NAMES:
                 known = table.local if name == table.local.name else table.find(name)
                 if known is not None:
-                    last = self.seen.get((id(table), name), 0)
-                    assert known.incarnation >= last
-                    self.seen[id(table), name] = known.incarnation
+                    key = (self.processes[table.local.name], name)
+                    assert known.incarnation >= self.seen.get(key, 0)
+                    self.seen[key] = known.incarnation
 
 
 class TestFleet:
