Log the limits that targets name

Cause: neither logs nor metrics say whether a response named a limit, nor what an instance believes it to be, so the hypotheses on the exceeded limits cannot be told apart. Change: limits are read from responses and health checks and kept with the target; a line when one begins, changes or ends, a line for an invalid value, a gauge of limited targets. No decision uses them. Result: tests of relay, placement and gateway pass.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -18,6 +18,8 @@
 from currantline.placement import (
     LatencyAverages,
     ProbeLimit,
+    RateLimit,
+    Target,
     TargetRegistry,
 )
 from currantline.platform import (
@@ -34,6 +36,7 @@
 from currantline.relay import (
     ConnectionPool,
     LoadProber,
+    RateLimitReader,
     Relay,
     RelayServer,
     Sender,
@@ -242,9 +245,13 @@
     def _build_relay(self) -> None:
         latencies = LatencyAverages()
         self._pool = ConnectionPool(clock=self._clock, meter=self.meter)
+        limit_reader = RateLimitReader(
+            names=HEADERS, observe=self._observe_limit, log=self._log
+        )
         prober = LoadProber(
             self._pool,
             names=HEADERS,
+            limit_reader=limit_reader,
             clock=self._clock,
             meter=self.meter,
             log=self._log,
@@ -262,6 +269,7 @@
         sender = Sender(
             self._pool,
             names=HEADERS,
+            limit_reader=limit_reader,
             latencies=latencies,
             clock=self._clock,
             log=self._log,
@@ -297,6 +305,7 @@
         self._control = HttpServer(self._handle_peer_request)
         self._metrics = HttpServer(self._handle_metrics_request)
         self.meter.add_gauge("targets", lambda: len(self.targets))
+        self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
         self.meter.add_gauge("instances", lambda: self._count_live())
         self.meter.add_gauge("configuration_version", self._read_version)
         self.meter.add_gauge("routes_of_unknown_kind", self._count_unknown_kinds)
@@ -402,6 +411,14 @@
                 revision=record.revision,
             )
 
+    def _observe_limit(self, target: Target, per_s: float | None) -> None:
+        previous = target.rate_limit.per_s
+        target.rate_limit = RateLimit(per_s, self._clock.read())
+        if per_s != previous:
+            self._log.write(
+                "target_limit", target=target.name, per_s=per_s, previous=previous
+            )
+
     def _find_addresses(self, data_centre: str) -> list[str]:
         ready = self._membership.list_ready()
         if self.is_ready:
--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -19,6 +19,7 @@
 from currantline.placement._passive_health import PassiveHealth
 from currantline.placement._probe_limit import ProbeLimit
 from currantline.placement._probe_targets import choose_probe_targets
+from currantline.placement._rate_limit import RateLimit, parse_rate_limit
 from currantline.placement._registry import TargetRegistry
 from currantline.placement._target import PublishedTarget, Target
 
@@ -29,6 +30,7 @@
     "PassiveHealth",
     "ProbeLimit",
     "PublishedTarget",
+    "RateLimit",
     "RequestTiming",
     "Target",
     "TargetRegistry",
@@ -40,6 +42,7 @@
     "has_good_candidate",
     "is_overdue",
     "parse_load_header",
+    "parse_rate_limit",
     "select_candidate",
     "select_hedge_candidate",
 ]
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -49,6 +49,10 @@
         """Return the addresses of all targets."""
         return {target.address for target in self._targets.values()}
 
+    def count_rate_limited(self) -> int:
+        """Return the number of targets that limit the requests of the fleet."""
+        return sum(1 for target in self._targets.values() if target.is_rate_limited)
+
     def is_current(self, target: Target) -> bool:
         """Return whether a target is still published and may receive new requests."""
         return self._targets.get(target.name) is target and target.is_usable
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -4,6 +4,7 @@
 
 from currantline.placement._load_report import LoadReport
 from currantline.placement._passive_health import PassiveHealth
+from currantline.placement._rate_limit import RateLimit
 
 __all__ = ["PublishedTarget", "Target"]
 
@@ -62,6 +63,8 @@
         Time until which the target is not probed, since it was full or a probe failed.
     last_report : LoadReport or None
         Latest load report, from a health check or from a response to a request.
+    rate_limit : RateLimit
+        Limit of requests that the target names.
     """
 
     published: PublishedTarget
@@ -71,6 +74,7 @@
     is_address_reused: bool = False
     skip_until_ms: float = 0.0
     last_report: LoadReport | None = None
+    rate_limit: RateLimit = attrs.field(factory=RateLimit)
 
     @property
     def name(self) -> str:
@@ -87,6 +91,11 @@
         """Whether new requests may be sent to the target."""
         return not (self.published.is_draining or self.is_address_reused)
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """Whether the target limits the requests of the fleet."""
+        return self.rate_limit.per_s is not None
+
     def count_in_flight(self, since_ms: float) -> int:
         """Return the number of own requests in flight sent at or after a time."""
         return sum(1 for sent in self.send_times_ms if sent >= since_ms)
--- a/src/currantline/platform/_headers.py
+++ b/src/currantline/platform/_headers.py
@@ -20,4 +20,7 @@
     # Running and queued requests, slots and, optionally, the slowdown of the host in
     # percent (100 is normal speed).
     load="x-currantline-server-load",
+    # Requests per second that the target takes from all instances together, while its
+    # responses state it.
+    rate_limit="x-currantline-server-limit",
 )
--- a/src/currantline/relay/_names.py
+++ b/src/currantline/relay/_names.py
@@ -25,6 +25,8 @@
         Name of the responding target.
     load : str
         Current load of the target.
+    rate_limit : str
+        Requests per second that the target takes from the whole fleet.
     """
 
     request_id: str
@@ -34,3 +36,4 @@
     not_run: str
     target: str
     load: str
+    rate_limit: str
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -13,6 +13,7 @@
     WireError,
 )
 from currantline.placement import Candidate, LoadReport, Target, parse_load_header
+from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.telemetry import EventLog, Meter
@@ -62,6 +63,8 @@
         Connections to targets.
     names : HeaderNames
         Header names.
+    limit_reader : RateLimitReader
+        Reads the limits that targets name.
     clock : Clock
         Source of time.
     meter : Meter
@@ -75,12 +78,14 @@
         pool: ConnectionPool,
         *,
         names: HeaderNames,
+        limit_reader: RateLimitReader,
         clock: Clock,
         meter: Meter,
         log: EventLog,
     ) -> None:
         self._pool = pool
         self._names = names
+        self._limit_reader = limit_reader
         self._clock = clock
         self._meter = meter
         self._log = log
@@ -213,6 +218,7 @@
             raise ProtocolError(f"{name} responded at the address of {target.name}")
         if name is None and find_header(response.headers, self._names.signature):
             raise ProtocolError("received a late response to an earlier request")
+        self._limit_reader.read(target, response, is_success=False)
         took_ms = self._clock.read() - requested_ms
         is_healthy = response.status == 200
         load = find_header(response.headers, self._names.load)
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -13,6 +13,7 @@
     Target,
     parse_load_header,
 )
+from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.relay._selector import RequestContext
@@ -76,6 +77,8 @@
         Connections to targets.
     names : HeaderNames
         Header names.
+    limit_reader : RateLimitReader
+        Reads the limits that targets name.
     latencies : LatencyAverages
         Average response times of routes, updated by each success.
     clock : Clock
@@ -89,12 +92,14 @@
         pool: ConnectionPool,
         *,
         names: HeaderNames,
+        limit_reader: RateLimitReader,
         latencies: LatencyAverages,
         clock: Clock,
         log: EventLog,
     ) -> None:
         self._pool = pool
         self._names = names
+        self._limit_reader = limit_reader
         self._latencies = latencies
         self._clock = clock
         self._log = log
@@ -224,6 +229,7 @@
         self, result: SendResult, target: Target, context: RequestContext
     ) -> None:
         now = self._clock.read()
+        self._read_limit(result, target)
         if result.outcome is Outcome.SUCCESS:
             ratio = self._latencies.record(context.route.name, result.took_ms)
             target.passive_health.record_success(now, ratio)
@@ -234,3 +240,10 @@
         ):
             target.is_address_reused = True
         target.passive_health.record_failure(now)
+
+    def _read_limit(self, result: SendResult, target: Target) -> None:
+        response = result.response
+        # Another target that responds at the address states its own limit.
+        if response is not None and response.status != MISDIRECTED_REQUEST:
+            is_success = result.outcome is Outcome.SUCCESS
+            self._limit_reader.read(target, response, is_success=is_success)
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -11,12 +11,15 @@
     LatencyAverages,
     ProbeLimit,
     PublishedTarget,
+    RateLimit,
+    Target,
     TargetRegistry,
 )
 from currantline.relay import (
     ConnectionPool,
     HeaderNames,
     LoadProber,
+    RateLimitReader,
     Relay,
     RelayServer,
     Sender,
@@ -45,6 +48,7 @@
     not_run="x-not-run",
     target="x-target",
     load="x-load",
+    rate_limit="x-limit",
 )
 HOST = "10.0.0.1"
 CALLER = "10.0.9.9"
@@ -149,14 +153,23 @@
         """Return the ids of all requests that targets executed."""
         return [name for worker in self.workers for name in worker.started_ids]
 
+    def _observe(self, target: Target, per_s: float | None) -> None:
+        target.rate_limit = RateLimit(per_s, self.clock.read())
+
     def _build(self) -> None:
         rng = random.Random(5)
         latencies = LatencyAverages()
         log = EventLog("i", clock=self.clock, write=len)
         pool = ConnectionPool(clock=self.clock, meter=self.meter)
         self.pool = pool
+        limit_reader = RateLimitReader(names=NAMES, observe=self._observe, log=log)
         prober = LoadProber(
-            pool, names=NAMES, clock=self.clock, meter=self.meter, log=log
+            pool,
+            names=NAMES,
+            limit_reader=limit_reader,
+            clock=self.clock,
+            meter=self.meter,
+            log=log,
         )
         self.selector = TargetSelector(
             self.targets,
@@ -172,7 +185,12 @@
             read_table=lambda: self.table,
             selector=self.selector,
             sender=Sender(
-                pool, names=NAMES, latencies=latencies, clock=self.clock, log=log
+                pool,
+                names=NAMES,
+                limit_reader=limit_reader,
+                latencies=latencies,
+                clock=self.clock,
+                log=log,
             ),
             names=NAMES,
             retry_options=RetryBudgetOptions(slack=40.0),
