Show that the fleet exceeds the limit of a target

Cause: a target that names a limit gets as many requests as before. The stand-in target can name a limit.

--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -10,6 +10,7 @@
     "format_settings",
     "make_configuration",
     "make_directory_query",
+    "make_rate_limit_headers",
     "make_settings",
     "make_target_entry",
     "read_addresses",
@@ -26,6 +27,11 @@
     return [str(address) for address in json.loads(body)["addresses"]]
 
 
+def make_rate_limit_headers(per_s: float) -> tuple[tuple[str, str], ...]:
+    """Return the headers by which a target limits its requests per second."""
+    return (("x-currantline-server-limit", str(per_s)),)
+
+
 def make_configuration(version: int, service: str = "svc") -> dict[str, Any]:
     """Return a configuration with an idempotent and a non-idempotent route."""
     common = {"host": "shop.example", "maxAttempts": 2, "service": service}
--- a/src/currantline/standin/worker.py
+++ b/src/currantline/standin/worker.py
@@ -35,6 +35,8 @@
         Whether it executes requests but never responds.
     is_failing : bool
         Whether it responds to every request with status 500.
+    rate_limit_headers : tuple
+        Headers of all its responses that name a limit of requests, none by default.
     started_ids : list of str
         Identifiers of the requests that it started to execute, in order.
     time_left_ms : list of float
@@ -53,6 +55,7 @@
     is_rejecting: bool = False
     is_losing: bool = False
     is_failing: bool = False
+    rate_limit_headers: tuple[tuple[str, str], ...] = ()
     running: int = 0
     health_checks: int = 0
     started_ids: list[str] = attrs.field(factory=list)
@@ -63,7 +66,7 @@
     async def handle(self, request: Request) -> Response:
         """Respond to a request or a health check."""
         names = self.header_names
-        own = ((names.target, self.name),)
+        own = ((names.target, self.name), *self.rate_limit_headers)
         if request.target == HEALTH_PATH:
             self.health_checks += 1
             return Response(status=200, headers=(*own, self._report_load()))
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -1,125 +1,14 @@
 """End-to-end tests of deployments on the users' platform, in virtual time."""
 
 import asyncio
-import random
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from currantline.exceptions import WireError
-from currantline.gateway import Gateway
-from currantline.platform import HEADERS, decode_settings
-from currantline.platform.samples import (
-    make_configuration,
-    make_directory_query,
-    make_settings,
-    make_target_entry,
-)
-from currantline.standin.network import LoopClock, Network, run_on_host, run_session
-from currantline.standin.store import StandinStore
-from currantline.standin.worker import StandinWorker
-from currantline.telemetry import EventLog
-from currantline.wire import HttpServer, Request, Response, fetch
-
-STORE, CALLER = "10.200.1.7", "10.99.0.1"
-DATA_CENTRES = ("a", "b")
-
-# Time after a write to the store by which the change must be in effect.
-APPLY_LIMIT_MS = 2_000.0
-
-HOSTS = {"10.1.0.1": "a", "10.1.0.2": "a", "10.1.0.3": "a", "10.2.0.1": "b"}
-
-
-class Deployment:
-    """Four instances in two data centres, a store and two targets."""
-
-    def __init__(self, network: Network) -> None:
-        self.network = network
-        self.store = StandinStore()
-        self.gateways: dict[str, Gateway] = {}
-        self.workers: dict[str, StandinWorker] = {}
-        self.starts = 0
-
-    async def start(self) -> None:
-        """Start all parts and wait until all instances are ready."""
-        await run_on_host(STORE, HttpServer(self.store.handle).start(f"{STORE}:8642"))
-        self.store.put("op/config", make_configuration(1))
-        for number in (1, 2):
-            await self.add_worker(f"i-{number}", f"10.9.0.{number}")
-        await asyncio.gather(*(self.add_instance(host) for host in HOSTS))
-        await asyncio.sleep(3.0)
-
-    async def add_worker(self, name: str, host: str, **values: Any) -> StandinWorker:
-        """Start a target and register it in the store."""
-        worker = StandinWorker(name=name, header_names=HEADERS, **values)
-        await run_on_host(host, HttpServer(worker.handle).start(f"{host}:80"))
-        self.workers[name] = worker
-        self.store.put(f"servers/{name}", make_target_entry(f"{host}:80"))
-        return worker
-
-    async def add_instance(self, host: str) -> None:
-        """Start an instance."""
-        self.starts += 1
-        seeds = ("10.1.0.1", "10.2.0.1")
-        document = make_settings(
-            host, HOSTS[host], seeds=seeds, data_centres=DATA_CENTRES
-        )
-        clock = LoopClock(asyncio.get_running_loop())
-        gateway = Gateway(
-            decode_settings(document, source=host),
-            clock=clock,
-            rng=random.Random(host),
-            incarnation=self.starts,
-            log=EventLog(host, clock=clock, write=len),
-        )
-        self.gateways[host] = gateway
-        await run_on_host(host, gateway.start())
-
-    async def kill(self, host: str) -> None:
-        """Kill an instance."""
-        self.network.kill(host)
-        del self.gateways[host]
-
-    async def call(
-        self, host: str, path: str = "/read/x", *, request_id: str = "a"
-    ) -> Response:
-        """Send a request to an instance."""
-        headers = (
-            ("host", "shop.example"),
-            (HEADERS.request_id, request_id),
-            (HEADERS.time_left, "3000"),
-        )
-        request = Request(method="GET", target=path, headers=headers)
-        call = fetch(f"{host}:8641", request, timeout_ms=5_000.0)
-        return await run_on_host(CALLER, call)
-
-    async def fetch_from(self, host: str, port: int, target: str) -> Response:
-        """Send a GET request to a port of an instance."""
-        request = Request(method="GET", target=target)
-        call = fetch(f"{host}:{port}", request, timeout_ms=1_000.0)
-        return await run_on_host(CALLER, call)
-
-    async def find_addresses(self, host: str) -> bytes:
-        """Return the addresses that an instance gives callers of data centre ``a``."""
-        return (await self.fetch_from(host, 8644, make_directory_query("a"))).body
-
-    def list_versions(self) -> list[int]:
-        """Return the configuration version in effect at each instance."""
-        tables = [gateway.table for gateway in self.gateways.values()]
-        return [table.version if table else 0 for table in tables]
-
-
-def run(scenario: Callable[[Deployment], Awaitable[None]]) -> None:
-    """Run a scenario on a deployment that is ready."""
-    network = Network(latency_ms=0.5)
-
-    async def session() -> None:
-        deployment = Deployment(network)
-        await deployment.start()
-        await scenario(deployment)
-
-    run_session(network, session())
+from currantline.platform.samples import make_configuration, make_target_entry
+from currantline.standin.network import run_on_host
+from currantline.tests.support import APPLY_LIMIT_MS, HOSTS, STORE, Deployment, run
 
 
 class TestRequests:
