Issue permits for targets that limit the requests of the fleet

What callers and operators saw: targets in need that had named 2.9 and 4.3 requests a second got 52 and 43 requests in 4 s. Cause: nothing read the limit. Keeping to it alone in each instance, or to an equal part of it, would not do either: with hundreds of instances and less than one request a second, one saved request each is already too much, and unused parts are lost. A quantity that holds for the sum of the fleet needs one place that counts. Change: for each start of a target one ready instance, chosen by rendezvous hashing, issues permits, evenly over time, over UDP. It starts without saved permits, so a hand-over does not double the rate, and does not answer for targets that it would not choose itself. Limits travel with the requests for permits and are announced when they begin or end. Limited targets get no health checks and no hedges. Where all targets are limited, requests wait for a permit in order or are refused at once with the time of the next one.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -15,11 +15,10 @@
     ReplicaPuller,
     choose_hosts,
 )
+from currantline.permits import PermitProtocol
 from currantline.placement import (
     LatencyAverages,
     ProbeLimit,
-    RateLimit,
-    Target,
     TargetRegistry,
 )
 from currantline.platform import (
@@ -157,6 +156,7 @@
         ]
         try:
             await self._membership_protocol.start()
+            await self._permits.start()
             for server, address in listeners:
                 await server.start(address)
         except OSError as error:
@@ -245,8 +245,18 @@
     def _build_relay(self) -> None:
         latencies = LatencyAverages()
         self._pool = ConnectionPool(clock=self._clock, meter=self.meter)
+        self._permits = PermitProtocol(
+            self.targets,
+            host=self._settings.host,
+            port=self._settings.permit_port,
+            list_issuers=self._list_permit_issuers,
+            list_instances=lambda: [m.host for m in self._membership.list_live()],
+            clock=self._clock,
+            meter=self.meter,
+            log=self._log,
+        )
         limit_reader = RateLimitReader(
-            names=HEADERS, observe=self._observe_limit, log=self._log
+            names=HEADERS, observe=self._permits.observe, log=self._log
         )
         prober = LoadProber(
             self._pool,
@@ -261,6 +271,7 @@
             prober=prober,
             latencies=latencies,
             probe_limit=ProbeLimit(self._settings.max_probes_per_s),
+            permits=self._permits,
             count_instances=lambda: len(self._membership.list_live()) + 1,
             data_centre=self._settings.data_centre,
             clock=self._clock,
@@ -333,6 +344,7 @@
         for service in (self._peers, self._control, self._metrics):
             await service.stop()
         self._membership_protocol.close()
+        self._permits.close()
         self._store.close()
         self._pool.close()
 
@@ -411,13 +423,10 @@
                 revision=record.revision,
             )
 
-    def _observe_limit(self, target: Target, per_s: float | None) -> None:
-        previous = target.rate_limit.per_s
-        target.rate_limit = RateLimit(per_s, self._clock.read())
-        if per_s != previous:
-            self._log.write(
-                "target_limit", target=target.name, per_s=per_s, previous=previous
-            )
+    def _list_permit_issuers(self) -> list[str]:
+        members = [*self._membership.list_live(), self._membership.local_member]
+        ready = [m.host for m in members if m.status is MemberStatus.READY]
+        return ready or [self._settings.host]
 
     def _find_addresses(self, data_centre: str) -> list[str]:
         ready = self._membership.list_ready()
--- /dev/null
+++ b/src/currantline/permits/__init__.py
@@ -0,0 +1,22 @@
+"""Permits for requests to targets that limit the requests of the whole fleet.
+
+One instance, chosen by rendezvous hashing among the ready ones, issues all permits of a
+target. The sum over the fleet is therefore exact, whatever its size and however low the
+limit, and unused permits of one instance are available to the others.
+"""
+
+from currantline.permits._issuer import PermitIssuer
+from currantline.permits._messages import Permit, PermitRequest, PermitResponse, Report
+from currantline.permits._owner import choose_issuer, format_key
+from currantline.permits._protocol import PermitProtocol
+
+__all__ = [
+    "Permit",
+    "PermitIssuer",
+    "PermitProtocol",
+    "PermitRequest",
+    "PermitResponse",
+    "Report",
+    "choose_issuer",
+    "format_key",
+]
--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from currantline.placement._admission import (
     RequestTiming,
+    find_max_wait_ms,
     find_refusal_reason,
     has_good_candidate,
     is_overdue,
@@ -37,6 +38,7 @@
     "choose_candidate",
     "choose_probe_targets",
     "estimate_response_ms",
+    "find_max_wait_ms",
     "find_optimal_concurrency",
     "find_refusal_reason",
     "has_good_candidate",
--- a/src/currantline/placement/_admission.py
+++ b/src/currantline/placement/_admission.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "RequestTiming",
+    "find_max_wait_ms",
     "find_refusal_reason",
     "has_good_candidate",
     "is_overdue",
@@ -84,16 +85,31 @@
     now : float
         Current time in milliseconds.
     """
-    timeout_ms = request.deadline_ms - request.arrived_ms
-    is_late = is_overdue(request, average_ms, now)
-    share = OVERDUE_WAIT_SHARE if is_late else WAIT_SHARE
-    if now >= request.arrived_ms + share * timeout_ms:
+    if now >= _find_wait_end(request, average_ms, now):
         return "all targets full"
     if request.deadline_ms - now < average_ms:
         return "too little time left"
     return ""
 
 
+def find_max_wait_ms(request: RequestTiming, average_ms: float, now: float) -> float:
+    """Return for how long a request may wait before it is sent, in milliseconds.
+
+    Parameters
+    ----------
+    request : Timed
+        The request.
+    average_ms : float
+        Average response time of the route in milliseconds.
+    now : float
+        Current time in milliseconds.
+    """
+    end_ms = min(
+        _find_wait_end(request, average_ms, now), request.deadline_ms - average_ms
+    )
+    return max(0.0, end_ms - now)
+
+
 def has_good_candidate(
     candidates: Iterable[Candidate], average_ms: float, now: float, rng: random.Random
 ) -> bool:
@@ -154,3 +170,10 @@
     if best is None or best[1] > request.deadline_ms - now:
         return None
     return best
+
+
+def _find_wait_end(request: RequestTiming, average_ms: float, now: float) -> float:
+    timeout_ms = request.deadline_ms - request.arrived_ms
+    is_late = is_overdue(request, average_ms, now)
+    share = OVERDUE_WAIT_SHARE if is_late else WAIT_SHARE
+    return request.arrived_ms + share * timeout_ms
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -65,6 +65,8 @@
         Latest load report, from a health check or from a response to a request.
     rate_limit : RateLimit
         Limit of requests that the target names.
+    next_permit_ms : float
+        Time until which permits for the target are expected to be used up.
     """
 
     published: PublishedTarget
@@ -75,6 +77,7 @@
     skip_until_ms: float = 0.0
     last_report: LoadReport | None = None
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
+    next_permit_ms: float = 0.0
 
     @property
     def name(self) -> str:
--- a/src/currantline/platform/_headers.py
+++ b/src/currantline/platform/_headers.py
@@ -21,6 +21,6 @@
     # percent (100 is normal speed).
     load="x-currantline-server-load",
     # Requests per second that the target takes from all instances together, while its
-    # responses state it.
-    rate_limit="x-currantline-server-limit",
+    # responses state it. The page that introduces it leaves out the common prefix.
+    rate_limit=("x-currantline-server-limit", "server-limit"),
 )
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -39,6 +39,8 @@
         Listen address that the platform publishes as a seed.
     peer_port : int
         Port for datagrams and calls between instances, the same on all machines.
+    permit_port : int
+        Port for datagrams about limits of targets, the same on all machines.
     seed_hosts : tuple of str
         Hosts to contact while no other instances are known.
     store_address : str
@@ -62,6 +64,7 @@
     directory_address: str = attrs.field(validator=check_address)
     control_address: str = attrs.field(validator=check_address)
     peer_port: int
+    permit_port: int
     seed_hosts: tuple[str, ...]
     store_address: str = attrs.field(validator=check_address)
     retry_options: RetryBudgetOptions
@@ -111,6 +114,7 @@
             directory_address=listen["directory"],
             control_address=listen["control"],
             peer_port=int(network["internalPortRange"][0]),
+            permit_port=int(network["internalPortRange"][0]) + 1,
             seed_hosts=_extract_hosts(network.get("seeds") or ()),
             store_address=document["platform"]["platform"]["address"],
             retry_options=RetryBudgetOptions(
--- a/src/currantline/relay/_limit_reader.py
+++ b/src/currantline/relay/_limit_reader.py
@@ -48,7 +48,8 @@
             Whether the target executed a request. Only then does a missing header
             mean that there is no limit; rejections and health checks may lack it.
         """
-        value = find_header(response.headers, self._names.rate_limit)
+        found = (find_header(response.headers, name) for name in self._names.rate_limit)
+        value = next((value for value in found if value is not None), None)
         if value is None:
             if is_success and target.rate_limit.per_s is not None:
                 self._observe(target, None)
--- a/src/currantline/relay/_names.py
+++ b/src/currantline/relay/_names.py
@@ -25,8 +25,9 @@
         Name of the responding target.
     load : str
         Current load of the target.
-    rate_limit : str
-        Requests per second that the target takes from the whole fleet.
+    rate_limit : tuple of str
+        Requests per second that the target takes from the whole fleet; any of the names
+        may be used.
     """
 
     request_id: str
@@ -36,4 +37,4 @@
     not_run: str
     target: str
     load: str
-    rate_limit: str
+    rate_limit: tuple[str, ...]
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -55,6 +55,9 @@
 # objective. A retry may succeed immediately.
 REJECTED_RETRY_AFTER_SHARES = (0.0, 0.05)
 
+# The same for requests refused until a known time, as shares of the time until then.
+KNOWN_RETRY_AFTER_SHARES = (1.0, 1.25)
+
 # Range of Retry-After while the instance has no configuration yet, in milliseconds. An
 # instance gets it within some tens of milliseconds.
 UNREADY_RETRY_AFTER_MS = (500.0, 1_500.0)
@@ -72,6 +75,8 @@
     sends: int = 0
     results: list[SendResult] = attrs.field(factory=list)
     refusal_reason: str = ""
+    # Time after which a refused caller may be served, 0 if unknown, in milliseconds.
+    retry_after_ms: float = 0.0
     may_have_run: bool = False
 
 
@@ -248,6 +253,7 @@
         )
         if selection.target is None or selection.lease is None:
             progress.refusal_reason = selection.reason
+            progress.retry_after_ms = selection.wait_ms
             return None
         return await self._send(progress, selection.target, selection.lease)
 
@@ -344,7 +350,8 @@
         )
 
     def _strip_headers(self, response: Response) -> Response:
-        dropped = {self._names.load, self._names.target, "connection", "keep-alive"}
+        dropped = {self._names.load, self._names.target, *self._names.rate_limit}
+        dropped |= {"connection", "keep-alive"}
         dropped |= {"transfer-encoding", "content-length"}
         headers = tuple(h for h in response.headers if h[0] not in dropped)
         return attrs.evolve(response, headers=headers)
@@ -352,7 +359,9 @@
     def _refuse_routed(self, progress: _Progress, reason: str) -> Response:
         progress.refusal_reason = reason
         context = progress.context
-        if progress.results:
+        if progress.retry_after_ms:
+            unit_ms, bounds = progress.retry_after_ms, KNOWN_RETRY_AFTER_SHARES
+        elif progress.results:
             unit_ms, bounds = context.route.objective_ms, REJECTED_RETRY_AFTER_SHARES
         else:
             left_ms = context.caller_deadline_ms - self._clock.read()
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
+from typing import Protocol
 
 import attrs
 
 from currantline.clock import Clock
+from currantline.permits import Permit
 from currantline.placement import (
     Candidate,
     LatencyAverages,
@@ -15,6 +17,7 @@
     Target,
     TargetRegistry,
     choose_probe_targets,
+    find_max_wait_ms,
     find_refusal_reason,
     has_good_candidate,
     is_overdue,
@@ -26,7 +29,7 @@
 from currantline.relay._prober import LoadProber, ProbeResult
 from currantline.routing import Route, RoutedService
 
-__all__ = ["RequestContext", "Selection", "TargetSelector"]
+__all__ = ["PermitSource", "RequestContext", "Selection", "TargetSelector"]
 
 # Number of targets probed concurrently in the own data centre, then in the others.
 LOCAL_PROBES = 4
@@ -95,12 +98,25 @@
         Predicted response time in milliseconds.
     reason : str
         Reason why there is no target.
+    wait_ms : float
+        With a target, but no connection yet: time until the request may be sent. With a
+        reason: time after which the caller may be served, 0 if unknown. In
+        milliseconds.
     """
 
     target: Target | None = None
     lease: Lease | None = None
     predicted_ms: float = 0.0
     reason: str = ""
+    wait_ms: float = 0.0
+
+
+class PermitSource(Protocol):
+    """Grants requests to targets that limit the requests of the fleet."""
+
+    async def acquire(self, target: Target, *, max_wait_ms: float) -> Permit:
+        """Return a permit for one request that can wait for some time."""
+        ...
 
 
 class TargetSelector:
@@ -116,6 +132,8 @@
         Average response times of routes.
     probe_limit : ProbeLimit
         Limit of health checks.
+    permits : PermitSource
+        Grants requests to targets that limit them.
     count_instances : callable
         Returns the number of instances that share the limit.
     data_centre : str
@@ -133,6 +151,7 @@
         prober: LoadProber,
         latencies: LatencyAverages,
         probe_limit: ProbeLimit,
+        permits: PermitSource,
         count_instances: Callable[[], int],
         data_centre: str,
         clock: Clock,
@@ -142,6 +161,7 @@
         self._prober = prober
         self._latencies = latencies
         self._probe_limit = probe_limit
+        self._permits = permits
         self._count_instances = count_instances
         self._data_centre = data_centre
         self._clock = clock
@@ -169,6 +189,8 @@
                 selection = await self._search(context, exclude, searches, freed)
             finally:
                 queue.end_turn(found=selection is not None)
+            if selection is not None and selection.target and not selection.lease:
+                selection = await self._connect_later(selection)
             if selection is not None:
                 return selection
             searches += 1
@@ -190,6 +212,7 @@
             Names of targets that have already received the request.
         """
         usable = self._list_usable(context, exclude)
+        usable = [target for target in usable if not target.is_rate_limited]
         if len(self._find_queue(context)) or not usable:
             return None
         probed = await self._probe(context, usable, searches=1)
@@ -234,9 +257,34 @@
         )
         if refusal_reason:
             return Selection(reason=refusal_reason)
-        usable = self._list_usable(context, exclude)
-        if not usable:
+        known = self._list_usable(context, exclude)
+        if not known:
             return Selection(reason="no target")
+        limited = [target for target in known if target.is_rate_limited]
+        usable = [target for target in known if not target.is_rate_limited]
+        if not usable:
+            return await self._select_only_limited(context, limited)
+        # A limited target gets its even part of the first searches, which cost it no
+        # health check, and what finds no slot elsewhere.
+        is_first = searches == 0 and freed is None
+        if is_first and self._rng.random() * len(known) < len(limited):
+            selection = await self._select_limited(context, limited)
+            if selection is not None:
+                return selection
+        selection = await self._search_unlimited(context, usable, searches, freed)
+        if selection is None and limited:
+            selection = await self._select_limited(context, limited)
+        return selection
+
+    async def _search_unlimited(
+        self,
+        context: RequestContext,
+        usable: list[Target],
+        searches: int,
+        freed: Target | None,
+    ) -> Selection | None:
+        if freed is not None and freed.is_rate_limited:
+            freed = None
         if freed is not None:
             freed.skip_until_ms = 0.0
             usable = [target for target in usable if target is freed]
@@ -245,7 +293,7 @@
         )
         if selection is not None:
             return selection
-        if self._is_limited(context, usable):
+        if self._is_probing_limited(context, usable):
             return await self._select_presumed(context, usable)
         probed = await self._probe(context, usable, searches)
         average_ms, now = self._read_average(context), self._clock.read()
@@ -284,32 +332,86 @@
         available = [target for target in usable if target.skip_until_ms <= now]
         candidates = self._list_reported(available, MAX_LIMITED_REPORT_AGE_MS)
         if not candidates:
-            candidates = [
-                Candidate(
-                    target,
-                    LoadReport(
-                        running=0,
-                        waiting=0,
-                        slots=max(1, target.published.slots),
-                        requested_ms=context.arrived_ms,
-                    ),
-                )
-                for target in available
-            ]
+            candidates = [_presume_idle(context, target) for target in available]
         average_ms = self._read_average(context)
         best = select_candidate(context, candidates, average_ms, now, self._rng)
         return await self._connect(best) if best is not None else None
 
-    async def _connect(self, chosen: tuple[Candidate, float]) -> Selection | None:
+    async def _select_limited(
+        self, context: RequestContext, limited: list[Target]
+    ) -> Selection | None:
+        """Select a target that limits its requests, if it takes one now."""
+        now = self._clock.read()
+        available = [target for target in limited if target.next_permit_ms <= now]
+        # The limit itself keeps the load low, so that no report is needed.
+        candidates = [_presume_idle(context, target) for target in available]
+        average_ms = self._read_average(context)
+        best = select_candidate(context, candidates, average_ms, now, self._rng)
+        if best is None or not await self._acquire_permit(best[0].target, 0.0):
+            return None
+        return await self._connect(best, is_permitted=True)
+
+    async def _select_only_limited(
+        self, context: RequestContext, limited: list[Target]
+    ) -> Selection:
+        """Select a target if all limit their requests, or refuse the request.
+
+        It waits for the first permit of any of them that comes in time.
+        """
+        for _ in limited:
+            now = self._clock.read()
+            wait_ms = find_max_wait_ms(context, self._read_average(context), now)
+            first = min(limited, key=lambda target: target.next_permit_ms)
+            if first.next_permit_ms > now + wait_ms:
+                break
+            permit = await self._acquire_permit(first, wait_ms)
+            if permit is not None:
+                return Selection(first, wait_ms=permit.wait_ms)
+        next_ms = min(target.next_permit_ms for target in limited)
+        now = self._clock.read()
+        wait_ms = find_max_wait_ms(context, self._read_average(context), now)
+        return Selection(
+            reason="all targets limit their requests",
+            wait_ms=max(0.0, next_ms - now - wait_ms),
+        )
+
+    async def _acquire_permit(
+        self, target: Target, max_wait_ms: float
+    ) -> Permit | None:
+        permit = await self._permits.acquire(target, max_wait_ms=max_wait_ms)
+        if permit.is_granted:
+            return permit
+        target.next_permit_ms = self._clock.read() + permit.wait_ms
+        return None
+
+    async def _connect_later(self, reserved: Selection) -> Selection | None:
+        """Connect to a target for which a permit was granted, once it is valid."""
+        assert reserved.target is not None
+        await asyncio.sleep(reserved.wait_ms / 1000)
+        target = reserved.target
+        lease = await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
+        return self._check_current(target, lease, predicted_ms=0.0)
+
+    async def _connect(
+        self, chosen: tuple[Candidate, float], *, is_permitted: bool = False
+    ) -> Selection | None:
         # No health check would show that a connection has gone silent.
         target = chosen[0].target
         lease = await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
+        if lease is not None and target.is_rate_limited and not is_permitted:
+            self._prober.release(lease)
+            return None
+        return self._check_current(target, lease, predicted_ms=chosen[1])
+
+    def _check_current(
+        self, target: Target, lease: Lease | None, *, predicted_ms: float
+    ) -> Selection | None:
         if lease is None:
             return None
         if not self._targets.is_current(target):
             self._prober.release(lease)
             return None
-        return Selection(target, lease, chosen[1])
+        return Selection(target, lease, predicted_ms)
 
     def _list_reported(
         self, targets: list[Target], max_age_ms: float
@@ -322,7 +424,9 @@
             and target.last_report.requested_ms > oldest_ms
         ]
 
-    def _is_limited(self, context: RequestContext, usable: list[Target]) -> bool:
+    def _is_probing_limited(
+        self, context: RequestContext, usable: list[Target]
+    ) -> bool:
         """Return whether targets are available but none may be probed now."""
         now = self._clock.read()
         is_available = any(target.skip_until_ms <= now for target in usable)
@@ -387,9 +491,13 @@
         return probed
 
     def _list_current(self, probed: list[ProbeResult]) -> list[Candidate]:
-        # A target may have started draining while it was probed.
+        # A target may have started draining, or named a limit, while it was probed.
         candidates = [result.candidate for result in probed]
-        return [c for c in candidates if self._targets.is_current(c.target)]
+        return [
+            c
+            for c in candidates
+            if self._targets.is_current(c.target) and not c.target.is_rate_limited
+        ]
 
     def _claim(
         self, probed: list[ProbeResult], best: tuple[Candidate, float] | None
@@ -399,3 +507,13 @@
         if chosen is None or best is None:
             return None
         return Selection(chosen.candidate.target, chosen.lease, best[1])
+
+
+def _presume_idle(context: RequestContext, target: Target) -> Candidate:
+    report = LoadReport(
+        running=0,
+        waiting=0,
+        slots=max(1, target.published.slots),
+        requested_ms=context.arrived_ms,
+    )
+    return Candidate(target, report)
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from currantline.clock import Clock
+from currantline.permits import Permit, PermitIssuer
 from currantline.placement import (
     LatencyAverages,
     ProbeLimit,
@@ -48,7 +50,7 @@
     not_run="x-not-run",
     target="x-target",
     load="x-load",
-    rate_limit="x-limit",
+    rate_limit=("x-limit", "limit"),
 )
 HOST = "10.0.0.1"
 CALLER = "10.0.9.9"
@@ -77,6 +79,20 @@
     return Request(method="GET", target=f"/{request_id}", headers=headers)
 
 
+class LocalPermits:
+    """Permits of a fleet of one instance."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._issuer = PermitIssuer()
+
+    async def acquire(self, target: Target, *, max_wait_ms: float) -> Permit:
+        """Return a permit for one request."""
+        now = self._clock.read()
+        self._issuer.observe(target.name, target.rate_limit, now)
+        return self._issuer.issue(target.name, max_wait_ms=max_wait_ms, now=now)
+
+
 class RelayHarness:
     """A relay, its server and its targets."""
 
@@ -89,6 +105,7 @@
         self.workers: list[StandinWorker] = []
         self.targets = TargetRegistry()
         self.meter = Meter()
+        self.permits = LocalPermits(self.clock)
         self.table: RouteTable | None = None
         self.set_route(route)
         self._build()
@@ -176,6 +193,7 @@
             prober=prober,
             latencies=latencies,
             probe_limit=ProbeLimit(self._probes_per_s),
+            permits=self.permits,
             count_instances=lambda: 1,
             data_centre="a",
             clock=self.clock,
--- a/src/currantline/relay/tests/test_limit_reader.py
+++ b/src/currantline/relay/tests/test_limit_reader.py
@@ -19,7 +19,13 @@
         return 0.0
 
 
-def read(value: str | None, *, previous: float | None, is_success: bool) -> list[float]:
+def read(
+    value: str | None,
+    *,
+    previous: float | None,
+    is_success: bool,
+    name: str = "x-limit",
+) -> list[float]:
     """Return what one response makes a reader observe, NaN for the end of a limit."""
     target = Target(
         PublishedTarget(name="t", address="", service="s", data_centre="a", slots=1),
@@ -31,7 +37,7 @@
         observe=lambda _, per_s: observed.append(math.nan if per_s is None else per_s),
         log=EventLog("i", clock=FixedClock(), write=len),
     )
-    headers = (("x-limit", value),) if value is not None else ()
+    headers = ((name, value),) if value is not None else ()
     reader.read(target, Response(status=200, headers=headers), is_success=is_success)
     return observed
 
@@ -44,6 +50,10 @@
         """Guards against a limit that is read from some kinds of responses only."""
         assert read("0.4", previous=None, is_success=is_success) == [0.4]
 
+    def test_second_name(self) -> None:
+        """Guards against a limit that is ignored under the other name of its header."""
+        assert read("2", previous=None, is_success=True, name="limit") == [2.0]
+
     @pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf", "1,2"])
     def test_invalid(self, value: str) -> None:
         """Guards against an invalid value that sets or ends a limit."""
