Do not take a repeated refusal for the response to another request

What callers would see: "not run" for a request that a target runs, or a second run elsewhere, if a target writes an earlier refusal once more on a kept connection and the refusal bears no request id. With its id the refusal was recognised already. Cause: a response without a request id counted as that of the request in progress, also on a connection that had carried others. Change: on such a connection it is no answer, and the connection is dropped; a health check does not take it either. Besides, a target that closes in the middle of a head was looked into: h11 never delivers such a head; a test cuts one at each byte, with and without a length. Evidence: TestRepeatedRefusal failed before with 503 and with a second run (200 from the other target); TestBrokenHead passed before.

--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -54,16 +54,21 @@
         The connection.
     keep_alive_ms : float
         Time in milliseconds for which the connection may be reused while idle.
+    has_carried_request : bool
+        Whether a request was sent on the connection. A faulty target may send an
+        earlier response once more.
     """
 
     address: str
     connection: HttpConnection
     keep_alive_ms: float = DEFAULT_KEEP_ALIVE_MS
+    has_carried_request: bool = False
 
 
 @attrs.define(eq=False)
 class _IdleConnection:
     connection: HttpConnection
+    has_carried_request: bool
     released_ms: float
     expires_ms: float
 
@@ -103,7 +108,11 @@
         """
         kept = self._take_idle(address, max_idle_ms)
         if kept is not None:
-            return Lease(address, kept)
+            return Lease(
+                address,
+                kept.connection,
+                has_carried_request=kept.has_carried_request,
+            )
         self._meter.count("target_connections")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
@@ -153,7 +162,14 @@
             lease.connection.close()
             return
         now = self._clock.read()
-        idle.append(_IdleConnection(lease.connection, now, now + lease.keep_alive_ms))
+        idle.append(
+            _IdleConnection(
+                lease.connection,
+                lease.has_carried_request,
+                released_ms=now,
+                expires_ms=now + lease.keep_alive_ms,
+            )
+        )
 
     def drop(self, lease: Lease) -> None:
         """Abort a connection whose exchange did not complete."""
@@ -176,14 +192,14 @@
         """Close all idle connections."""
         self.close_stale(set())
 
-    def _take_idle(self, address: str, max_idle_ms: float) -> HttpConnection | None:
+    def _take_idle(self, address: str, max_idle_ms: float) -> _IdleConnection | None:
         idle = self._idle.get(address, [])
         now = self._clock.read()
         # The connection that was released last comes first.
         while idle and now - idle[-1].released_ms <= max_idle_ms:
             kept = idle.pop()
             if _is_usable(kept, now):
-                return kept.connection
+                return kept
             kept.connection.close()
         return None
 
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -175,7 +175,7 @@
                 )
                 lease.connection.write_request(request)
                 response = await lease.connection.read_response()
-                report = self._parse_report(target, response, requested_ms)
+                report = self._parse_report(target, lease, response, requested_ms)
                 target.last_report = report
                 if not self._pool.prepare_reuse(lease, response):
                     lease = await self._pool.acquire(target.address)
@@ -208,15 +208,21 @@
             took_ms=round(took_ms, 1),
         )
 
+    def _is_repeated(self, response: Response, lease: Lease) -> bool:
+        names = (self._names.signature, self._names.request_id)
+        is_signed = any(find_header(response.headers, name) for name in names)
+        is_rejection = find_header(response.headers, self._names.not_run) is not None
+        return is_signed or (lease.has_carried_request and is_rejection)
+
     def _parse_report(
-        self, target: Target, response: Response, requested_ms: float
+        self, target: Target, lease: Lease, response: Response, requested_ms: float
     ) -> LoadReport:
         name = find_header(response.headers, self._names.target)
         if name is not None and name != target.name:
             target.is_address_reused = True
             self._log.write("target_replaced", target=target.name, found=name)
             raise ProtocolError(f"{name} responded at the address of {target.name}")
-        if name is None and find_header(response.headers, self._names.signature):
+        if name is None and self._is_repeated(response, lease):
             raise ProtocolError("received a late response to an earlier request")
         self._limit_reader.read(target, response, is_success=False)
         took_ms = self._clock.read() - requested_ms
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -156,9 +156,14 @@
     async def _read_matching_response(
         self, lease: Lease, context: RequestContext
     ) -> Response:
+        is_kept = lease.has_carried_request
+        lease.has_carried_request = True
         for _ in range(MAX_RESPONSES_READ):
             response = await lease.connection.read_response(accept_unframed=True)
             request_id = find_header(response.headers, self._names.request_id)
+            if request_id is None and is_kept:
+                # It may be an earlier response that the target has sent once more.
+                raise WireError(f"status {response.status} without a request id")
             if request_id is None or request_id == context.request_id:
                 return response
             lease.connection.discard_response()
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -138,12 +138,16 @@
         return worker
 
     async def add_scripted_target(
-        self, *responses: bytes, endless: bytes = b"", slots: int = 2
+        self,
+        *responses: bytes,
+        endless: bytes = b"",
+        slots: int = 2,
+        closes: bool = False,
     ) -> "ScriptedTarget":
         """Start and publish a target that sends the given bytes as responses."""
         number = len(self.workers) + 1
         self.workers.append(StandinWorker(name=f"t{number}", header_names=NAMES))
-        script = ScriptedTarget(f"t{number}", list(responses), endless)
+        script = ScriptedTarget(f"t{number}", list(responses), endless, closes)
         address = f"10.0.1.{number}:80"
         await run_on_host(f"10.0.1.{number}", script.start(address))
         self.publish(f"t{number}", address, slots=slots)
@@ -240,6 +244,10 @@
         One response per request; an empty one closes the connection.
     endless : bytes
         Repeated after each response until the connection is closed, if not empty.
+    closes : bool
+        Whether it closes the connection after each response.
+    before_health : bytes
+        Sent once, 5 ms before the next response to a health check.
     requests : int
         Number of received requests.
     """
@@ -247,6 +255,8 @@
     name: str
     responses: list[bytes]
     endless: bytes = b""
+    closes: bool = False
+    before_health: bytes = b""
     requests: int = 0
 
     async def start(self, address: str) -> None:
@@ -275,13 +285,21 @@
         if HEALTH_PATH.encode() in head:
             load = f"x-target: {self._script.name}\r\nx-load: 0,0,2,100\r\n"
             text = f"HTTP/1.1 200 OK\r\n{load}content-length: 0\r\n\r\n"
-            self._transport.write(text.encode())
+            if self._script.before_health:
+                self._transport.write(self._script.before_health)
+                self._script.before_health = b""
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.005, self._transport.write, text.encode())
+            else:
+                self._transport.write(text.encode())
             return
         self._script.requests += 1
         response = self._script.responses.pop(0) if self._script.responses else b""
         if response:
             self._transport.write(response)
             self._write_endless()
+            if self._script.closes:
+                self._transport.close()
         else:
             self._transport.close()
 
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -497,3 +497,94 @@
             await asyncio.gather(*endless)
 
         run_scenario(scenario, make_route(max_attempts=1, objective_ms=1_900.0))
+
+
+def make_refusal(request_id: str | None) -> bytes:
+    """Return an encoded response that says that the request was not run."""
+    echo = f"x-id: {request_id}\r\n" if request_id is not None else ""
+    return f"HTTP/1.1 503 -\r\nx-not-run: 1\r\n{echo}content-length: 0\r\n\r\n".encode()
+
+
+class TestRepeatedRefusal:
+    """A target that writes an earlier refusal once more on a kept connection."""
+
+    @pytest.mark.parametrize("repeated_id", [None, "a"])
+    def test_before_response(self, repeated_id: str | None) -> None:
+        """Guards against a request that ran and is reported as not run.
+
+        The target refuses request ``a``, and repeats the refusal before its response to
+        request ``b``.
+        """
+
+        async def scenario(harness: RelayHarness) -> None:
+            own = make_response(b"x-id: b\r\nx-signature: s\r\n")
+            refusal = make_refusal("a")
+            repeated = make_refusal(repeated_id)
+            await harness.add_scripted_target(refusal, repeated + own)
+            assert (await harness.send("a")).status == 503
+            response = await harness.send("b")
+            assert response.status == (200 if repeated_id else 502)
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
+    def test_not_sent_again(self) -> None:
+        """Guards against a request that runs twice after a repeated refusal."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            own = make_response(b"x-id: b\r\nx-signature: s\r\n")
+            repeated = make_refusal(None) + own
+            script = await harness.add_scripted_target(make_refusal("a"), repeated)
+            assert (await harness.send("a")).status == 503
+            other = await harness.add_worker(slots=1, running=1)
+            task = asyncio.create_task(harness.send("b"))
+            while script.requests < 2:
+                await asyncio.sleep(0.001)
+            other.running = 0
+            assert (await task).status == 502
+            assert other.started_ids == []
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
+    @pytest.mark.parametrize("repeated_id", [None, "a"])
+    def test_before_health_check(self, repeated_id: str | None) -> None:
+        """Guards against a refusal that is taken for the response to a health check.
+
+        The health check's response would then be taken for that of the next request.
+        """
+
+        async def scenario(harness: RelayHarness) -> None:
+            own = make_response(b"x-id: b\r\nx-signature: s\r\n")
+            script = await harness.add_scripted_target(make_refusal("a"), own)
+            assert (await harness.send("a")).status == 503
+            script.before_health = make_refusal(repeated_id)
+            # The load report of the refusal is too old now.
+            await asyncio.sleep(0.2)
+            assert (await harness.send("b")).status == 200
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
+    def test_first_on_connection(self) -> None:
+        """Guards against a first refusal without an id that ends in a failure."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_scripted_target(make_refusal(None))
+            assert (await harness.send("a")).status == 503
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
+
+class TestBrokenHead:
+    """A target that closes the connection in the middle of the head of its response."""
+
+    @pytest.mark.parametrize("framing", [b"", b"content-length: 4\r\n"])
+    def test_every_length(self, framing: bytes) -> None:
+        """Guards against a part of a head that is delivered as a complete response."""
+        head = b"HTTP/1.1 200 OK\r\n" + SIGNED + framing + b"\r\n"
+
+        for length in range(1, len(head)):
+
+            async def scenario(harness: RelayHarness, length: int = length) -> None:
+                await harness.add_scripted_target(head[:length], closes=True)
+                assert (await harness.send()).status == 502
+
+            run_scenario(scenario, NON_IDEMPOTENT)
