Refuse requests on open connections late in a planned stop

What callers would see: in a calm stop of an instance, requests that came late in the grace time were passed on and cut off at its end, also orders, if a caller always had one in progress on its connection, or sent a body slowly. Cause: after 0.45 of the grace time only new connections and idle ones were closed. A connection with requests in progress is never idle, and its responses bear no "Connection: close" while others are behind them. Change: from then on a request that has been read is refused with 503 and Retry-After 0, and is not passed on. Evidence: test_leaving_with_pipelined_requests failed before: requests sent later than 3 s after the signal ran at targets.

--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -95,6 +95,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[HttpConnection] = set()
         self._is_draining = False
+        self._is_refusing = False
         self.active_requests = 0
 
     @property
@@ -126,7 +127,8 @@
         self._is_draining = True
 
     def stop_accepting(self) -> None:
-        """Stop accepting new connections."""
+        """Stop accepting new connections, and refuse requests on the open ones."""
+        self._is_refusing = True
         if self._server is not None:
             self._server.close()
 
@@ -291,6 +293,15 @@
             raise CallerTimeoutError("the body did not arrive in time") from error
 
     async def _run_handler(self, request: Request, arrived_ms: float) -> Response:
+        if self._is_refusing:
+            self._log.write(
+                "request_refused",
+                request_id=self._read_id(request),
+                status=UNAVAILABLE,
+                reason="the instance is stopping",
+            )
+            # Other instances can serve the request immediately.
+            return Response(status=UNAVAILABLE, headers=(("retry-after", "0"),))
         try:
             return await self._handle(request, arrived_ms)
         except Exception as error:
--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,7 +20,7 @@
 from currantline.telemetry import EventLog
 from currantline.wire import HttpServer, Request, Response, fetch
 
-__all__ = ["APPLY_LIMIT_MS", "HOSTS", "STORE", "Deployment", "run"]
+__all__ = ["APPLY_LIMIT_MS", "HOSTS", "STORE", "Deployment", "PipeliningCaller", "run"]
 
 STORE, CALLER = "10.200.1.7", "10.99.0.1"
 DATA_CENTRES = ("a", "b")
@@ -81,16 +82,21 @@
         del self.gateways[host]
 
     async def call(
-        self, host: str, path: str = "/read/x", *, request_id: str = "a"
+        self,
+        host: str,
+        path: str = "/read/x",
+        *,
+        request_id: str = "a",
+        remaining_ms: float = 3_000.0,
     ) -> Response:
         """Send a request to an instance."""
         headers = (
             ("host", "shop.example"),
             (HEADERS.request_id, request_id),
-            (HEADERS.time_left, "3000"),
+            (HEADERS.time_left, str(remaining_ms)),
         )
         request = Request(method="GET", target=path, headers=headers)
-        call = fetch(f"{host}:8641", request, timeout_ms=5_000.0)
+        call = fetch(f"{host}:8641", request, timeout_ms=remaining_ms + 2_000.0)
         return await run_on_host(CALLER, call)
 
     async def fetch_from(self, host: str, port: int, target: str) -> Response:
@@ -109,6 +115,62 @@
         return [table.version if table else 0 for table in tables]
 
 
+class PipeliningCaller:
+    """A caller that sends requests without waiting for the responses.
+
+    Attributes
+    ----------
+    statuses : set of int
+        Statuses of the responses.
+    """
+
+    def __init__(self, deployment: Deployment, host: str) -> None:
+        self._deployment = deployment
+        self._host = host
+        self._sent: dict[str, float] = {}
+        self._received = b""
+        self._started_s = 0.0
+
+    @property
+    def statuses(self) -> set[int]:
+        """Statuses of the responses."""
+        return {int(code) for code in re.findall(rb"HTTP/1.1 (\d+)", self._received)}
+
+    async def start(self) -> None:
+        """Open the connection."""
+        await run_on_host(CALLER, self._connect())
+
+    async def send_every(self, interval_s: float, *, duration_s: float) -> None:
+        """Send requests until the time is over or the connection is closed."""
+        loop = asyncio.get_running_loop()
+        self._started_s = loop.time()
+        while loop.time() - self._started_s < duration_s:
+            if self._transport.is_closing():
+                return
+            request_id = f"p{len(self._sent)}"
+            self._sent[request_id] = loop.time() - self._started_s
+            self._transport.write(
+                f"GET /read/{request_id} HTTP/1.1\r\nhost: shop.example\r\n"
+                f"{HEADERS.request_id}: {request_id}\r\n"
+                f"{HEADERS.time_left}: 3000\r\n\r\n".encode()
+            )
+            await asyncio.sleep(interval_s)
+
+    def sent_after(self, delay_s: float) -> list[str]:
+        """Return the ids of the requests sent later than a time after the first."""
+        return [name for name, sent_s in self._sent.items() if sent_s > delay_s]
+
+    async def _connect(self) -> None:
+        caller = self
+
+        class Receiver(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                caller._received += data
+
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_connection(Receiver, self._host, 8641)
+
+
 def run(scenario: Callable[[Deployment], Awaitable[None]]) -> None:
     """Run a scenario on a deployment that is ready."""
     network = Network(latency_ms=0.5)
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -8,7 +8,14 @@
 from currantline.exceptions import WireError
 from currantline.platform.samples import make_configuration, make_target_entry
 from currantline.standin.network import run_on_host
-from currantline.tests.support import APPLY_LIMIT_MS, HOSTS, STORE, Deployment, run
+from currantline.tests.support import (
+    APPLY_LIMIT_MS,
+    HOSTS,
+    STORE,
+    Deployment,
+    PipeliningCaller,
+    run,
+)
 
 
 class TestRequests:
@@ -254,3 +261,28 @@
             await leave
 
         run(scenario)
+
+    def test_leaving_with_pipelined_requests(self) -> None:
+        """Guards against requests on an open connection that are passed on too late.
+
+        A caller that always has a request in progress on its connection keeps it open,
+        so that its requests arrive until the end of the grace time.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            for worker in deployment.workers.values():
+                worker.work_ms, worker.slots = 150, 8
+            caller = PipeliningCaller(deployment, "10.1.0.2")
+            await caller.start()
+            gateway = deployment.gateways["10.1.0.2"]
+            leave = run_on_host("10.1.0.2", gateway.leave())
+            await caller.send_every(0.1, duration_s=5.5)
+            await leave
+            late = set(caller.sent_after(3.0))
+            ran = {i for w in deployment.workers.values() for i in w.started_ids}
+            cut = {i for w in deployment.workers.values() for i in w.cancelled}
+            assert not late & ran
+            assert not cut
+            assert caller.statuses == {200, 503}
+
+        run(scenario)
