Answer the requests that are left at the end of a planned stop

What callers would see: requests that still waited for a slot, or ran at a target, when the instance stopped were cut off without an answer, orders among them. Cause: at 0.85 of the grace time all connections were aborted, whatever was in progress on them. Change: requests that arrive after the signal time out before that moment, and those left then are answered: 503 if no target was given the request, 504 otherwise. It lies in the last sixth of the grace time, so that no request is broken off earlier than before. Evidence: test_leaving_with_queued_requests failed before ("the connection closed too early") and passes; no request of it runs that was answered with 503.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -76,8 +76,8 @@
 # could not be completed.
 DRAIN_ACCEPT_FRACTION = 0.45
 
-# Fraction of the grace period after which a leaving instance stops even if requests are
-# still in flight.
+# Fraction of the grace period after which a leaving instance answers the requests that
+# are still in progress, and stops.
 DRAIN_FRACTION = 0.85
 
 # Interval between checks whether all requests have completed.
@@ -184,17 +184,24 @@
         self._is_leaving = True
         self._log.write("leaving", busy=self._server.active_requests)
         self._server.start_draining()
+        self._relay.start_draining(started_ms + DRAIN_FRACTION * grace_ms)
         self._membership_protocol.notify_member_change()
         await asyncio.sleep(DRAIN_ACCEPT_FRACTION * grace_ms / 1000)
         self._server.stop_accepting()
         self._server.close_idle()
+        await self._complete_requests(started_ms + DRAIN_FRACTION * grace_ms)
+        if self._server.active_requests:
+            self._relay.end_waiting()
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
+        self._log.write("stopped", busy=self._server.active_requests)
+        await self._stop()
+
+    async def _complete_requests(self, end_ms: float) -> None:
         while self._server.active_requests or self._relay.detached_sends:
-            if self._clock.read() - started_ms > DRAIN_FRACTION * grace_ms:
+            if self._clock.read() > end_ms:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
             self._server.close_idle()
-        self._log.write("stopped", busy=self._server.active_requests)
-        await self._stop()
 
     def reload(self, settings: InstanceSettings) -> None:
         """Apply changed settings; listening addresses do not change."""
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -1,6 +1,7 @@
 """Handles one request from its arrival to its response."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -134,12 +135,30 @@
         self._age_estimator = RequestAgeEstimator()
         self._budgets: dict[str, RetryBudget] = {}
         self._detached: set[asyncio.Task[SendResult]] = set()
+        self._waits: set[asyncio.Timeout] = set()
+        self._end_ms = math.inf
 
     @property
     def detached_sends(self) -> int:
         """Number of non-idempotent sends in progress."""
         return len(self._detached)
 
+    def start_draining(self, end_ms: float) -> None:
+        """Let requests that arrive from now on time out before the instance stops.
+
+        Parameters
+        ----------
+        end_ms : float
+            Time by which they must have a response, in milliseconds.
+        """
+        self._end_ms = end_ms
+
+    def end_waiting(self) -> None:
+        """Time out all requests in progress. Those that were not sent are refused."""
+        now_s = asyncio.get_running_loop().time()
+        for wait in self._waits:
+            wait.reschedule(now_s)
+
     def is_idempotent(self, request: Request) -> bool:
         """Return whether a request may be executed more than once.
 
@@ -180,7 +199,10 @@
             service=service,
             arrived_ms=self._clock.read(),
             objective_deadline_ms=arrived_ms + route.objective_ms - age_ms - TRANSIT_MS,
-            deadline_ms=arrived_ms + min(remaining_ms - TRANSIT_MS, route.timeout_ms),
+            deadline_ms=min(
+                arrived_ms + min(remaining_ms - TRANSIT_MS, route.timeout_ms),
+                self._end_ms,
+            ),
             caller_deadline_ms=arrived_ms + remaining_ms - TRANSIT_MS,
         )
         progress = _Progress(context, request)
@@ -202,8 +224,15 @@
             return self._refuse_routed(progress, "too little time left")
         pending = {self._start(progress)}
         try:
-            return await self._await_response(progress, pending)
+            async with asyncio.timeout(None) as wait:
+                self._waits.add(wait)
+                return await self._await_response(progress, pending)
+        except TimeoutError:
+            if not wait.expired():
+                raise
+            return self._build_timeout(progress)
         finally:
+            self._waits.discard(wait)
             for task in pending:
                 task.cancel()
 
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -286,3 +286,34 @@
             assert caller.statuses == {200, 503}
 
         run(scenario)
+
+    def test_leaving_with_queued_requests(self) -> None:
+        """Guards against queued requests that get no answer when the instance stops."""
+
+        async def scenario(deployment: Deployment) -> None:
+            for worker in deployment.workers.values():
+                worker.work_ms, worker.slots = 20_000, 1
+            document = make_configuration(2)
+            for route in document["routes"].values():
+                route["timeoutMs"], route["targetLatencyMs"] = 30_000, 20_000
+            deployment.store.put("op/config", document)
+            await asyncio.sleep(1.0)
+            calls = [
+                asyncio.create_task(
+                    deployment.call(
+                        "10.1.0.2",
+                        "/orders/x",
+                        request_id=str(number),
+                        remaining_ms=30_000.0,
+                    )
+                )
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.5)
+            await run_on_host("10.1.0.2", deployment.gateways["10.1.0.2"].leave())
+            statuses = [response.status for response in await asyncio.gather(*calls)]
+            assert statuses.count(503) == 4
+            assert statuses.count(504) == 2
+            assert sum(len(w.started_ids) for w in deployment.workers.values()) == 2
+
+        run(scenario)
