Issue permits in time for the latency objective under overload

What callers would see: if all targets of a service limit their requests and more are sent than they take, every response is late. Cause: permits were issued ahead for as long as a request may wait at all, half of its timeout, so that a queue of that length stood before all targets. Change: once a request is denied, and while such requests keep asking, permits lie only as far ahead as the most urgent of them can wait to be in time, and overdue requests get those that are left over. At most three targets are asked for one request, and none before its next permit can be had. Retry-After ranges from that time to a third of the caller's remaining time, as the others do. Evidence: TestOnlyLimitedTargets.test_overload failed before with all responses late. Result: 150 tests of permits, relay, placement and rate limits pass.

--- a/src/currantline/permits/__init__.py
+++ b/src/currantline/permits/__init__.py
@@ -6,11 +6,18 @@
 """
 
 from currantline.permits._issuer import PermitIssuer
-from currantline.permits._messages import Permit, PermitRequest, PermitResponse, Report
+from currantline.permits._messages import (
+    Patience,
+    Permit,
+    PermitRequest,
+    PermitResponse,
+    Report,
+)
 from currantline.permits._owner import choose_issuer, format_key
 from currantline.permits._protocol import PermitProtocol
 
 __all__ = [
+    "Patience",
     "Permit",
     "PermitIssuer",
     "PermitProtocol",
--- a/src/currantline/permits/_codec.py
+++ b/src/currantline/permits/_codec.py
@@ -7,6 +7,7 @@
 from currantline.exceptions import PeerError
 from currantline.permits._messages import (
     Message,
+    Patience,
     Permit,
     PermitRequest,
     PermitResponse,
@@ -34,7 +35,9 @@
     age = round(age_ms, 1) if math.isfinite(age_ms) else None
     fields: list[Any] = [FORMAT_VERSION, message.key, message.limit.per_s, age]
     if isinstance(message, PermitRequest):
-        fields += ["request", message.number, round(message.max_wait_ms, 1)]
+        patience = message.patience
+        waits = [round(patience.in_time_ms, 1), round(patience.max_ms, 1)]
+        fields += ["request", message.number, *waits]
     elif isinstance(message, PermitResponse):
         permit = message.permit
         wait = round(permit.wait_ms, 1)
@@ -63,12 +66,12 @@
         if kind == "report":
             return Report(key=key, limit=limit)
         if kind == "request":
-            number, max_wait_ms = rest
+            number, in_time_ms, max_ms = rest
+            patience = Patience(
+                in_time_ms=_check_number(in_time_ms), max_ms=_check_number(max_ms)
+            )
             return PermitRequest(
-                number=int(number),
-                key=key,
-                limit=limit,
-                max_wait_ms=_check_number(max_wait_ms),
+                number=int(number), key=key, limit=limit, patience=patience
             )
         if kind != "response":
             raise PeerError(f"unknown kind {kind!r}")
--- a/src/currantline/permits/_issuer.py
+++ b/src/currantline/permits/_issuer.py
@@ -1,8 +1,16 @@
-"""Issues the permits of targets, evenly over time."""
+"""Issues the permits of targets, evenly over time.
+
+Permits may lie in the future, so that requests wait in the order in which they asked.
+While more requests ask than the limit permits, such a queue would grow until every
+request in it is late. Permits then go only as far ahead as a request that asks can wait
+and still be in time, and overdue requests get those that are left over.
+"""
+
+import math
 
 import attrs
 
-from currantline.permits._messages import Permit
+from currantline.permits._messages import Patience, Permit
 from currantline.placement import RateLimit
 
 __all__ = ["PermitIssuer"]
@@ -19,6 +27,9 @@
 # milliseconds. A partition or a restart may last this long.
 RETENTION_MS = 600_000.0
 
+# Time after a request was denied for which demand is considered above the limit, in
+# milliseconds.
+OVERLOAD_MS = 1_000.0
 
 # Minimum time between two announcements of a target that names a limit in some of its
 # responses only, in milliseconds.
@@ -32,14 +43,31 @@
     next_ms: float
     used_ms: float
     announced_ms: float
+    overload_end_ms: float = -math.inf
+    # The shortest time that a request denied during the overload could have waited.
+    overload_wait_ms: float = math.inf
+
+    def find_max_wait_ms(self, patience: Patience, now: float) -> float:
+        """Return how far ahead a permit for a request may lie, in milliseconds."""
+        if now >= self.overload_end_ms:
+            return patience.max_ms
+        return min(patience.max_ms, patience.in_time_ms, self.overload_wait_ms)
+
+    def record_denial(self, patience: Patience, now: float) -> None:
+        """Record that a request was denied. Overdue ones do not prolong an overload."""
+        if not patience.in_time_ms:
+            return
+        if now >= self.overload_end_ms:
+            self.overload_wait_ms = math.inf
+        self.overload_wait_ms = min(self.overload_wait_ms, patience.in_time_ms)
+        self.overload_end_ms = now + OVERLOAD_MS
 
 
 class PermitIssuer:
     """Issues the permits of targets, evenly over time.
 
-    A permit may lie in the future, so that requests wait in the order in which they
-    asked. Without earlier knowledge of a target the first permit comes after one
-    interval: another instance may have issued permits until now.
+    Without earlier knowledge of a target the first permit comes after one interval:
+    another instance may have issued permits until now.
     """
 
     def __init__(self) -> None:
@@ -85,15 +113,15 @@
         schedule.announced_ms = now
         return True
 
-    def issue(self, key: str, *, max_wait_ms: float, now: float) -> Permit:
+    def issue(self, key: str, patience: Patience, now: float) -> Permit:
         """Return a permit for one request to a target.
 
         Parameters
         ----------
         key : str
             Key of a target that was observed before.
-        max_wait_ms : float
-            Time for which the request can wait, in milliseconds.
+        patience : Patience
+            Time for which the request can wait.
         now : float
             Current time in milliseconds.
         """
@@ -106,8 +134,10 @@
         saved_ms = (max(1.0, per_s * SAVED_S) - 1.0) * interval_ms
         start_ms = max(schedule.next_ms, now - saved_ms)
         wait_ms = max(0.0, start_ms - now)
+        max_wait_ms = schedule.find_max_wait_ms(patience, now)
         if wait_ms > max_wait_ms:
-            return Permit(is_granted=False, wait_ms=wait_ms)
+            schedule.record_denial(patience, now)
+            return Permit(is_granted=False, wait_ms=wait_ms - max_wait_ms)
         schedule.next_ms = start_ms + interval_ms
         return Permit(is_granted=True, wait_ms=wait_ms)
 
--- a/src/currantline/permits/_messages.py
+++ b/src/currantline/permits/_messages.py
@@ -4,7 +4,24 @@
 
 from currantline.placement import RateLimit
 
-__all__ = ["Message", "Permit", "PermitRequest", "PermitResponse", "Report"]
+__all__ = ["Message", "Patience", "Permit", "PermitRequest", "PermitResponse", "Report"]
+
+
+@attrs.frozen(kw_only=True)
+class Patience:
+    """Time for which a request can wait before it is sent.
+
+    Parameters
+    ----------
+    in_time_ms : float
+        Time after which it would miss its latency objective, in milliseconds; 0 if it
+        is overdue already.
+    max_ms : float
+        Time after which it is refused, in milliseconds.
+    """
+
+    in_time_ms: float = 0.0
+    max_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -16,8 +33,8 @@
     is_granted : bool
         Whether one request may be sent.
     wait_ms : float
-        Time until it may be sent, or, if it may not, until the next one could be, in
-        milliseconds.
+        Time until it may be sent, or, if it may not, until another request may get a
+        permit, in milliseconds.
     """
 
     is_granted: bool
@@ -36,14 +53,14 @@
         Key of the target.
     limit : RateLimit
         Limit as known to the sender, with the time of its own clock.
-    max_wait_ms : float
-        Time for which the request can wait, in milliseconds.
+    patience : Patience
+        Time for which the request can wait.
     """
 
     number: int
     key: str
     limit: RateLimit
-    max_wait_ms: float
+    patience: Patience
 
 
 @attrs.frozen(kw_only=True)
--- a/src/currantline/permits/_protocol.py
+++ b/src/currantline/permits/_protocol.py
@@ -11,6 +11,7 @@
 from currantline.permits._issuer import PermitIssuer
 from currantline.permits._messages import (
     Message,
+    Patience,
     Permit,
     PermitRequest,
     PermitResponse,
@@ -112,17 +113,17 @@
         elif issuer is not None:
             self._send(issuer, Report(key=key, limit=limit))
 
-    async def acquire(self, target: Target, *, max_wait_ms: float) -> Permit:
+    async def acquire(self, target: Target, patience: Patience) -> Permit:
         """Return a permit for one request to a target that names a limit.
 
         Parameters
         ----------
         target : Target
             The target.
-        max_wait_ms : float
-            Time for which the request can wait, in milliseconds.
+        patience : Patience
+            Time for which the request can wait.
         """
-        permit = await self._ask(target, max_wait_ms)
+        permit = await self._ask(target, patience)
         result = "granted" if permit.is_granted else "denied"
         self._meter.count("permits", result=result)
         return permit
@@ -155,20 +156,20 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable hosts; their permits time out."""
 
-    async def _ask(self, target: Target, max_wait_ms: float) -> Permit:
+    async def _ask(self, target: Target, patience: Patience) -> Permit:
         key = format_key(target.published)
         issuer = choose_issuer(key, self._list_issuers())
         if issuer == self._host:
             self._observe_as_issuer(key, target.rate_limit)
             now = self._clock.read()
-            return self._issuer.issue(key, max_wait_ms=max_wait_ms, now=now)
+            return self._issuer.issue(key, patience, now)
         if issuer is None:
             return Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
         number = next(self._numbers)
         response: asyncio.Future[Permit] = asyncio.get_running_loop().create_future()
         self._pending[number] = response
         request = PermitRequest(
-            number=number, key=key, limit=target.rate_limit, max_wait_ms=max_wait_ms
+            number=number, key=key, limit=target.rate_limit, patience=patience
         )
         try:
             self._send(issuer, request)
@@ -187,7 +188,7 @@
         if self._is_issuer(request.key):
             self._observe_as_issuer(request.key, request.limit)
             permit = self._issuer.issue(
-                request.key, max_wait_ms=request.max_wait_ms, now=self._clock.read()
+                request.key, request.patience, self._clock.read()
             )
             limit = self._issuer.find_limit(request.key)
         response = PermitResponse(
--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from currantline.placement._admission import (
     RequestTiming,
+    find_in_time_wait_ms,
     find_max_wait_ms,
     find_refusal_reason,
     has_good_candidate,
@@ -38,6 +39,7 @@
     "choose_candidate",
     "choose_probe_targets",
     "estimate_response_ms",
+    "find_in_time_wait_ms",
     "find_max_wait_ms",
     "find_optimal_concurrency",
     "find_refusal_reason",
--- a/src/currantline/placement/_admission.py
+++ b/src/currantline/placement/_admission.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "RequestTiming",
+    "find_in_time_wait_ms",
     "find_max_wait_ms",
     "find_refusal_reason",
     "has_good_candidate",
@@ -110,6 +111,23 @@
     return max(0.0, end_ms - now)
 
 
+def find_in_time_wait_ms(
+    request: RequestTiming, average_ms: float, now: float
+) -> float:
+    """Return how long a request may wait to meet its objective, in milliseconds.
+
+    Parameters
+    ----------
+    request : Timed
+        The request.
+    average_ms : float
+        Average response time of the route in milliseconds.
+    now : float
+        Current time in milliseconds.
+    """
+    return max(0.0, request.objective_deadline_ms - OVERDUE_RATIO * average_ms - now)
+
+
 def has_good_candidate(
     candidates: Iterable[Candidate], average_ms: float, now: float, rng: random.Random
 ) -> bool:
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -56,8 +56,9 @@
 # objective. A retry may succeed immediately.
 REJECTED_RETRY_AFTER_SHARES = (0.0, 0.05)
 
-# The same for requests refused until a known time, as shares of the time until then.
-KNOWN_RETRY_AFTER_SHARES = (1.0, 1.25)
+# Maximum for requests refused until a known time, as a share of the time until then. It
+# is at least that of the first range, since others may be served at that time.
+KNOWN_RETRY_AFTER_SHARE = 1.25
 
 # Range of Retry-After while the instance has no configuration yet, in milliseconds. An
 # instance gets it within some tens of milliseconds.
@@ -388,14 +389,16 @@
     def _refuse_routed(self, progress: _Progress, reason: str) -> Response:
         progress.refusal_reason = reason
         context = progress.context
+        left_ms = max(0.0, context.caller_deadline_ms - self._clock.read())
         if progress.retry_after_ms:
-            unit_ms, bounds = progress.retry_after_ms, KNOWN_RETRY_AFTER_SHARES
+            earliest_ms = progress.retry_after_ms
+            latest_ms = KNOWN_RETRY_AFTER_SHARE * earliest_ms
+            bounds_ms = earliest_ms, max(latest_ms, RETRY_AFTER_SHARES[1] * left_ms)
         elif progress.results:
-            unit_ms, bounds = context.route.objective_ms, REJECTED_RETRY_AFTER_SHARES
+            bounds_ms = _scale(REJECTED_RETRY_AFTER_SHARES, context.route.objective_ms)
         else:
-            left_ms = context.caller_deadline_ms - self._clock.read()
-            unit_ms, bounds = max(0.0, left_ms), RETRY_AFTER_SHARES
-        return self._build_refusal(reason, (bounds[0] * unit_ms, bounds[1] * unit_ms))
+            bounds_ms = _scale(RETRY_AFTER_SHARES, left_ms)
+        return self._build_refusal(reason, bounds_ms)
 
     def _refuse(
         self, request: Request, reason: str, bounds_ms: tuple[float, float]
@@ -452,6 +455,10 @@
     return table.find(host, request.target.partition("?")[0])
 
 
+def _scale(bounds: tuple[float, float], factor: float) -> tuple[float, float]:
+    return bounds[0] * factor, bounds[1] * factor
+
+
 def _build_text_response(status: int, text: str) -> Response:
     return Response(
         status=status,
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -8,7 +8,7 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.permits import Permit
+from currantline.permits import Patience, Permit
 from currantline.placement import (
     Candidate,
     LatencyAverages,
@@ -16,7 +16,9 @@
     ProbeLimit,
     Target,
     TargetRegistry,
+    choose_candidate,
     choose_probe_targets,
+    find_in_time_wait_ms,
     find_max_wait_ms,
     find_refusal_reason,
     has_good_candidate,
@@ -45,6 +47,10 @@
 # Time for which a full target is not probed again, in milliseconds.
 FULL_PAUSE_MS = 25.0
 
+# Number of permits asked for if all targets limit their requests. Many requests ask
+# while there are too few permits.
+MAX_PERMIT_REQUESTS = 3
+
 # Age up to which a load report is used instead of a health check, in milliseconds.
 # Hosts change their speed every 150 ms.
 MAX_REPORT_AGE_MS = 40.0
@@ -114,7 +120,7 @@
 class PermitSource(Protocol):
     """Grants requests to targets that limit the requests of the fleet."""
 
-    async def acquire(self, target: Target, *, max_wait_ms: float) -> Permit:
+    async def acquire(self, target: Target, patience: Patience) -> Permit:
         """Return a permit for one request that can wait for some time."""
         ...
 
@@ -347,38 +353,40 @@
         candidates = [_presume_idle(context, target) for target in available]
         average_ms = self._read_average(context)
         best = select_candidate(context, candidates, average_ms, now, self._rng)
-        if best is None or not await self._acquire_permit(best[0].target, 0.0):
+        if best is None or not await self._acquire_permit(best[0].target, Patience()):
             return None
         return await self._connect(best, is_permitted=True)
 
     async def _select_only_limited(
         self, context: RequestContext, limited: list[Target]
     ) -> Selection:
-        """Select a target if all limit their requests, or refuse the request.
-
-        It waits for the first permit of any of them that comes in time.
-        """
-        for _ in limited:
+        """Select a target if all limit their requests, or refuse the request."""
+        average_ms = self._read_average(context)
+        for _ in range(MAX_PERMIT_REQUESTS):
             now = self._clock.read()
-            wait_ms = find_max_wait_ms(context, self._read_average(context), now)
-            first = min(limited, key=lambda target: target.next_permit_ms)
-            if first.next_permit_ms > now + wait_ms:
+            available = [target for target in limited if target.next_permit_ms <= now]
+            candidates = [_presume_idle(context, target) for target in available]
+            best = choose_candidate(candidates, average_ms, now, self._rng)
+            if best is None:
                 break
-            permit = await self._acquire_permit(first, wait_ms)
+            target = best[0].target
+            patience = Patience(
+                in_time_ms=find_in_time_wait_ms(context, average_ms, now),
+                max_ms=find_max_wait_ms(context, average_ms, now),
+            )
+            permit = await self._acquire_permit(target, patience)
             if permit is not None:
-                return Selection(first, wait_ms=permit.wait_ms)
+                return Selection(target, wait_ms=permit.wait_ms)
         next_ms = min(target.next_permit_ms for target in limited)
-        now = self._clock.read()
-        wait_ms = find_max_wait_ms(context, self._read_average(context), now)
         return Selection(
             reason="all targets limit their requests",
-            wait_ms=max(0.0, next_ms - now - wait_ms),
+            wait_ms=max(0.0, next_ms - self._clock.read()),
         )
 
     async def _acquire_permit(
-        self, target: Target, max_wait_ms: float
+        self, target: Target, patience: Patience
     ) -> Permit | None:
-        permit = await self._permits.acquire(target, max_wait_ms=max_wait_ms)
+        permit = await self._permits.acquire(target, patience)
         if permit.is_granted:
             return permit
         target.next_permit_ms = self._clock.read() + permit.wait_ms
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -8,7 +8,7 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.permits import Permit, PermitIssuer
+from currantline.permits import Patience, Permit, PermitIssuer
 from currantline.placement import (
     LatencyAverages,
     ProbeLimit,
@@ -86,11 +86,11 @@
         self._clock = clock
         self._issuer = PermitIssuer()
 
-    async def acquire(self, target: Target, *, max_wait_ms: float) -> Permit:
+    async def acquire(self, target: Target, patience: Patience) -> Permit:
         """Return a permit for one request."""
         now = self._clock.read()
         self._issuer.observe(target.name, target.rate_limit, now)
-        return self._issuer.issue(target.name, max_wait_ms=max_wait_ms, now=now)
+        return self._issuer.issue(target.name, patience, now)
 
 
 class RelayHarness:
--- a/src/currantline/tests/test_rate_limits.py
+++ b/src/currantline/tests/test_rate_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import attrs
 import pytest
 
 from currantline.platform.samples import make_rate_limit_headers
@@ -16,6 +17,9 @@
 # Time by which each instance has got a response that names the limit.
 LEARNING_S = 1.0
 
+# Latency objective of the requests.
+OBJECTIVE_MS = 400.0
+
 
 class RecordedWorker:
     """Arrival times of the requests that a target executes, in seconds."""
@@ -43,17 +47,38 @@
         )
 
 
+@attrs.frozen
+class Answer:
+    """Response to a request, with its duration in milliseconds."""
+
+    status: int
+    took_ms: float
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether it is a success within the latency objective."""
+        return self.status == 200 and self.took_ms <= OBJECTIVE_MS
+
+
 async def send_steadily(
     deployment: Deployment, *, per_s: float, duration_s: float
-) -> list[int]:
-    """Send requests to all instances in turn and return the statuses."""
+) -> list[Answer]:
+    """Send requests to all instances in turn and return the responses."""
     calls = []
     hosts = itertools.cycle(HOSTS)
     for number in range(round(per_s * duration_s)):
-        call = deployment.call(next(hosts), request_id=f"{per_s}-{number}")
+        call = measure_call(deployment, next(hosts), f"{per_s}-{number}")
         calls.append(asyncio.create_task(call))
         await asyncio.sleep(1.0 / per_s)
-    return [response.status for response in await asyncio.gather(*calls)]
+    return await asyncio.gather(*calls)
+
+
+async def measure_call(deployment: Deployment, host: str, request_id: str) -> Answer:
+    """Send a request and return its response."""
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    response = await deployment.call(host, request_id=request_id)
+    return Answer(response.status, 1000.0 * (loop.time() - start_s))
 
 
 class TestSumOfInstances:
@@ -69,10 +94,46 @@
             await send_steadily(deployment, per_s=40.0, duration_s=2.0)
             limited.name_limit(limit)
             named_s = asyncio.get_running_loop().time()
-            statuses = await send_steadily(deployment, per_s=80.0, duration_s=12.0)
+            answers = await send_steadily(deployment, per_s=80.0, duration_s=12.0)
             peak = limited.find_peak(named_s + LEARNING_S)
             assert peak <= 1.5 * limit * WINDOW_S + 5
             assert limited.count_since(named_s + LEARNING_S) >= 1
-            assert set(statuses) <= {200, 503}
+            assert {answer.status for answer in answers} <= {200, 503}
+
+        run(scenario)
+
+
+class TestOnlyLimitedTargets:
+    """A service whose targets all limit their requests."""
+
+    def test_overload(self) -> None:
+        """Guards against a queue of permits in which all requests become late."""
+
+        async def scenario(deployment: Deployment) -> None:
+            for worker in deployment.workers.values():
+                RecordedWorker(worker).name_limit(4.0)
+            await send_steadily(deployment, per_s=40.0, duration_s=2.0)
+            answers = await send_steadily(deployment, per_s=40.0, duration_s=10.0)
+            served = [answer for answer in answers if answer.status == 200]
+            # The two targets together permit 8 requests a second.
+            assert len(served) >= 0.9 * 8.0 * 10.0
+            assert all(answer.is_in_time for answer in served)
+
+        run(scenario)
+
+    def test_below_limit(self) -> None:
+        """Guards against a refused request that a later permit would have served."""
+
+        async def scenario(deployment: Deployment) -> None:
+            for worker in deployment.workers.values():
+                RecordedWorker(worker).name_limit(1.5)
+            await send_steadily(deployment, per_s=1.0, duration_s=4.0)
+            await asyncio.sleep(4.0)
+            statuses = []
+            for _ in range(4):
+                burst = await send_steadily(deployment, per_s=1000.0, duration_s=0.004)
+                statuses += [answer.status for answer in burst]
+                await asyncio.sleep(4.0)
+            assert statuses == [200] * 16
 
         run(scenario)
