Do not take the repeated refusal of a health check for a response

What callers would see: "not run" for a request that a target runs, if the target refused the health check that chose it and writes that refusal once more before its response. Cause: a connection that had carried health checks only counted as new, and a response without a request id was taken for that of the request. Change: a connection on which a health check was refused is treated like one that has carried requests.

--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -57,18 +57,22 @@
     has_carried_request : bool
         Whether a request was sent on the connection. A faulty target may send an
         earlier response once more.
+    has_carried_refusal : bool
+        Whether a health check on the connection was refused.
     """
 
     address: str
     connection: HttpConnection
     keep_alive_ms: float = DEFAULT_KEEP_ALIVE_MS
     has_carried_request: bool = False
+    has_carried_refusal: bool = False
 
 
 @attrs.define(eq=False)
 class _IdleConnection:
     connection: HttpConnection
     has_carried_request: bool
+    has_carried_refusal: bool
     released_ms: float
     expires_ms: float
 
@@ -112,6 +116,7 @@
                 address,
                 kept.connection,
                 has_carried_request=kept.has_carried_request,
+                has_carried_refusal=kept.has_carried_refusal,
             )
         self._meter.count("target_connections")
         try:
@@ -166,6 +171,7 @@
             _IdleConnection(
                 lease.connection,
                 lease.has_carried_request,
+                lease.has_carried_refusal,
                 released_ms=now,
                 expires_ms=now + lease.keep_alive_ms,
             )
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -176,6 +176,8 @@
                 lease.connection.write_request(request)
                 response = await lease.connection.read_response()
                 report = self._parse_report(target, lease, response, requested_ms)
+                if self._is_refusal(response):
+                    lease.has_carried_refusal = True
                 target.last_report = report
                 if not self._pool.prepare_reuse(lease, response):
                     lease = await self._pool.acquire(target.address)
@@ -208,11 +210,13 @@
             took_ms=round(took_ms, 1),
         )
 
+    def _is_refusal(self, response: Response) -> bool:
+        return find_header(response.headers, self._names.not_run) is not None
+
     def _is_repeated(self, response: Response, lease: Lease) -> bool:
         names = (self._names.signature, self._names.request_id)
         is_signed = any(find_header(response.headers, name) for name in names)
-        is_rejection = find_header(response.headers, self._names.not_run) is not None
-        return is_signed or (lease.has_carried_request and is_rejection)
+        return is_signed or (lease.has_carried_request and self._is_refusal(response))
 
     def _parse_report(
         self, target: Target, lease: Lease, response: Response, requested_ms: float
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -156,12 +156,12 @@
     async def _read_matching_response(
         self, lease: Lease, context: RequestContext
     ) -> Response:
-        is_kept = lease.has_carried_request
+        may_be_repeated = lease.has_carried_request or lease.has_carried_refusal
         lease.has_carried_request = True
         for _ in range(MAX_RESPONSES_READ):
             response = await lease.connection.read_response(accept_unframed=True)
             request_id = find_header(response.headers, self._names.request_id)
-            if request_id is None and is_kept:
+            if request_id is None and may_be_repeated:
                 # It may be an earlier response that the target has sent once more.
                 raise WireError(f"status {response.status} without a request id")
             if request_id is None or request_id == context.request_id:
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -248,6 +248,8 @@
         Whether it closes the connection after each response.
     before_health : bytes
         Sent once, 5 ms before the next response to a health check.
+    health : bytes
+        Response to all health checks in place of a success, if not empty.
     requests : int
         Number of received requests.
     """
@@ -257,6 +259,7 @@
     endless: bytes = b""
     closes: bool = False
     before_health: bytes = b""
+    health: bytes = b""
     requests: int = 0
 
     async def start(self, address: str) -> None:
@@ -285,6 +288,9 @@
         if HEALTH_PATH.encode() in head:
             load = f"x-target: {self._script.name}\r\nx-load: 0,0,2,100\r\n"
             text = f"HTTP/1.1 200 OK\r\n{load}content-length: 0\r\n\r\n"
+            if self._script.health:
+                self._transport.write(self._script.health)
+                return
             if self._script.before_health:
                 self._transport.write(self._script.before_health)
                 self._script.before_health = b""
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -563,6 +563,17 @@
 
         run_scenario(scenario, NON_IDEMPOTENT)
 
+    def test_health_check(self) -> None:
+        """Guards against a repeated refusal of a health check on a new connection."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            own = make_response(b"x-id: b\r\nx-signature: s\r\n")
+            script = await harness.add_scripted_target(make_refusal(None) + own)
+            script.health = make_refusal(None)
+            assert (await harness.send("b")).status == 502
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
     def test_first_on_connection(self) -> None:
         """Guards against a first refusal without an id that ends in a failure."""
 
