Move the selection of limited targets to a module of its own

Change: LimitedTargetSelector, built in the composition root, asks for permits; the request context and the selection are in a module that both use. No behaviour changes. Result: 116 tests of relay, permits, rate limits and gateway pass.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -34,6 +34,7 @@
 )
 from currantline.relay import (
     ConnectionPool,
+    LimitedTargetSelector,
     LoadProber,
     RateLimitReader,
     Relay,
@@ -278,7 +279,12 @@
             prober=prober,
             latencies=latencies,
             probe_limit=ProbeLimit(self._settings.max_probes_per_s),
-            permits=self._permits,
+            limited_targets=LimitedTargetSelector(
+                permits=self._permits,
+                latencies=latencies,
+                clock=self._clock,
+                rng=self._rng,
+            ),
             count_instances=lambda: len(self._membership.list_live()) + 1,
             data_centre=self._settings.data_centre,
             clock=self._clock,
--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -1,6 +1,7 @@
 """Reverse proxy: forwards caller requests to targets and returns the responses."""
 
 from currantline.relay._limit_reader import RateLimitReader
+from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool
 from currantline.relay._prober import LoadProber
@@ -12,6 +13,7 @@
 __all__ = [
     "ConnectionPool",
     "HeaderNames",
+    "LimitedTargetSelector",
     "LoadProber",
     "RateLimitReader",
     "Relay",
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -12,7 +12,8 @@
 from currantline.placement import Target
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import Lease
-from currantline.relay._selector import RequestContext, TargetSelector
+from currantline.relay._selection import RequestContext
+from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
 from currantline.routing import (
     RequestAgeEstimator,
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -3,35 +3,28 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
-from typing import Protocol
-
-import attrs
 
 from currantline.clock import Clock
-from currantline.permits import Patience, Permit
 from currantline.placement import (
     Candidate,
     LatencyAverages,
-    LoadReport,
     ProbeLimit,
     Target,
     TargetRegistry,
-    choose_candidate,
     choose_probe_targets,
-    find_in_time_wait_ms,
-    find_max_wait_ms,
     find_refusal_reason,
     has_good_candidate,
     is_overdue,
     select_candidate,
     select_hedge_candidate,
 )
+from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._pool import Lease
 from currantline.relay._probe_queue import ProbeQueue, Urgency
 from currantline.relay._prober import LoadProber, ProbeResult
-from currantline.routing import Route, RoutedService
+from currantline.relay._selection import RequestContext, Selection, presume_idle
 
-__all__ = ["PermitSource", "RequestContext", "Selection", "TargetSelector"]
+__all__ = ["TargetSelector"]
 
 # Number of targets probed concurrently in the own data centre, then in the others.
 LOCAL_PROBES = 4
@@ -47,10 +40,6 @@
 # Time for which a full target is not probed again, in milliseconds.
 FULL_PAUSE_MS = 25.0
 
-# Number of permits asked for if all targets limit their requests. Many requests ask
-# while there are too few permits.
-MAX_PERMIT_REQUESTS = 3
-
 # Age up to which a load report is used instead of a health check, in milliseconds.
 # Hosts change their speed every 150 ms.
 MAX_REPORT_AGE_MS = 40.0
@@ -59,72 +48,6 @@
 MAX_LIMITED_REPORT_AGE_MS = 1_000.0
 
 
-@attrs.frozen(eq=False, kw_only=True)
-class RequestContext:
-    """A request that needs a target.
-
-    Parameters
-    ----------
-    request_id : str
-        Request id that the caller sent.
-    route : Route
-        Route of the request.
-    service : RoutedService
-        Service that was chosen for the request.
-    arrived_ms : float
-        Time at which the request had arrived completely, in milliseconds.
-    objective_deadline_ms : float
-        Time at which the latency objective ends.
-    deadline_ms : float
-        Time at which the request times out.
-    caller_deadline_ms : float
-        Time at which the caller stops waiting, whatever response it gets.
-    """
-
-    request_id: str
-    route: Route
-    service: RoutedService
-    arrived_ms: float
-    objective_deadline_ms: float
-    deadline_ms: float
-    caller_deadline_ms: float
-
-
-@attrs.frozen(eq=False)
-class Selection:
-    """A target for a request, or the reason why there is none.
-
-    Parameters
-    ----------
-    target : Target or None
-        The target.
-    lease : Lease or None
-        A connection to the target.
-    predicted_ms : float
-        Predicted response time in milliseconds.
-    reason : str
-        Reason why there is no target.
-    wait_ms : float
-        With a target, but no connection yet: time until the request may be sent. With a
-        reason: time after which the caller may be served, 0 if unknown. In
-        milliseconds.
-    """
-
-    target: Target | None = None
-    lease: Lease | None = None
-    predicted_ms: float = 0.0
-    reason: str = ""
-    wait_ms: float = 0.0
-
-
-class PermitSource(Protocol):
-    """Grants requests to targets that limit the requests of the fleet."""
-
-    async def acquire(self, target: Target, patience: Patience) -> Permit:
-        """Return a permit for one request that can wait for some time."""
-        ...
-
-
 class TargetSelector:
     """Probes targets and selects one of them.
 
@@ -138,8 +61,8 @@
         Average response times of routes.
     probe_limit : ProbeLimit
         Limit of health checks.
-    permits : PermitSource
-        Grants requests to targets that limit them.
+    limited_targets : LimitedTargetSelector
+        Selects among the targets that limit their requests.
     count_instances : callable
         Returns the number of instances that share the limit.
     data_centre : str
@@ -157,7 +80,7 @@
         prober: LoadProber,
         latencies: LatencyAverages,
         probe_limit: ProbeLimit,
-        permits: PermitSource,
+        limited_targets: LimitedTargetSelector,
         count_instances: Callable[[], int],
         data_centre: str,
         clock: Clock,
@@ -167,7 +90,7 @@
         self._prober = prober
         self._latencies = latencies
         self._probe_limit = probe_limit
-        self._permits = permits
+        self._limited_targets = limited_targets
         self._count_instances = count_instances
         self._data_centre = data_centre
         self._clock = clock
@@ -269,7 +192,7 @@
         limited = [target for target in known if target.is_rate_limited]
         usable = [target for target in known if not target.is_rate_limited]
         if not usable:
-            return await self._select_only_limited(context, limited)
+            return await self._limited_targets.select_first(context, limited)
         # A limited target gets its even part of the first searches, which cost it no
         # health check, and what finds no slot elsewhere.
         is_first = searches == 0 and freed is None
@@ -338,7 +261,7 @@
         available = [target for target in usable if target.skip_until_ms <= now]
         candidates = self._list_reported(available, MAX_LIMITED_REPORT_AGE_MS)
         if not candidates:
-            candidates = [_presume_idle(context, target) for target in available]
+            candidates = [presume_idle(context, target) for target in available]
         average_ms = self._read_average(context)
         best = select_candidate(context, candidates, average_ms, now, self._rng)
         return await self._connect(best) if best is not None else None
@@ -346,51 +269,8 @@
     async def _select_limited(
         self, context: RequestContext, limited: list[Target]
     ) -> Selection | None:
-        """Select a target that limits its requests, if it takes one now."""
-        now = self._clock.read()
-        available = [target for target in limited if target.next_permit_ms <= now]
-        # The limit itself keeps the load low, so that no report is needed.
-        candidates = [_presume_idle(context, target) for target in available]
-        average_ms = self._read_average(context)
-        best = select_candidate(context, candidates, average_ms, now, self._rng)
-        if best is None or not await self._acquire_permit(best[0].target, Patience()):
-            return None
-        return await self._connect(best, is_permitted=True)
-
-    async def _select_only_limited(
-        self, context: RequestContext, limited: list[Target]
-    ) -> Selection:
-        """Select a target if all limit their requests, or refuse the request."""
-        average_ms = self._read_average(context)
-        for _ in range(MAX_PERMIT_REQUESTS):
-            now = self._clock.read()
-            available = [target for target in limited if target.next_permit_ms <= now]
-            candidates = [_presume_idle(context, target) for target in available]
-            best = choose_candidate(candidates, average_ms, now, self._rng)
-            if best is None:
-                break
-            target = best[0].target
-            patience = Patience(
-                in_time_ms=find_in_time_wait_ms(context, average_ms, now),
-                max_ms=find_max_wait_ms(context, average_ms, now),
-            )
-            permit = await self._acquire_permit(target, patience)
-            if permit is not None:
-                return Selection(target, wait_ms=permit.wait_ms)
-        next_ms = min(target.next_permit_ms for target in limited)
-        return Selection(
-            reason="all targets limit their requests",
-            wait_ms=max(0.0, next_ms - self._clock.read()),
-        )
-
-    async def _acquire_permit(
-        self, target: Target, patience: Patience
-    ) -> Permit | None:
-        permit = await self._permits.acquire(target, patience)
-        if permit.is_granted:
-            return permit
-        target.next_permit_ms = self._clock.read() + permit.wait_ms
-        return None
+        best = await self._limited_targets.select_now(context, limited)
+        return await self._connect(best, is_permitted=True) if best else None
 
     async def _connect_later(self, reserved: Selection) -> Selection | None:
         """Connect to a target for which a permit was granted, once it is valid."""
@@ -515,13 +395,3 @@
         if chosen is None or best is None:
             return None
         return Selection(chosen.candidate.target, chosen.lease, best[1])
-
-
-def _presume_idle(context: RequestContext, target: Target) -> Candidate:
-    report = LoadReport(
-        running=0,
-        waiting=0,
-        slots=max(1, target.published.slots),
-        requested_ms=context.arrived_ms,
-    )
-    return Candidate(target, report)
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -16,7 +16,7 @@
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
-from currantline.relay._selector import RequestContext
+from currantline.relay._selection import RequestContext
 from currantline.telemetry import EventLog
 from currantline.wire import Request, Response, find_header, strip_hop_by_hop
 
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -20,6 +20,7 @@
 from currantline.relay import (
     ConnectionPool,
     HeaderNames,
+    LimitedTargetSelector,
     LoadProber,
     RateLimitReader,
     Relay,
@@ -197,7 +198,9 @@
             prober=prober,
             latencies=latencies,
             probe_limit=ProbeLimit(self._probes_per_s),
-            permits=self.permits,
+            limited_targets=LimitedTargetSelector(
+                permits=self.permits, latencies=latencies, clock=self.clock, rng=rng
+            ),
             count_instances=lambda: 1,
             data_centre="a",
             clock=self.clock,
