Move the published state and the choice of Retry-After to own modules

Change: PublishedState applies the records of the platform; find_retry_after_bounds_ms is a pure function with examples. No behaviour changes.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from currantline.clock import Clock
-from currantline.exceptions import AddressInUseError, ConfigurationError, PeerError
+from currantline.exceptions import AddressInUseError, PeerError
 from currantline.fleet import (
     Member,
     MembershipList,
@@ -22,16 +22,13 @@
     TargetRegistry,
 )
 from currantline.platform import (
-    CONFIGURATION_KEY,
     HEADERS,
-    TARGET_PREFIX,
     InstanceSettings,
     StoreClient,
-    decode_route_table,
-    decode_target,
     make_directory_handler,
     make_readiness_handler,
 )
+from currantline.published import PublishedState
 from currantline.relay import (
     ConnectionPool,
     LimitedTargetSelector,
@@ -50,7 +47,7 @@
     decode_changes,
     encode_changes,
 )
-from currantline.routing import CallerLimits, RouteTable
+from currantline.routing import RouteTable
 from currantline.telemetry import EventLog, Meter
 from currantline.wire import HttpClient, HttpServer, Request, Response, fetch
 
@@ -115,13 +112,13 @@
         self._clock = clock
         self._rng = rng
         self._log = log
-        self._table: RouteTable | None = None
         self._is_leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._has_failed = asyncio.Event()
         self.meter = Meter()
         self.replica = Replica()
         self.targets = TargetRegistry()
+        self._published = PublishedState(self.targets, clock=clock, log=log)
         self._build_membership(incarnation)
         self._build_relay()
         self._build_services()
@@ -129,14 +126,12 @@
     @property
     def table(self) -> RouteTable | None:
         """Route table in force, None until a configuration is known."""
-        return self._table
+        return self._published.table
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should connect to this instance."""
-        return (
-            self._table is not None and len(self.targets) > 0 and not self._is_leaving
-        )
+        return self.table is not None and len(self.targets) > 0 and not self._is_leaving
 
     async def start(self) -> None:
         """Listen on all addresses and start the background tasks.
@@ -299,7 +294,7 @@
             log=self._log,
         )
         self._relay = Relay(
-            read_table=lambda: self._table,
+            read_table=lambda: self.table,
             selector=selector,
             sender=sender,
             names=HEADERS,
@@ -316,7 +311,7 @@
             self._relay.handle,
             is_idempotent=self._relay.is_idempotent,
             names=HEADERS,
-            read_limits=self._read_limits,
+            read_limits=lambda: self._published.limits,
             clock=self._clock,
             log=self._log,
         )
@@ -330,9 +325,11 @@
         self._metrics = HttpServer(self._handle_metrics_request)
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
-        self.meter.add_gauge("instances", lambda: self._count_live())
-        self.meter.add_gauge("configuration_version", self._read_version)
-        self.meter.add_gauge("routes_of_unknown_kind", self._count_unknown_kinds)
+        self.meter.add_gauge("instances", self._count_live)
+        self.meter.add_gauge("configuration_version", lambda: self._published.version)
+        self.meter.add_gauge(
+            "routes_of_unknown_kind", lambda: self._published.unknown_kinds
+        )
         self.meter.add_gauge("replica_revision", lambda: self.replica.revision)
         self.meter.add_gauge("platform_calls", lambda: self._store.calls)
         self.meter.add_gauge("caller_connections", lambda: self._server.connections)
@@ -375,67 +372,16 @@
         )
 
     def _apply_read_records(self, changed: Sequence[Record]) -> None:
-        self._apply_records(changed)
+        self._published.apply(changed)
         if changed:
             self._membership_protocol.notify_replica_change(is_from_platform=True)
 
     def _apply_pulled_changes(self, changes: Changes) -> None:
         changed = self.replica.merge(changes.records, changes.revision)
-        self._apply_records(changed)
+        self._published.apply(changed)
         if changed:
             self._membership_protocol.notify_replica_change(is_from_platform=False)
 
-    def _apply_records(self, changed: Sequence[Record]) -> None:
-        for record in changed:
-            if record.key == CONFIGURATION_KEY:
-                self._apply_configuration(record)
-            elif record.key.startswith(TARGET_PREFIX):
-                self._apply_target(record)
-
-    def _apply_configuration(self, record: Record) -> None:
-        if record.document is None:
-            self._log.write("configuration_removed", revision=record.revision)
-            return
-        try:
-            table = decode_route_table(record.document)
-        except ConfigurationError as error:
-            self._log.write("configuration_refused", reason=str(error))
-            return
-        if self._table is not None and table.version <= self._table.version:
-            self._log.write("configuration_older", version=table.version)
-            return
-        self._log.write(
-            "configuration_applied",
-            version=table.version,
-            previous=self._read_version(),
-            revision=record.revision,
-        )
-        if table.unknown_kinds:
-            self._log.write("unknown_kinds", routes=dict(table.unknown_kinds))
-        self._table = table
-
-    def _apply_target(self, record: Record) -> None:
-        name = record.key.removeprefix(TARGET_PREFIX)
-        if record.document is None:
-            self.targets.remove(name)
-            self._log.write("target_gone", target=name, revision=record.revision)
-            return
-        try:
-            entry = decode_target(record.key, record.document)
-        except ConfigurationError as error:
-            self._log.write("target_refused", target=name, reason=str(error))
-            self.targets.remove(name)
-            return
-        current = self.targets.find(name)
-        self.targets.update(entry, self._clock.read())
-        if current is None or current.published.is_draining != entry.is_draining:
-            self._log.write(
-                "target_draining" if entry.is_draining else "target_ready",
-                target=name,
-                service=entry.service,
-                revision=record.revision,
-            )
-
     def _list_permit_issuers(self) -> list[str]:
         members = [*self._membership.list_live(), self._membership.local_member]
         ready = [m.host for m in members if m.status is MemberStatus.READY]
@@ -472,14 +418,5 @@
         content_type = ("content-type", "text/plain; version=0.0.4")
         return Response(status=200, headers=(content_type,), body=self.meter.render())
 
-    def _read_limits(self) -> CallerLimits:
-        return self._table.limits if self._table is not None else CallerLimits()
-
-    def _read_version(self) -> int:
-        return self._table.version if self._table is not None else 0
-
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
-
-    def _count_unknown_kinds(self) -> int:
-        return len(self._table.unknown_kinds) if self._table is not None else 0
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -12,6 +12,7 @@
 from currantline.placement import Target
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import Lease
+from currantline.relay._retry_after import find_retry_after_bounds_ms
 from currantline.relay._selection import RequestContext
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
@@ -48,19 +49,6 @@
 # target takes this long.
 MIN_REMAINING_MS = 5.0
 
-# Range of Retry-After for refused requests, as shares of the caller's remaining time.
-# The value is random so that refused callers do not retry together. Callers honour up
-# to a third of their remaining time.
-RETRY_AFTER_SHARES = (0.15, 0.33)
-
-# The same for requests that targets with free slots rejected, as shares of the latency
-# objective. A retry may succeed immediately.
-REJECTED_RETRY_AFTER_SHARES = (0.0, 0.05)
-
-# Maximum for requests refused until a known time, as a share of the time until then. It
-# is at least that of the first range, since others may be served at that time.
-KNOWN_RETRY_AFTER_SHARE = 1.25
-
 # Range of Retry-After while the instance has no configuration yet, in milliseconds. An
 # instance gets it within some tens of milliseconds.
 UNREADY_RETRY_AFTER_MS = (500.0, 1_500.0)
@@ -390,15 +378,11 @@
     def _refuse_routed(self, progress: _Progress, reason: str) -> Response:
         progress.refusal_reason = reason
         context = progress.context
-        left_ms = max(0.0, context.caller_deadline_ms - self._clock.read())
-        if progress.retry_after_ms:
-            earliest_ms = progress.retry_after_ms
-            latest_ms = KNOWN_RETRY_AFTER_SHARE * earliest_ms
-            bounds_ms = earliest_ms, max(latest_ms, RETRY_AFTER_SHARES[1] * left_ms)
-        elif progress.results:
-            bounds_ms = _scale(REJECTED_RETRY_AFTER_SHARES, context.route.objective_ms)
-        else:
-            bounds_ms = _scale(RETRY_AFTER_SHARES, left_ms)
+        bounds_ms = find_retry_after_bounds_ms(
+            left_ms=max(0.0, context.caller_deadline_ms - self._clock.read()),
+            until_known_ms=progress.retry_after_ms,
+            rejected_objective_ms=context.route.objective_ms if progress.results else 0,
+        )
         return self._build_refusal(reason, bounds_ms)
 
     def _refuse(
@@ -456,10 +440,6 @@
     return table.find(host, request.target.partition("?")[0])
 
 
-def _scale(bounds: tuple[float, float], factor: float) -> tuple[float, float]:
-    return bounds[0] * factor, bounds[1] * factor
-
-
 def _build_text_response(status: int, text: str) -> Response:
     return Response(
         status=status,
