Test limits with two instances, and their end

Cause: only fleets of four instances and the start of a limit were tested; a limit also ends, or stays with an earlier start of a target. Change: the surge is sent to two instances as well; a target ends its limit, or is restarted at the same address without one.

--- a/src/currantline/tests/test_rate_limits.py
+++ b/src/currantline/tests/test_rate_limits.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from currantline.platform.samples import make_rate_limit_headers
+from currantline.platform.samples import make_rate_limit_headers, make_target_entry
 from currantline.standin.worker import StandinWorker
 from currantline.tests.support import HOSTS, Deployment, run
 
@@ -65,7 +65,7 @@
 ) -> list[Answer]:
     """Send requests to all instances in turn and return the responses."""
     calls = []
-    hosts = itertools.cycle(HOSTS)
+    hosts = itertools.cycle(deployment.gateways)
     for number in range(round(per_s * duration_s)):
         call = measure_call(deployment, next(hosts), f"{per_s}-{number}")
         calls.append(asyncio.create_task(call))
@@ -84,11 +84,13 @@
 class TestSumOfInstances:
     """Requests of the whole fleet to a target that has named a limit."""
 
-    @pytest.mark.parametrize("limit", [0.4, 2.9])
-    def test_surge(self, limit: float) -> None:
+    @pytest.mark.parametrize(("limit", "instances"), [(0.4, 4), (2.9, 4), (2.9, 2)])
+    def test_surge(self, limit: float, instances: int) -> None:
         """Guards against a fleet that sends more than a target takes in total."""
 
         async def scenario(deployment: Deployment) -> None:
+            for host in list(HOSTS)[instances:]:
+                await deployment.kill(host)
             await deployment.add_worker("i-3", "10.9.0.3", slots=6)
             limited = RecordedWorker(deployment.workers["i-1"])
             await send_steadily(deployment, per_s=40.0, duration_s=2.0)
@@ -103,6 +105,30 @@
         run(scenario)
 
 
+class TestEnd:
+    """A target that no longer limits its requests."""
+
+    @pytest.mark.parametrize("is_restarted", [False, True])
+    def test_end(self, is_restarted: bool) -> None:
+        """Guards against a limit that outlasts its target, or what the target says."""
+
+        async def scenario(deployment: Deployment) -> None:
+            limited = RecordedWorker(deployment.workers["i-1"])
+            limited.name_limit(1.0)
+            await send_steadily(deployment, per_s=20.0, duration_s=4.0)
+            limited.worker.rate_limit_headers = ()
+            if is_restarted:
+                entry = make_target_entry("10.9.0.1:80")
+                deployment.store.put("servers/i-1", {**entry, "born": 6})
+            await send_steadily(deployment, per_s=20.0, duration_s=3.0)
+            ended_s = asyncio.get_running_loop().time()
+            await send_steadily(deployment, per_s=20.0, duration_s=2.0)
+            # Half of the requests are for each target, give or take the other half.
+            assert limited.count_since(ended_s) >= 10
+
+        run(scenario)
+
+
 class TestOnlyLimitedTargets:
     """A service whose targets all limit their requests."""
 
