Keep idle connections within the limit that targets have for the fleet

What callers would see: in a fleet that is large for the connection limit of its targets, targets reset new connections, so that requests wait or fail while most connections are idle. Cause: the same kind of fault as the exceeded rate limits: a limit for all instances together that no part read. maxConnections was decoded and never used; each instance kept up to three idle connections per target. Change: an instance keeps at most its part of half of the smallest limit. A service without a limit has none, instead of one connection.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -38,6 +38,7 @@
     RelayServer,
     Sender,
     TargetSelector,
+    find_max_idle,
 )
 from currantline.replica import (
     Changes,
@@ -361,6 +362,9 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_MS / 1000)
+            self._pool.max_idle_per_target = find_max_idle(
+                self._published.max_connections, self._count_live()
+            )
             self._pool.close_stale(self.targets.list_addresses())
             self._log.flush()
 
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -55,7 +55,7 @@
                 name: RoutedService(
                     name=name,
                     health_path=service.get("healthPath") or "/health",
-                    max_connections=int(service.get("maxConnections") or 1),
+                    max_connections=int(service.get("maxConnections") or 0) or None,
                 )
                 for name, service in document["services"].items()
             },
--- a/src/currantline/published.py
+++ b/src/currantline/published.py
@@ -52,6 +52,13 @@
         """Limits for caller requests."""
         return self.table.limits if self.table is not None else CallerLimits()
 
+    @property
+    def max_connections(self) -> int | None:
+        """Connections that a target of any service accepts, None without a limit."""
+        services = self.table.services.values() if self.table is not None else ()
+        limits = [s.max_connections for s in services if s.max_connections is not None]
+        return min(limits, default=None)
+
     @property
     def unknown_kinds(self) -> int:
         """Number of routes of an unknown kind."""
--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -3,7 +3,7 @@
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._names import HeaderNames
-from currantline.relay._pool import ConnectionPool
+from currantline.relay._pool import ConnectionPool, find_max_idle
 from currantline.relay._prober import LoadProber
 from currantline.relay._relay import Relay
 from currantline.relay._selector import TargetSelector
@@ -20,4 +20,5 @@
     "RelayServer",
     "Sender",
     "TargetSelector",
+    "find_max_idle",
 ]
--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -33,6 +33,10 @@
 # Maximum number of idle connections to one target.
 MAX_IDLE_PER_TARGET = 3
 
+# Share of the connections that a target accepts from all instances together that may be
+# idle. The rest is for requests in flight and health checks.
+MAX_IDLE_SHARE = 0.5
+
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 
 # Maximum total size of the response bodies that are being received. The smallest
@@ -77,6 +81,28 @@
     expires_ms: float
 
 
+def find_max_idle(max_connections: int | None, instances: int) -> int:
+    """Return how many idle connections to a target one instance may keep.
+
+    Parameters
+    ----------
+    max_connections : int or None
+        Maximum number of connections to one target from all instances together, None
+        without a limit.
+    instances : int
+        Number of instances.
+
+    Examples
+    --------
+    >>> [find_max_idle(260, instances) for instances in (2, 100, 312)]
+    [3, 1, 0]
+    """
+    if max_connections is None:
+        return MAX_IDLE_PER_TARGET
+    share = int(MAX_IDLE_SHARE * max_connections / max(1, instances))
+    return min(MAX_IDLE_PER_TARGET, share)
+
+
 class ConnectionPool:
     """Opens connections to targets and keeps idle ones for reuse.
 
@@ -86,6 +112,11 @@
         Source of time.
     meter : Meter
         Counts new connections.
+
+    Attributes
+    ----------
+    max_idle_per_target : int
+        Maximum number of idle connections to one target.
     """
 
     def __init__(self, *, clock: Clock, meter: Meter) -> None:
@@ -93,6 +124,7 @@
         self._meter = meter
         self._body_memory = BodyMemory(MAX_RESPONSE_BYTES_HELD)
         self._idle: dict[str, list[_IdleConnection]] = {}
+        self.max_idle_per_target = MAX_IDLE_PER_TARGET
 
     async def acquire(self, address: str, *, max_idle_ms: float = math.inf) -> Lease:
         """Return an idle connection, or a new one.
@@ -163,7 +195,7 @@
     def release(self, lease: Lease) -> None:
         """Return a connection without a pending exchange to the pool."""
         idle = self._idle.setdefault(lease.address, [])
-        if len(idle) >= MAX_IDLE_PER_TARGET:
+        if len(idle) >= self.max_idle_per_target:
             lease.connection.close()
             return
         now = self._clock.read()
@@ -182,11 +214,13 @@
         lease.connection.abort()
 
     def close_stale(self, addresses: set[str]) -> None:
-        """Close idle connections that expired or whose address is not listed."""
+        """Close idle connections that expired, are too many or to other addresses."""
         now = self._clock.read()
         for address, idle in list(self._idle.items()):
             is_known = address in addresses
-            kept = [k for k in idle if is_known and _is_usable(k, now)]
+            usable = [k for k in idle if is_known and _is_usable(k, now)]
+            # The connections that were released last are kept.
+            kept = usable[max(0, len(usable) - self.max_idle_per_target) :]
             for ended in idle:
                 if ended not in kept:
                     ended.connection.close()
--- a/src/currantline/routing/_model.py
+++ b/src/currantline/routing/_model.py
@@ -68,13 +68,14 @@
         Name of the service.
     health_path : str
         Path of the targets' health check.
-    max_connections : int
-        Maximum number of connections to one target from all instances together.
+    max_connections : int or None
+        Maximum number of connections to one target from all instances together, None
+        without a limit.
     """
 
     name: str
     health_path: str
-    max_connections: int
+    max_connections: int | None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -39,6 +39,7 @@
         self.store = StandinStore()
         self.gateways: dict[str, Gateway] = {}
         self.workers: dict[str, StandinWorker] = {}
+        self.worker_servers: dict[str, HttpServer] = {}
         self.starts = 0
 
     async def start(self) -> None:
@@ -53,8 +54,10 @@
     async def add_worker(self, name: str, host: str, **values: Any) -> StandinWorker:
         """Start a target and register it in the store."""
         worker = StandinWorker(name=name, header_names=HEADERS, **values)
-        await run_on_host(host, HttpServer(worker.handle).start(f"{host}:80"))
+        server = HttpServer(worker.handle)
+        await run_on_host(host, server.start(f"{host}:80"))
         self.workers[name] = worker
+        self.worker_servers[name] = server
         self.store.put(f"servers/{name}", make_target_entry(f"{host}:80"))
         return worker
 
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -57,6 +57,27 @@
 
         run(scenario)
 
+    def test_idle_connections(self) -> None:
+        """Guards against idle connections of the fleet that use up those of a target.
+
+        A target resets the connections beyond its limit for all instances together.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            document = make_configuration(2)
+            document["services"]["svc"]["maxConnections"] = 8
+            deployment.store.put("op/config", document)
+            for worker in deployment.workers.values():
+                worker.slots = 40
+            await asyncio.sleep(1.0)
+            calls = (deployment.call(host) for host in HOSTS for _ in range(8))
+            await asyncio.gather(*calls)
+            await asyncio.sleep(1.5)
+            for server in deployment.worker_servers.values():
+                assert 0 < server.connections <= 8
+
+        run(scenario)
+
 
 class TestPublished:
     """Configuration and targets read from the store."""
--- a/src/currantline/wire/_service.py
+++ b/src/currantline/wire/_service.py
@@ -50,6 +50,11 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._tasks)
+
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``.
 
