--- a/src/currantline/permits/__init__.py
+++ b/src/currantline/permits/__init__.py
@@ -5,6 +5,7 @@
 limit, and unused permits of one instance are available to the others.
 """
 
+from currantline.permits._codec import decode_message, encode_message
 from currantline.permits._issuer import PermitIssuer
 from currantline.permits._messages import (
     Patience,
@@ -25,5 +26,7 @@
     "PermitResponse",
     "Report",
     "choose_issuer",
+    "decode_message",
+    "encode_message",
     "format_key",
 ]
