Let targets limit their requests in the soak

Cause: the soak knew no limits, so it could not find the excess of the incident under faults. Change: a fault lets one target of a service or all of them name a limit; the requests of instances without a fault are counted in each window of 4 s.

--- a/src/currantline/soak/_environment.py
+++ b/src/currantline/soak/_environment.py
@@ -4,7 +4,7 @@
 import contextlib
 import os
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
 import attrs
@@ -16,6 +16,7 @@
     READINESS_PATH,
     make_configuration,
     make_directory_query,
+    make_rate_limit_headers,
     make_target_entry,
     read_addresses,
 )
@@ -151,6 +152,21 @@
             for window in windows:
                 window.end_ms = self.clock.read()
 
+    @contextlib.contextmanager
+    def record_limits(self, names: Iterable[str], per_s: float) -> Iterator[None]:
+        """Let targets limit their requests during the context, and record it."""
+        now = self.clock.read()
+        windows = [self.checker.record_limit(name, per_s, now) for name in names]
+        workers = [self.workers[name].worker for name in names]
+        for worker in workers:
+            worker.rate_limit_headers = make_rate_limit_headers(per_s)
+        try:
+            yield
+        finally:
+            for window, worker in zip(windows, workers, strict=True):
+                window.end_ms = self.clock.read()
+                worker.rate_limit_headers = ()
+
     def change_configuration(self) -> None:
         """Route all requests to the other service."""
         self.version += 1
--- a/src/currantline/soak/_faults.py
+++ b/src/currantline/soak/_faults.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from currantline.soak._environment import Environment
+from currantline.soak._environment import SERVICES, Environment
 from currantline.soak._processes import SHUTDOWN_TIMEOUT_S
 from currantline.soak._proxy import ProxyMode
 
@@ -20,6 +20,10 @@
 
 TARGETS_PER_PATH_FAULT = 4
 
+# Time for which a target names a limit, and the range of its requests per second.
+LIMIT_S = 9.0
+LIMIT_RANGE_PER_S = (0.4, 4.0)
+
 # Time for which a draining target keeps serving. This is three times the drain time
 # of the platform because some targets take longer.
 DRAIN_S = 6.0
@@ -169,6 +173,21 @@
             await self._wait_fault_duration()
             setattr(worker, fault, False)
 
+    async def limit_targets(self) -> None:
+        """Let one target of a service, or all of them, limit their requests."""
+        rng = self.environment.rng
+        service = rng.choice(SERVICES)
+        names = [
+            name
+            for name, registered in self.environment.workers.items()
+            if registered.service == service and name not in self._reserved
+        ]
+        names = names[: rng.choice([1, len(names)])]
+        self._reserved.update(names)
+        with self.environment.record_limits(names, rng.uniform(*LIMIT_RANGE_PER_S)):
+            await asyncio.sleep(LIMIT_S)
+        self._reserved.difference_update(names)
+
     async def replace_target(self) -> None:
         """Start a target, then drain and remove another one of the same service."""
         name = self.environment.rng.choice(list(self.environment.workers))
@@ -221,6 +240,7 @@
         FaultInjector.refuse_store,
         FaultInjector.harm_path,
         FaultInjector.harm_target,
+        FaultInjector.limit_targets,
         FaultInjector.replace_target,
         FaultInjector.change_configuration,
     )
--- a/src/currantline/soak/_guarantees.py
+++ b/src/currantline/soak/_guarantees.py
@@ -17,6 +17,12 @@
 # Time after the end of a fault from which guarantees with a time bound apply again.
 SETTLE_MS = 3_000.0
 
+# Time after a target first names a limit from which the limit must be kept, the length
+# of the windows in which requests are counted, and what is allowed beyond the limit.
+LIMIT_APPLY_MS = 3_000.0
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_RATIO, LIMIT_SLACK = 1.5, 5
+
 # Share of requests that must succeed after all faults have ended.
 MIN_ANSWERED_SHARE = 0.25
 
@@ -75,6 +81,28 @@
         return self.begin_ms <= end_ms and self.end_ms >= begin_ms - SETTLE_MS
 
 
+@attrs.define
+class LimitWindow:
+    """The time during which a target limits its requests.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target.
+    per_s : float
+        Requests per second that it takes from all instances together.
+    begin_ms : float
+        Time at which it first names the limit.
+    end_ms : float
+        Time at which it stops naming it; infinite until then.
+    """
+
+    target: str
+    per_s: float
+    begin_ms: float
+    end_ms: float = math.inf
+
+
 @attrs.frozen
 class _Execution:
     target: str
@@ -97,6 +125,7 @@
     _fault_windows: dict[str, list[FaultWindow]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
+    _limit_windows: list[LimitWindow] = attrs.field(factory=list)
     _drain_times_ms: dict[str, float] = attrs.field(factory=dict)
     _services: list[tuple[float, str]] = attrs.field(factory=list)
 
@@ -120,6 +149,18 @@
         self._fault_windows[what].append(window)
         return window
 
+    def record_limit(self, target: str, per_s: float, ms: float) -> LimitWindow:
+        """Record that a target names a limit.
+
+        Returns
+        -------
+        LimitWindow
+            The caller of this method sets ``end_ms`` when the limit ends.
+        """
+        window = LimitWindow(target, per_s, ms)
+        self._limit_windows.append(window)
+        return window
+
     def record_drain(self, target: str, ms: float) -> None:
         """Record that the store acknowledged the drain of a target."""
         self._drain_times_ms[target] = ms
@@ -147,6 +188,9 @@
             violations += self._check_outcome(call, executions)
             if checks_time_bounds:
                 violations += self._check_targets(call, executions)
+        if checks_time_bounds:
+            for window in self._limit_windows:
+                violations += self._check_limit(window)
         unknown = self._executions.keys() - self._calls.keys()
         return violations + [
             f"{name} was executed but never sent" for name in sorted(unknown)
@@ -195,6 +239,29 @@
                 )
         return violations
 
+    def _check_limit(self, window: LimitWindow) -> list[str]:
+        """Count the requests of instances without a fault in each window of time."""
+        begin_ms = window.begin_ms + LIMIT_APPLY_MS
+        times = sorted(
+            execution.started_ms
+            for name, executions in self._executions.items()
+            for execution in executions
+            if execution.target == window.target
+            and begin_ms <= execution.started_ms <= window.end_ms
+            and name in self._calls
+            and self._is_fault_free(self._calls[name].instance, execution.started_ms)
+        )
+        most = max(
+            (sum(0 <= t - start < LIMIT_WINDOW_MS for t in times) for start in times),
+            default=0,
+        )
+        per_window = window.per_s * LIMIT_WINDOW_MS / 1000
+        if most <= LIMIT_RATIO * per_window + LIMIT_SLACK:
+            return []
+        return [
+            f"{window.target} got {most} requests in 4 s, limit {window.per_s:.1f}/s"
+        ]
+
     def _list_allowed_services(self, sent_ms: float) -> set[str]:
         applied = [s for ms, s in self._services if ms <= sent_ms - APPLY_LIMIT_MS]
         recent = [s for ms, s in self._services if ms > sent_ms - APPLY_LIMIT_MS]
--- a/src/currantline/soak/tests/test_soak.py
+++ b/src/currantline/soak/tests/test_soak.py
@@ -100,6 +100,20 @@
         checker.record_fault("t", "is_losing", 9_500.0)
         assert checker.find_violations() == []
 
+    @pytest.mark.parametrize(("requests", "is_violated"), [(17, False), (18, True)])
+    def test_limit(self, requests: int, is_violated: bool) -> None:
+        """Guards against an undetected excess over the limit of a target."""
+        checker = GuaranteeChecker()
+        checker.record_configuration("s", 0.0)
+        checker.record_limit("t", 2.0, 7_000.0).end_ms = 20_000.0
+        for number in range(requests):
+            name = f"r{number}"
+            checker.record_call(make_call(name, sent_ms=10_000.0 + number))
+            checker.record_execution(name, "t", "s", 10_000.0 + number)
+        assert bool(checker.find_violations()) == is_violated
+        checker.record_fault("h", "pause", 9_000.0)
+        assert checker.find_violations() == []
+
     def test_no_recovery(self) -> None:
         """Guards against an undetected failure to recover."""
         checker = make_checker(make_call(status=503))
