Send pipelined requests in the soak

Cause: callers of the soak sent one request at a time, so an instance that stops could always close their connections between two of them. Change: three callers keep requests in progress on their connection. Those behind one for which the caller no longer waits are not judged.

--- a/src/currantline/soak/_environment.py
+++ b/src/currantline/soak/_environment.py
@@ -10,7 +10,7 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.exceptions import WireError
+from currantline.exceptions import ProtocolError, WireError
 from currantline.platform import CONFIGURATION_KEY, HEADERS, TARGET_PREFIX
 from currantline.platform.samples import (
     READINESS_PATH,
@@ -21,6 +21,7 @@
     read_addresses,
 )
 from currantline.soak._guarantees import Call, GuaranteeChecker
+from currantline.soak._pipelining import PipelinedConnection
 from currantline.soak._processes import InstanceProcess
 from currantline.soak._proxy import Proxy
 from currantline.standin.store import StandinStore
@@ -29,6 +30,7 @@
     HttpConnection,
     HttpServer,
     Request,
+    Response,
     connect,
     fetch,
     find_header,
@@ -47,6 +49,9 @@
 ADDRESS_TTL_S = 2.0
 REQUEST_INTERVAL_RANGE_S = (0.01, 0.2)
 
+# Interval between the requests on a connection that is never idle. Targets take 50 ms.
+PIPELINE_INTERVAL_S = 0.04
+
 MAX_BODY_BYTES = 1024 * 1024
 
 # The process counts as stalled if two polls of the clock are this far apart.
@@ -247,6 +252,61 @@
             connection = await self._send(connection, addresses)
             await asyncio.sleep(self.rng.uniform(*REQUEST_INTERVAL_RANGE_S))
 
+    async def run_pipelining_caller(self) -> None:
+        """Keep requests in progress on a connection until cancelled.
+
+        Such a connection is never idle, so that it stays open until the instance ends
+        unless the instance closes it.
+        """
+        while True:
+            addresses = await self._fetch_addresses()
+            if addresses:
+                address = self.rng.choice(addresses)
+                with contextlib.suppress(OSError, TimeoutError):
+                    async with asyncio.timeout(DIRECTORY_TIMEOUT_MS / 1000):
+                        connection = await PipelinedConnection.open(address)
+                    await self._pipeline(connection, address.rpartition(":")[0])
+            await asyncio.sleep(REQUEST_INTERVAL_RANGE_S[1])
+
+    async def _pipeline(self, connection: PipelinedConnection, instance: str) -> None:
+        calls: asyncio.Queue[tuple[Request, Call]] = asyncio.Queue()
+        sender = asyncio.get_running_loop().create_task(
+            self._send_ahead(connection, instance, calls)
+        )
+        has_given_up = False
+        try:
+            is_last = False
+            while not is_last:
+                request, call = await calls.get()
+                async with asyncio.timeout(CALLER_TIMEOUT_MS / 1000):
+                    response, is_last = await connection.read()
+                self._record_response(call, request, response)
+        except (ProtocolError, OSError):
+            call.ended_ms = self.clock.read()
+        except TimeoutError:
+            call.ended_ms = self.clock.read()
+            has_given_up = True
+        finally:
+            sender.cancel()
+            while not calls.empty():
+                _, unanswered = calls.get_nowait()
+                unanswered.ended_ms = self.clock.read()
+                unanswered.is_abandoned = has_given_up
+            await connection.close()
+
+    async def _send_ahead(
+        self,
+        connection: PipelinedConnection,
+        instance: str,
+        calls: "asyncio.Queue[tuple[Request, Call]]",
+    ) -> None:
+        while True:
+            request, call = self._make_request(instance, is_idempotent=True)
+            self.checker.record_call(call)
+            connection.write(request)
+            calls.put_nowait((request, call))
+            await asyncio.sleep(PIPELINE_INTERVAL_S)
+
     async def _send(
         self, connection: HttpConnection | None, addresses: list[str]
     ) -> HttpConnection | None:
@@ -258,7 +318,9 @@
         except (OSError, TimeoutError):
             addresses.clear()
             return None
-        request, call = self._make_request(connection.peer_host)
+        request, call = self._make_request(
+            connection.peer_host, is_idempotent=self.rng.random() < 0.5
+        )
         self.checker.record_call(call)
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_MS / 1000):
@@ -268,6 +330,16 @@
             connection.abort()
             call.ended_ms = self.clock.read()
             return None
+        self._record_response(call, request, response)
+        if not connection.is_reusable:
+            connection.close()
+            return None
+        connection.start_next_cycle()
+        return connection
+
+    def _record_response(
+        self, call: Call, request: Request, response: Response
+    ) -> None:
         call.status, call.ended_ms = response.status, self.clock.read()
         signature = find_header(response.headers, HEADERS.signature) or ""
         call.is_match = (
@@ -275,16 +347,12 @@
             and find_header(response.headers, HEADERS.request_id) == call.name
             and signature.endswith(f".{call.name}")
         )
-        if not connection.is_reusable:
-            connection.close()
-            return None
-        connection.start_next_cycle()
-        return connection
 
-    def _make_request(self, instance: str) -> tuple[Request, Call]:
+    def _make_request(
+        self, instance: str, *, is_idempotent: bool
+    ) -> tuple[Request, Call]:
         self._request_count += 1
         name = f"r{self._request_count}"
-        is_idempotent = self.rng.random() < 0.5
         path = "/read/" if is_idempotent else "/orders/"
         call = Call(
             name=name,
--- a/src/currantline/soak/_guarantees.py
+++ b/src/currantline/soak/_guarantees.py
@@ -47,6 +47,9 @@
         Whether the response is complete and belongs to this request.
     ended_ms : float
         Time of the response or of the end of the connection.
+    is_abandoned : bool
+        Whether the caller closed the connection while it waited for an earlier
+        response.
     """
 
     name: str
@@ -56,6 +59,7 @@
     status: int = 0
     is_match: bool = True
     ended_ms: float = 0.0
+    is_abandoned: bool = False
 
 
 @attrs.define
@@ -216,7 +220,8 @@
             violations.append(f"{call.name} got a mismatched or incomplete response")
         if call.status == 404:
             violations.append(f"{call.name} got status 404")
-        if call.status == 0 and executions and self._is_planned_only(call, executions):
+        is_cut = call.status == 0 and executions and not call.is_abandoned
+        if is_cut and self._is_planned_only(call, executions):
             violations.append(f"{call.name} was interrupted by planned maintenance")
         return violations
 
--- a/src/currantline/soak/_run.py
+++ b/src/currantline/soak/_run.py
@@ -14,6 +14,9 @@
 # Time after the last fault by which requests must succeed again.
 RECOVERY_S = 15.0
 
+# Number of concurrent callers that send requests ahead.
+PIPELINING_CALLERS = 3
+
 # Duration of the load after recovery that is checked for success.
 RECOVERED_LOAD_S = 3.0
 
@@ -56,6 +59,10 @@
         await environment.start()
         await environment.wait_until_ready()
         load = [loop.create_task(environment.run_caller()) for _ in range(callers)]
+        load += [
+            loop.create_task(environment.run_pipelining_caller())
+            for _ in range(PIPELINING_CALLERS)
+        ]
         load.append(loop.create_task(environment.monitor_stalls(report)))
         await FaultInjector(environment, report).run(duration_s)
         await asyncio.sleep(RECOVERY_S)
