--- a/src/currantline/permits/__init__.py
+++ b/src/currantline/permits/__init__.py
@@ -5,6 +5,7 @@
 limit, and unused permits of one instance are available to the others.
 """
 
+from currantline.permits._choice import choose_issuer, format_key
 from currantline.permits._codec import decode_message, encode_message
 from currantline.permits._issuer import PermitIssuer
 from currantline.permits._messages import (
@@ -14,7 +15,6 @@
     PermitResponse,
     Report,
 )
-from currantline.permits._owner import choose_issuer, format_key
 from currantline.permits._protocol import PermitProtocol
 
 __all__ = [
--- a/src/currantline/permits/_protocol.py
+++ b/src/currantline/permits/_protocol.py
@@ -7,6 +7,7 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import PeerError
+from currantline.permits._choice import choose_issuer, format_key, parse_name
 from currantline.permits._codec import decode_message, encode_message
 from currantline.permits._issuer import PermitIssuer
 from currantline.permits._messages import (
@@ -17,7 +18,6 @@
     PermitResponse,
     Report,
 )
-from currantline.permits._owner import choose_issuer, format_key, parse_name
 from currantline.placement import RateLimit, Target, TargetRegistry
 from currantline.telemetry import EventLog, Meter
 
