Do not issue permits again when a limit changes

What callers and operators would see: a target whose limit changes from response to response gets any number of requests. Cause: a changed limit moved the time of the next permit close to the present, to end a long interval of an earlier limit. Permits that were issued ahead were forgotten with it. Change: the time of the latest issued permit is kept, and the next one follows after one interval of the present limit. A limit that begins again starts without saved permits.

--- a/src/currantline/permits/_issuer.py
+++ b/src/currantline/permits/_issuer.py
@@ -39,8 +39,9 @@
 @attrs.define
 class _Schedule:
     limit: RateLimit
-    # Time of the next permit if no earlier one was left unused, in milliseconds.
-    next_ms: float
+    # Time for which the latest permit was issued, in milliseconds. The next one follows
+    # after one interval, also if the limit has changed in between.
+    latest_ms: float
     used_ms: float
     announced_ms: float
     overload_end_ms: float = -math.inf
@@ -96,18 +97,17 @@
         if schedule is None:
             self._forget_unused(now)
             self._schedules[key] = _Schedule(
-                limit, now + _find_interval(limit), used_ms=now, announced_ms=now
+                limit, latest_ms=now, used_ms=now, announced_ms=now
             )
             return True
         if not limit.replaces(schedule.limit):
             return False
         was_limited = schedule.limit.per_s is not None
-        if limit.per_s != schedule.limit.per_s:
-            # A permit that an earlier, lower rate had moved far ahead comes sooner.
-            schedule.next_ms = min(schedule.next_ms, now + _find_interval(limit))
         schedule.limit = limit
         if was_limited == (limit.per_s is not None):
             return False
+        # Requests without a limit leave no saved permits behind.
+        schedule.latest_ms = now
         if now - schedule.announced_ms < ANNOUNCEMENT_INTERVAL_MS:
             return False
         schedule.announced_ms = now
@@ -132,13 +132,13 @@
             return Permit(is_granted=True)
         interval_ms = _find_interval(schedule.limit)
         saved_ms = (max(1.0, per_s * SAVED_S) - 1.0) * interval_ms
-        start_ms = max(schedule.next_ms, now - saved_ms)
+        start_ms = max(schedule.latest_ms + interval_ms, now - saved_ms)
         wait_ms = max(0.0, start_ms - now)
         max_wait_ms = schedule.find_max_wait_ms(patience, now)
         if wait_ms > max_wait_ms:
             schedule.record_denial(patience, now)
             return Permit(is_granted=False, wait_ms=wait_ms - max_wait_ms)
-        schedule.next_ms = start_ms + interval_ms
+        schedule.latest_ms = start_ms
         return Permit(is_granted=True, wait_ms=wait_ms)
 
     def _forget_unused(self, now: float) -> None:
