Use the terms of the field for waiting bounds and published state

Cause: read as a newcomer, Patience is a figure of speech, published.py is no noun, and the waits of the relay are time-outs. Change: WaitBounds, published_state.py, _timeouts. No behaviour changes. Result: tests of permits, relay, limits, gateway and soak pass.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -28,7 +28,7 @@
     make_directory_handler,
     make_readiness_handler,
 )
-from currantline.published import PublishedState
+from currantline.published_state import PublishedState
 from currantline.relay import (
     ConnectionPool,
     LimitedTargetSelector,
--- a/src/currantline/permits/__init__.py
+++ b/src/currantline/permits/__init__.py
@@ -9,22 +9,22 @@
 from currantline.permits._codec import decode_message, encode_message
 from currantline.permits._issuer import PermitIssuer
 from currantline.permits._messages import (
-    Patience,
     Permit,
     PermitRequest,
     PermitResponse,
     Report,
+    WaitBounds,
 )
 from currantline.permits._protocol import PermitProtocol
 
 __all__ = [
-    "Patience",
     "Permit",
     "PermitIssuer",
     "PermitProtocol",
     "PermitRequest",
     "PermitResponse",
     "Report",
+    "WaitBounds",
     "choose_issuer",
     "decode_message",
     "encode_message",
--- a/src/currantline/permits/_codec.py
+++ b/src/currantline/permits/_codec.py
@@ -7,11 +7,11 @@
 from currantline.exceptions import PeerError
 from currantline.permits._messages import (
     Message,
-    Patience,
     Permit,
     PermitRequest,
     PermitResponse,
     Report,
+    WaitBounds,
 )
 from currantline.placement import RateLimit
 
@@ -35,8 +35,8 @@
     age = round(age_ms, 1) if math.isfinite(age_ms) else None
     fields: list[Any] = [FORMAT_VERSION, message.key, message.limit.per_s, age]
     if isinstance(message, PermitRequest):
-        patience = message.patience
-        waits = [round(patience.in_time_ms, 1), round(patience.max_ms, 1)]
+        wait_bounds = message.wait_bounds
+        waits = [round(wait_bounds.in_time_ms, 1), round(wait_bounds.max_ms, 1)]
         fields += ["request", message.number, *waits]
     elif isinstance(message, PermitResponse):
         permit = message.permit
@@ -67,11 +67,11 @@
             return Report(key=key, limit=limit)
         if kind == "request":
             number, in_time_ms, max_ms = rest
-            patience = Patience(
+            wait_bounds = WaitBounds(
                 in_time_ms=_check_number(in_time_ms), max_ms=_check_number(max_ms)
             )
             return PermitRequest(
-                number=int(number), key=key, limit=limit, patience=patience
+                number=int(number), key=key, limit=limit, wait_bounds=wait_bounds
             )
         if kind != "response":
             raise PeerError(f"unknown kind {kind!r}")
--- a/src/currantline/permits/_issuer.py
+++ b/src/currantline/permits/_issuer.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from currantline.permits._messages import Patience, Permit
+from currantline.permits._messages import Permit, WaitBounds
 from currantline.placement import RateLimit
 
 __all__ = ["PermitIssuer"]
@@ -48,19 +48,19 @@
     # The shortest time that a request denied during the overload could have waited.
     overload_wait_ms: float = math.inf
 
-    def find_max_wait_ms(self, patience: Patience, now: float) -> float:
+    def find_max_wait_ms(self, wait_bounds: WaitBounds, now: float) -> float:
         """Return how far ahead a permit for a request may lie, in milliseconds."""
         if now >= self.overload_end_ms:
-            return patience.max_ms
-        return min(patience.max_ms, patience.in_time_ms, self.overload_wait_ms)
+            return wait_bounds.max_ms
+        return min(wait_bounds.max_ms, wait_bounds.in_time_ms, self.overload_wait_ms)
 
-    def record_denial(self, patience: Patience, now: float) -> None:
+    def record_denial(self, wait_bounds: WaitBounds, now: float) -> None:
         """Record that a request was denied. Overdue ones do not prolong an overload."""
-        if not patience.in_time_ms:
+        if not wait_bounds.in_time_ms:
             return
         if now >= self.overload_end_ms:
             self.overload_wait_ms = math.inf
-        self.overload_wait_ms = min(self.overload_wait_ms, patience.in_time_ms)
+        self.overload_wait_ms = min(self.overload_wait_ms, wait_bounds.in_time_ms)
         self.overload_end_ms = now + OVERLOAD_MS
 
 
@@ -113,14 +113,14 @@
         schedule.announced_ms = now
         return True
 
-    def issue(self, key: str, patience: Patience, now: float) -> Permit:
+    def issue(self, key: str, wait_bounds: WaitBounds, now: float) -> Permit:
         """Return a permit for one request to a target.
 
         Parameters
         ----------
         key : str
             Key of a target that was observed before.
-        patience : Patience
+        wait_bounds : WaitBounds
             Time for which the request can wait.
         now : float
             Current time in milliseconds.
@@ -134,9 +134,9 @@
         saved_ms = (max(1.0, per_s * SAVED_S) - 1.0) * interval_ms
         start_ms = max(schedule.latest_ms + interval_ms, now - saved_ms)
         wait_ms = max(0.0, start_ms - now)
-        max_wait_ms = schedule.find_max_wait_ms(patience, now)
+        max_wait_ms = schedule.find_max_wait_ms(wait_bounds, now)
         if wait_ms > max_wait_ms:
-            schedule.record_denial(patience, now)
+            schedule.record_denial(wait_bounds, now)
             return Permit(is_granted=False, wait_ms=wait_ms - max_wait_ms)
         schedule.latest_ms = start_ms
         return Permit(is_granted=True, wait_ms=wait_ms)
--- a/src/currantline/permits/_messages.py
+++ b/src/currantline/permits/_messages.py
@@ -4,11 +4,18 @@
 
 from currantline.placement import RateLimit
 
-__all__ = ["Message", "Patience", "Permit", "PermitRequest", "PermitResponse", "Report"]
+__all__ = [
+    "Message",
+    "Permit",
+    "PermitRequest",
+    "PermitResponse",
+    "Report",
+    "WaitBounds",
+]
 
 
 @attrs.frozen(kw_only=True)
-class Patience:
+class WaitBounds:
     """Time for which a request can wait before it is sent.
 
     Parameters
@@ -53,14 +60,14 @@
         Key of the target.
     limit : RateLimit
         Limit as known to the sender, with the time of its own clock.
-    patience : Patience
+    wait_bounds : WaitBounds
         Time for which the request can wait.
     """
 
     number: int
     key: str
     limit: RateLimit
-    patience: Patience
+    wait_bounds: WaitBounds
 
 
 @attrs.frozen(kw_only=True)
--- a/src/currantline/permits/_protocol.py
+++ b/src/currantline/permits/_protocol.py
@@ -12,11 +12,11 @@
 from currantline.permits._issuer import PermitIssuer
 from currantline.permits._messages import (
     Message,
-    Patience,
     Permit,
     PermitRequest,
     PermitResponse,
     Report,
+    WaitBounds,
 )
 from currantline.placement import RateLimit, Target, TargetRegistry
 from currantline.telemetry import EventLog, Meter
@@ -113,17 +113,17 @@
         elif issuer is not None:
             self._send(issuer, Report(key=key, limit=limit))
 
-    async def acquire(self, target: Target, patience: Patience) -> Permit:
+    async def acquire(self, target: Target, wait_bounds: WaitBounds) -> Permit:
         """Return a permit for one request to a target that names a limit.
 
         Parameters
         ----------
         target : Target
             The target.
-        patience : Patience
+        wait_bounds : WaitBounds
             Time for which the request can wait.
         """
-        permit = await self._ask(target, patience)
+        permit = await self._ask(target, wait_bounds)
         result = "granted" if permit.is_granted else "denied"
         self._meter.count("permits", result=result)
         return permit
@@ -156,20 +156,20 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable hosts; their permits time out."""
 
-    async def _ask(self, target: Target, patience: Patience) -> Permit:
+    async def _ask(self, target: Target, wait_bounds: WaitBounds) -> Permit:
         key = format_key(target.published)
         issuer = choose_issuer(key, self._list_issuers())
         if issuer == self._host:
             self._observe_as_issuer(key, target.rate_limit)
             now = self._clock.read()
-            return self._issuer.issue(key, patience, now)
+            return self._issuer.issue(key, wait_bounds, now)
         if issuer is None:
             return Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
         number = next(self._numbers)
         response: asyncio.Future[Permit] = asyncio.get_running_loop().create_future()
         self._pending[number] = response
         request = PermitRequest(
-            number=number, key=key, limit=target.rate_limit, patience=patience
+            number=number, key=key, limit=target.rate_limit, wait_bounds=wait_bounds
         )
         try:
             self._send(issuer, request)
@@ -188,7 +188,7 @@
         if self._is_issuer(request.key):
             self._observe_as_issuer(request.key, request.limit)
             permit = self._issuer.issue(
-                request.key, request.patience, self._clock.read()
+                request.key, request.wait_bounds, self._clock.read()
             )
             limit = self._issuer.find_limit(request.key)
         response = PermitResponse(
--- a/src/currantline/permits/tests/test_codec.py
+++ b/src/currantline/permits/tests/test_codec.py
@@ -10,11 +10,11 @@
 
 from currantline.exceptions import PeerError
 from currantline.permits import (
-    Patience,
     Permit,
     PermitRequest,
     PermitResponse,
     Report,
+    WaitBounds,
     decode_message,
     encode_message,
 )
@@ -31,10 +31,10 @@
     )
     def test_round_trip(self, limit: RateLimit) -> None:
         """Guards against a limit whose age changes on the way."""
-        patience = Patience(in_time_ms=150.5, max_ms=700.0)
+        wait_bounds = WaitBounds(in_time_ms=150.5, max_ms=700.0)
         permit = Permit(is_granted=True, wait_ms=12.5)
         for message in (
-            PermitRequest(number=1, key="t@5@a", limit=limit, patience=patience),
+            PermitRequest(number=1, key="t@5@a", limit=limit, wait_bounds=wait_bounds),
             PermitResponse(number=1, key="t@5@a", permit=permit, limit=limit),
             Report(key="t@5@a", limit=limit),
         ):
--- a/src/currantline/permits/tests/test_issuer.py
+++ b/src/currantline/permits/tests/test_issuer.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from currantline.permits import Patience, PermitIssuer
+from currantline.permits import PermitIssuer, WaitBounds
 from currantline.placement import RateLimit
 
 WINDOW_MS = 4_000.0
 
 # A request that can wait for 100 ms to be in time, and one that is overdue.
-FRESH = Patience(in_time_ms=100.0, max_ms=700.0)
-OVERDUE = Patience(max_ms=300.0)
+FRESH = WaitBounds(in_time_ms=100.0, max_ms=700.0)
+OVERDUE = WaitBounds(max_ms=300.0)
 
 
 class Scenario:
@@ -27,17 +27,19 @@
         self.now += 1.0
         self.issuer.observe("t", RateLimit(per_s, self.now), self.now)
 
-    def ask(self, patience: Patience) -> float | None:
+    def ask(self, wait_bounds: WaitBounds) -> float | None:
         """Ask for a permit and return the time until it, None if it is denied."""
-        permit = self.issuer.issue("t", patience, self.now)
+        permit = self.issuer.issue("t", wait_bounds, self.now)
         return permit.wait_ms if permit.is_granted else None
 
-    def ask_every(self, interval_ms: float, patience: Patience) -> list[float | None]:
+    def ask_every(
+        self, interval_ms: float, wait_bounds: WaitBounds
+    ) -> list[float | None]:
         """Ask for permits over four seconds."""
         results = []
         for _ in range(round(WINDOW_MS / interval_ms)):
             self.now += interval_ms
-            results.append(self.ask(patience))
+            results.append(self.ask(wait_bounds))
         return results
 
 
@@ -53,7 +55,7 @@
         for _ in range(3_000):
             scenario.now += rng.choice((0.0, 5.0, 50.0, 900.0))
             wait_ms = scenario.ask(
-                Patience(in_time_ms=50.0, max_ms=rng.uniform(0, 2e3))
+                WaitBounds(in_time_ms=50.0, max_ms=rng.uniform(0, 2e3))
             )
             if wait_ms is not None:
                 times.append(scenario.now + wait_ms)
@@ -77,22 +79,22 @@
     def test_first_permit(self) -> None:
         """Guards against a doubled rate when another instance becomes the issuer."""
         scenario = Scenario(2.0)
-        assert scenario.ask(Patience()) is None
+        assert scenario.ask(WaitBounds()) is None
         scenario.now += 500.0
-        assert scenario.ask(Patience()) == 0.0
+        assert scenario.ask(WaitBounds()) == 0.0
 
     def test_change(self) -> None:
         """Guards against a limit that stays in force after it was changed or ended."""
         scenario = Scenario(0.4)
         scenario.now += 2_500.0
-        assert scenario.ask(Patience()) == 0.0
+        assert scenario.ask(WaitBounds()) == 0.0
         scenario.name_limit(10.0)
         assert scenario.ask(FRESH) == 99.0
         scenario.name_limit(None)
-        assert [scenario.ask(Patience()) for _ in range(9)] == [0.0] * 9
+        assert [scenario.ask(WaitBounds()) for _ in range(9)] == [0.0] * 9
         scenario.now += 5_000.0
         scenario.name_limit(10.0)
-        assert scenario.ask(Patience()) is None
+        assert scenario.ask(WaitBounds()) is None
 
 
 class TestOverload:
--- a/src/currantline/relay/_limited_targets.py
+++ b/src/currantline/relay/_limited_targets.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from currantline.clock import Clock
-from currantline.permits import Patience, Permit
+from currantline.permits import Permit, WaitBounds
 from currantline.placement import (
     Candidate,
     LatencyAverages,
@@ -26,7 +26,7 @@
 class PermitSource(Protocol):
     """Grants requests to targets that limit the requests of the fleet."""
 
-    async def acquire(self, target: Target, patience: Patience) -> Permit:
+    async def acquire(self, target: Target, wait_bounds: WaitBounds) -> Permit:
         """Return a permit for one request that can wait for some time."""
         ...
 
@@ -77,7 +77,7 @@
         average_ms = self._latencies.read(context.route.name)
         candidates = self._list_candidates(context, limited, now)
         best = select_candidate(context, candidates, average_ms, now, self._rng)
-        if best is None or not await self._acquire(best[0].target, Patience()):
+        if best is None or not await self._acquire(best[0].target, WaitBounds()):
             return None
         return best
 
@@ -103,11 +103,11 @@
             if best is None:
                 break
             target = best[0].target
-            patience = Patience(
+            wait_bounds = WaitBounds(
                 in_time_ms=find_in_time_wait_ms(context, average_ms, now),
                 max_ms=find_max_wait_ms(context, average_ms, now),
             )
-            permit = await self._acquire(target, patience)
+            permit = await self._acquire(target, wait_bounds)
             if permit is not None:
                 return Selection(target, wait_ms=permit.wait_ms)
         next_ms = min(target.next_permit_ms for target in limited)
@@ -125,8 +125,8 @@
             if target.next_permit_ms <= now
         ]
 
-    async def _acquire(self, target: Target, patience: Patience) -> Permit | None:
-        permit = await self._permits.acquire(target, patience)
+    async def _acquire(self, target: Target, wait_bounds: WaitBounds) -> Permit | None:
+        permit = await self._permits.acquire(target, wait_bounds)
         if permit.is_granted:
             return permit
         target.next_permit_ms = self._clock.read() + permit.wait_ms
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -125,7 +125,7 @@
         self._age_estimator = RequestAgeEstimator()
         self._budgets: dict[str, RetryBudget] = {}
         self._detached: set[asyncio.Task[SendResult]] = set()
-        self._waits: set[asyncio.Timeout] = set()
+        self._timeouts: set[asyncio.Timeout] = set()
         self._end_ms = math.inf
 
     @property
@@ -146,8 +146,8 @@
     def end_waiting(self) -> None:
         """Time out all requests in progress. Those that were not sent are refused."""
         now_s = asyncio.get_running_loop().time()
-        for wait in self._waits:
-            wait.reschedule(now_s)
+        for timeout in self._timeouts:
+            timeout.reschedule(now_s)
 
     def is_idempotent(self, request: Request) -> bool:
         """Return whether a request may be executed more than once.
@@ -214,15 +214,15 @@
             return self._refuse_routed(progress, "too little time left")
         pending = {self._start(progress)}
         try:
-            async with asyncio.timeout(None) as wait:
-                self._waits.add(wait)
+            async with asyncio.timeout(None) as timeout:
+                self._timeouts.add(timeout)
                 return await self._await_response(progress, pending)
         except TimeoutError:
-            if not wait.expired():
+            if not timeout.expired():
                 raise
             return self._build_timeout(progress)
         finally:
-            self._waits.discard(wait)
+            self._timeouts.discard(timeout)
             for task in pending:
                 task.cancel()
 
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -8,7 +8,7 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.permits import Patience, Permit, PermitIssuer
+from currantline.permits import Permit, PermitIssuer, WaitBounds
 from currantline.placement import (
     LatencyAverages,
     ProbeLimit,
@@ -87,11 +87,11 @@
         self._clock = clock
         self._issuer = PermitIssuer()
 
-    async def acquire(self, target: Target, patience: Patience) -> Permit:
+    async def acquire(self, target: Target, wait_bounds: WaitBounds) -> Permit:
         """Return a permit for one request."""
         now = self._clock.read()
         self._issuer.observe(target.name, target.rate_limit, now)
-        return self._issuer.issue(target.name, patience, now)
+        return self._issuer.issue(target.name, wait_bounds, now)
 
 
 class RelayHarness:
