Ignore a remaining time that is not a finite number

What operators would see: an instance that uses all its processor time while one request is in progress. Cause: with "nan" as the remaining time that a caller states, the wait for a response had a time-out of zero, again and again. Change: such a value is treated like one that is no number: the timeout of the route holds. Evidence: test_infinite_time did not end before (stopped after 20 s); 85 tests of relay pass.

--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -201,11 +201,12 @@
         return response
 
     def _read_time_left(self, request: Request, route: Route) -> float:
-        remaining = find_header(request.headers, self._names.time_left)
+        stated = find_header(request.headers, self._names.time_left)
         try:
-            return float(remaining) if remaining is not None else route.timeout_ms
+            remaining_ms = float(stated) if stated is not None else route.timeout_ms
         except ValueError:
             return route.timeout_ms
+        return remaining_ms if math.isfinite(remaining_ms) else route.timeout_ms
 
     async def _process(self, progress: _Progress) -> Response:
         context = progress.context
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of request handling from arrival to response."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -363,6 +364,19 @@
 
         run_scenario(scenario, NON_IDEMPOTENT)
 
+    @pytest.mark.parametrize("remaining_ms", [math.nan, math.inf])
+    def test_infinite_time(self, remaining_ms: float) -> None:
+        """Guards against a malformed remaining time that occupies the event loop."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker()
+            response = await harness.send("a", remaining_ms=remaining_ms)
+            assert response.status == 200
+            assert worker.time_left_ms[0] <= 2_000.0
+            assert (await harness.send("b")).status == 200
+
+        run_scenario(scenario, make_route())
+
 
 class TestUnexpectedResponses:
     """Malformed, truncated, late and excess responses."""
