Survive deeply nested and overflowing values from the store and peers

What callers would see: all instances that read the store end, again and again, for as long as one foreign entry with deeply nested JSON or a huge number is there; one such datagram or pull ends an instance. Cause: RecursionError, OverflowError and KeyError escaped the decoders of entries, configurations, pages of the store, pulls and datagrams. The tests of pulls passed bytes that were not compressed, so that their JSON was never decoded. Change: the decoders raise their typed errors; tests compress the data.

--- a/src/currantline/fleet/_codec.py
+++ b/src/currantline/fleet/_codec.py
@@ -87,7 +87,13 @@
             digest=int(digest),
             members=tuple(members[1:]),
         )
-    except (ValueError, TypeError, IndexError) as error:
+    except (
+        ValueError,
+        TypeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise PeerError(f"malformed datagram: {error}") from error
 
 
--- a/src/currantline/fleet/tests/test_codec.py
+++ b/src/currantline/fleet/tests/test_codec.py
@@ -70,6 +70,8 @@
             b'[2,0,1,"",1,1,1,[["h",9,1,1,1]]]',
             b'[2,9,1,"",1,1,1,[["h",0,1,1,1]]]',
             b"\xff",
+            b'[2,0,1,"",1e999,1,1,[["h",0,1,1,1]]]',
+            b"[" * 100_000,
         ],
     )
     def test_malformed(self, data: bytes) -> None:
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -62,7 +62,13 @@
             limits=_decode_limits(document.get("limits") or {}),
             unknown_kinds=_find_unknown_kinds(document["routes"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise ConfigurationError(
             f"{type(error).__name__}: {error}", source=CONFIGURATION_KEY
         ) from error
@@ -97,7 +103,7 @@
             is_draining=state == DRAINING,
             warmup_ms=float(warmup_ms),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigurationError(
             f"{type(error).__name__}: {error}", source=key
         ) from error
@@ -106,7 +112,7 @@
 def _load_object(text: str, source: str) -> Mapping[str, Any]:
     try:
         document = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigurationError(f"not JSON: {error}", source=source) from error
     if not isinstance(document, dict):
         raise ConfigurationError("a JSON object is required", source=source)
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -118,7 +118,7 @@
         raise PlatformError(f"{path}: status {response.status}")
     try:
         page = json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformError(f"{path}: not JSON") from error
     if not isinstance(page, dict):
         raise PlatformError(f"{path}: not a JSON object")
@@ -137,7 +137,13 @@
         try:
             document = None if item.get("removed") else _decode_value(item["value"])
             yield Record(str(item["key"]), int(item["revision"]), document)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             raise PlatformError(f"cannot decode item: {error}") from error
 
 
--- a/src/currantline/replica/_codec.py
+++ b/src/currantline/replica/_codec.py
@@ -38,5 +38,12 @@
         position, revision, rows = json.loads(zlib.decompress(data))
         records = tuple(Record(str(row[0]), int(row[1]), row[2]) for row in rows)
         return Changes(position=int(position), revision=int(revision), records=records)
-    except (ValueError, TypeError, IndexError, zlib.error) as error:
+    except (
+        ValueError,
+        TypeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
+        zlib.error,
+    ) as error:
         raise PeerError(f"malformed changes: {error}") from error
--- a/src/currantline/replica/tests/test_replica.py
+++ b/src/currantline/replica/tests/test_replica.py
@@ -1,5 +1,7 @@
 """Tests of the replica and its codec."""
 
+import zlib
+
 import pytest
 
 from currantline.exceptions import PeerError
@@ -75,8 +77,21 @@
 class TestDecodeChanges:
     """Decoding of changes from other instances."""
 
-    @pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b"[1,2,[[1]]]", b"\xff"])
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"{}",
+            b"[1]",
+            b"[1,2,[[1]]]",
+            b"\xff",
+            b'[1,2,[{"a":1}]]',
+            b"[1e999,2,[]]",
+            b"[" * 100_000,
+        ],
+    )
     def test_malformed(self, data: bytes) -> None:
         """Guards against foreign data that terminates the task."""
-        with pytest.raises(PeerError):
-            decode_changes(data)
+        for received in (data, zlib.compress(data)):
+            with pytest.raises(PeerError):
+                decode_changes(received)
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -17,6 +17,8 @@
     run,
 )
 
+ENTRY = make_target_entry("10.9.0.9:80")
+
 
 class TestRequests:
     """Requests, address queries and metrics without faults."""
@@ -109,7 +111,16 @@
 
         run(scenario)
 
-    @pytest.mark.parametrize("value", [b"\xff\x00", {"info": 1}, 7])
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"\xff\x00",
+            {"info": 1},
+            7,
+            b"[" * 100_000,
+            {**ENTRY, "status": {**ENTRY["status"], "warmupLeftMs": 10**400}},
+        ],
+    )
     def test_invalid_entry(self, value: Any) -> None:
         """Guards against an invalid entry that makes the valid ones unavailable."""
 
