Refuse numbers of slots and load that predictions cannot use

What callers would see: 502 for requests of a service while one of its targets reports or publishes a huge number of slots; a target that reports a negative load is always preferred. Cause: the numbers were used as they came; an integer of some hundred digits overflows in the prediction of response times. Change: load headers with numbers below 0 or above a million are ignored with a log line, as other invalid ones are; such an entry names no target.

--- a/src/currantline/placement/_load_report.py
+++ b/src/currantline/placement/_load_report.py
@@ -7,6 +7,10 @@
 __all__ = ["LoadReport", "parse_load_header"]
 
 
+# Maximum of all numbers in a load header. Larger ones would overflow in predictions.
+MAX_LOAD_VALUE = 1_000_000
+
+
 @attrs.frozen(kw_only=True)
 class LoadReport:
     """Load and health of a target at one moment.
@@ -44,7 +48,7 @@
     Raises
     ------
     InvalidValueError
-        If the value is not a list of three or four integers.
+        If the value is not a list of three or four integers in range.
 
     Examples
     --------
@@ -57,4 +61,6 @@
         raise InvalidValueError(
             f"invalid load header {value!r}: three or four integers expected"
         ) from error
+    if any(not 0 <= n <= MAX_LOAD_VALUE for n in (running, waiting, slots, *rest)):
+        raise InvalidValueError(f"invalid load header {value!r}: out of range")
     return running, waiting, max(1, slots), max(1, rest[0]) / 100 if rest else 1.0
--- a/src/currantline/placement/tests/test_choice.py
+++ b/src/currantline/placement/tests/test_choice.py
@@ -192,7 +192,10 @@
         """Guards against an error for targets that report only three numbers."""
         assert parse_load_header("3,0,8") == (3, 0, 8, 1.0)
 
-    @pytest.mark.parametrize("value", ["", "1,2", "a,b,c", "1,2,3,x"])
+    @pytest.mark.parametrize(
+        "value",
+        ["", "1,2", "a,b,c", "1,2,3,x", "-1,0,2", "0,0,1000000000"],
+    )
     def test_malformed(self, value: str) -> None:
         """Guards against a malformed header that makes a request fail."""
         with pytest.raises(InvalidValueError):
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -28,6 +28,9 @@
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
 
+# Maximum number of slots of a target. Larger numbers would overflow in predictions.
+MAX_SLOTS = 1_000_000
+
 IDEMPOTENT = "idempotent"
 ROUTE_KINDS = frozenset({IDEMPOTENT, "non_idempotent", "upload"})
 READY, DRAINING = "ready", "draining"
@@ -91,6 +94,8 @@
         slots, born = info["slots"], document.get("born", 0)
         warmup_ms = status.get("warmupLeftMs", 0)
         _check_types(key, slots=(slots, int), born=(born, int), address=(address, str))
+        if not 0 <= slots <= MAX_SLOTS:
+            raise ConfigurationError(f"{slots!r} slots", source=key, path="slots")
         _check_types(key, service=(info["service"], str), zone=(info["zone"], str))
         _check_types(key, warmupLeftMs=(warmup_ms, (int, float)))
         return PublishedTarget(
--- a/src/currantline/platform/tests/test_documents.py
+++ b/src/currantline/platform/tests/test_documents.py
@@ -97,6 +97,8 @@
             ("status", "warmupLeftMs", "soon"),
             ("info", "slots", "2"),
             ("info", "slots", True),
+            ("info", "slots", -1),
+            ("info", "slots", 10**9),
             ("info", "service", 4),
             ("info", "zone", None),
         ],
