List the errors of malformed data once

Cause: five decoders listed what decoding JSON raises, each a little differently, which is how some escaped. Change: MALFORMED_DATA_ERRORS, used by all decoders of the store and of other instances.

--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -3,6 +3,7 @@
 import attrs
 
 __all__ = [
+    "MALFORMED_DATA_ERRORS",
     "AddressInUseError",
     "BodyTooLargeError",
     "CallerTimeoutError",
@@ -30,6 +31,18 @@
 ]
 
 
+# What decoding JSON, and reading fields of it, raises for malformed data. Decoders turn
+# them into an error of the project.
+MALFORMED_DATA_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 @attrs.define(auto_exc=True)
 class CurrantlineError(Exception):
     """Base class of all errors raised by currantline.
--- a/src/currantline/fleet/_codec.py
+++ b/src/currantline/fleet/_codec.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Sequence
 
-from currantline.exceptions import PeerError
+from currantline.exceptions import MALFORMED_DATA_ERRORS, PeerError
 from currantline.fleet._member import (
     Datagram,
     DatagramKind,
@@ -87,13 +87,7 @@
             digest=int(digest),
             members=tuple(members[1:]),
         )
-    except (
-        ValueError,
-        TypeError,
-        LookupError,
-        OverflowError,
-        RecursionError,
-    ) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise PeerError(f"malformed datagram: {error}") from error
 
 
--- a/src/currantline/permits/_codec.py
+++ b/src/currantline/permits/_codec.py
@@ -4,7 +4,7 @@
 import math
 from typing import Any
 
-from currantline.exceptions import PeerError
+from currantline.exceptions import MALFORMED_DATA_ERRORS, PeerError
 from currantline.permits._messages import (
     Message,
     Permit,
@@ -78,7 +78,7 @@
         number, is_granted, wait_ms = rest
         permit = Permit(is_granted=is_granted is True, wait_ms=_check_number(wait_ms))
         return PermitResponse(number=int(number), key=key, permit=permit, limit=limit)
-    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise PeerError(f"malformed message: {error}") from error
 
 
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from currantline.exceptions import ConfigurationError
+from currantline.exceptions import MALFORMED_DATA_ERRORS, ConfigurationError
 from currantline.placement import PublishedTarget
 from currantline.routing import (
     CallerLimits,
@@ -65,13 +65,7 @@
             limits=_decode_limits(document.get("limits") or {}),
             unknown_kinds=_find_unknown_kinds(document["routes"]),
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-    ) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise ConfigurationError(
             f"{type(error).__name__}: {error}", source=CONFIGURATION_KEY
         ) from error
@@ -108,7 +102,7 @@
             is_draining=state == DRAINING,
             warmup_ms=float(warmup_ms),
         )
-    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise ConfigurationError(
             f"{type(error).__name__}: {error}", source=key
         ) from error
@@ -117,7 +111,7 @@
 def _load_object(text: str, source: str) -> Mapping[str, Any]:
     try:
         document = json.loads(text)
-    except (ValueError, RecursionError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise ConfigurationError(f"not JSON: {error}", source=source) from error
     if not isinstance(document, dict):
         raise ConfigurationError("a JSON object is required", source=source)
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -9,7 +9,12 @@
 
 import attrs
 
-from currantline.exceptions import HistoryLostError, PlatformError, WireError
+from currantline.exceptions import (
+    MALFORMED_DATA_ERRORS,
+    HistoryLostError,
+    PlatformError,
+    WireError,
+)
 from currantline.replica import Record
 from currantline.wire import HttpClient, Request, Response
 
@@ -118,7 +123,7 @@
         raise PlatformError(f"{path}: status {response.status}")
     try:
         page = json.loads(response.body)
-    except (ValueError, RecursionError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise PlatformError(f"{path}: not JSON") from error
     if not isinstance(page, dict):
         raise PlatformError(f"{path}: not a JSON object")
@@ -137,13 +142,7 @@
         try:
             document = None if item.get("removed") else _decode_value(item["value"])
             yield Record(str(item["key"]), int(item["revision"]), document)
-        except (
-            KeyError,
-            TypeError,
-            ValueError,
-            AttributeError,
-            OverflowError,
-        ) as error:
+        except MALFORMED_DATA_ERRORS as error:
             raise PlatformError(f"cannot decode item: {error}") from error
 
 
--- a/src/currantline/replica/_codec.py
+++ b/src/currantline/replica/_codec.py
@@ -7,7 +7,7 @@
 import json
 import zlib
 
-from currantline.exceptions import PeerError
+from currantline.exceptions import MALFORMED_DATA_ERRORS, PeerError
 from currantline.replica._record import Record
 from currantline.replica._replica import Changes
 
@@ -38,12 +38,5 @@
         position, revision, rows = json.loads(zlib.decompress(data))
         records = tuple(Record(str(row[0]), int(row[1]), row[2]) for row in rows)
         return Changes(position=int(position), revision=int(revision), records=records)
-    except (
-        ValueError,
-        TypeError,
-        LookupError,
-        OverflowError,
-        RecursionError,
-        zlib.error,
-    ) as error:
+    except (*MALFORMED_DATA_ERRORS, zlib.error) as error:
         raise PeerError(f"malformed changes: {error}") from error
