--- a/review/standins/target.py
+++ b/review/standins/target.py
@@ -21,6 +21,10 @@
 
 HEALTH_PATH = "/health"
 IDLE_CLOSE_S = 10
+
+# Larger than the default, so that large bodies take less processor time.
+BUFFER_BYTES = 1024 * 1024
+
 QUEUE = 4
 
 Spoil = Callable[[Message, bytes, asyncio.StreamWriter], Awaitable[bytes | None]]
@@ -82,13 +86,16 @@
         self._running = 0
         self._turns = asyncio.Semaphore(slots)
         self._sequence = 0
+        self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.spoil: Spoil | None = None
         self.runs: list[tuple[str, float]] = []
 
     async def start(self, store: Store) -> None:
         """Listen and register in the store."""
-        await asyncio.start_server(self._serve, *self.address)
+        self._server = await asyncio.start_server(
+            self._serve, *self.address, limit=BUFFER_BYTES
+        )
         self.register(store)
 
     def register(self, store: Store, *, state: str = "ready") -> None:
@@ -118,6 +125,12 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def exit(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.stop()
+
     def _describe_load(self) -> str:
         return f"{self._running},{self._waiting},{self._slots},100"
 
