Bound the parsed parts of messages between two turns

HttpConnection._next_event suspended only when the received bytes were used up. One read of a socket holds up to 40,000 such chunks, and more had come when they were parsed, so no other task got a turn until the deadline of the request.

A connection now ends its turn after 64 events, whatever they are, and applies time limits and interruptions there. The small HTTP servers handle one request a turn. A body is collected in one buffer instead of an object for each chunk.

Five of the seven new tests in wire/tests/test_connection.py failed before the change: chunks, interim responses, discarded responses, pipelined requests and the start of a time limit.

--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -22,6 +22,10 @@
 # behind a network partition do not reset the connection.
 DEAD_PEER_TIMEOUT_MS = 5_000
 
+# Maximum number of parsed parts of messages, such as chunks, between two turns of other
+# tasks. A peer may send 40,000 chunks in one read of the socket.
+MAX_EVENTS_PER_TURN = 64
+
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -99,6 +103,7 @@
         self._max_head_bytes = max_head_bytes
         self._body_memory = body_memory
         self._is_head_request = False
+        self._events_in_turn = 0
         self._h11 = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
 
     @property
@@ -324,24 +329,24 @@
                 self._body_memory.release(self)
 
     async def _collect_body(self) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        # One buffer, as an object for each small chunk takes many times its size.
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise ProtocolError("the connection closed within a message")
-            size += len(event.data)
-            if size > self._max_body_bytes:
+            body += event.data
+            if len(body) > self._max_body_bytes:
                 raise BodyTooLargeError(
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
-            parts.append(bytes(event.data))
             if self._body_memory is not None:
                 self._body_memory.add(self, len(event.data))
 
     async def _next_event(self) -> Any:
+        await self._count_event()
         while True:
             try:
                 event = self._h11.next_event()
@@ -357,6 +362,12 @@
                 raise ProtocolError("the connection was reset")
             self._h11.receive_data(self._take_bytes())
 
+    async def _count_event(self) -> None:
+        self._events_in_turn += 1
+        if self._events_in_turn >= MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await self._end_turn()
+
 
 async def connect(
     address: str, *, max_body_bytes: int, body_memory: BodyMemory | None = None
--- a/src/currantline/wire/_service.py
+++ b/src/currantline/wire/_service.py
@@ -115,6 +115,8 @@
             if not connection.is_reusable:
                 return
             connection.start_next_cycle()
+            # A handler may not suspend, and more requests may have been received.
+            await asyncio.sleep(0)
 
 
 def _write_error(connection: HttpConnection, status: int) -> None:
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -209,6 +209,11 @@
         finally:
             self._data_waiter = None
 
+    async def _end_turn(self) -> None:
+        # Limits apply as they do to a wait for bytes, which may never be needed.
+        self._prepare_wait()
+        await asyncio.sleep(0)
+
     def _prepare_wait(self) -> None:
         if self.before_wait is not None:
             self.before_wait()
--- /dev/null
+++ b/src/currantline/wire/tests/test_connection.py
@@ -0,0 +1,192 @@
+"""Tests of HTTP connections and servers."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+import h11
+import pytest
+
+from currantline.exceptions import BodyTooLargeError, WireError
+from currantline.wire import HttpConnection, HttpServer, Request, Response
+
+T = TypeVar("T")
+
+REQUEST = Request(method="GET", target="/", headers=(("host", "a"),))
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+SMALL_CHUNK = b"2\r\nxy\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
+PIPELINED_REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+# Other tasks get a turn at least once for so many parsed events.
+MAX_EVENTS_PER_TURN = 64
+
+
+class FakeTransport(asyncio.Transport):
+    """Transport that collects what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.writes = 0
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Collect the bytes."""
+        self.written += bytes(data)
+        self.writes += 1
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0, since nothing is buffered."""
+        return 0
+
+    def is_closing(self) -> bool:
+        """Return False."""
+        return False
+
+    def pause_reading(self) -> None:
+        """Do nothing, since bytes are received on request only."""
+
+    def resume_reading(self) -> None:
+        """Do nothing, since bytes are received on request only."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def open_client() -> HttpConnection:
+    """Return a client connection that has sent a request."""
+    connection = HttpConnection(h11.CLIENT, max_body_bytes=1_000_000)
+    connection.connection_made(FakeTransport())
+    connection.write_request(REQUEST)
+    return connection
+
+
+async def count_turns(reading: Awaitable[T]) -> tuple[T, int]:
+    """Return a result and how many turns another task had until then."""
+    turns = 0
+
+    async def take_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    other = asyncio.create_task(take_turns())
+    try:
+        return await reading, turns
+    finally:
+        other.cancel()
+
+
+class TestTurns:
+    """A peer that sends many small parts must not hold up other tasks."""
+
+    def test_small_chunks(self) -> None:
+        """Guards against a body in small chunks that blocks the event loop."""
+        chunks = 20_000
+
+        async def read() -> tuple[Response, int]:
+            connection = open_client()
+            connection.data_received(CHUNKED_HEAD + SMALL_CHUNK * chunks + LAST_CHUNK)
+            return await count_turns(connection.read_response())
+
+        response, turns = asyncio.run(read())
+        assert response.body == b"xy" * chunks
+        assert turns >= chunks // MAX_EVENTS_PER_TURN
+
+    def test_interim_responses(self) -> None:
+        """Guards against interim responses without end that block the event loop."""
+        interim_responses = 5_000
+
+        async def read() -> tuple[Response, int]:
+            connection = open_client()
+            connection.data_received(CONTINUE * interim_responses + OTHER_RESPONSE)
+            return await count_turns(connection.read_response())
+
+        response, turns = asyncio.run(read())
+        assert response.body == b"x"
+        assert turns >= interim_responses // MAX_EVENTS_PER_TURN
+
+    def test_unsolicited_responses(self) -> None:
+        """Guards against discarded responses that block the event loop."""
+        responses = 2_000
+
+        async def discard_all(connection: HttpConnection) -> None:
+            for _ in range(responses):
+                await connection.read_response()
+                connection.discard_response()
+
+        async def read() -> int:
+            connection = open_client()
+            connection.data_received(OTHER_RESPONSE * responses)
+            return (await count_turns(discard_all(connection)))[1]
+
+        assert asyncio.run(read()) >= responses // MAX_EVENTS_PER_TURN
+
+    def test_pipelined_requests(self) -> None:
+        """Guards against requests to a server that are all handled in one turn."""
+        requests = 500
+
+        async def answer(request: Request) -> Response:
+            return Response(status=200)
+
+        async def serve() -> int:
+            transport = FakeTransport()
+            connection = HttpServer(answer)._create_connection()
+            connection.connection_made(transport)
+            connection.data_received(PIPELINED_REQUEST * requests)
+
+            async def wait_for_responses() -> None:
+                while transport.writes < requests:
+                    await asyncio.sleep(0)
+
+            return (await count_turns(wait_for_responses()))[1]
+
+        assert asyncio.run(serve()) >= requests
+
+
+class TestInterruption:
+    """Limits that end a body before it is complete."""
+
+    @pytest.mark.parametrize("interrupts", [True, False])
+    def test_body_without_end(self, interrupts: bool) -> None:
+        """Guards against a body that is read on because its bytes never run out."""
+
+        async def read(connection: HttpConnection) -> Response:
+            return await connection.read_response()
+
+        async def flood() -> None:
+            connection = open_client()
+            connection.data_received(CHUNKED_HEAD)
+            reading = asyncio.create_task(read(connection))
+            while not reading.done():
+                connection.data_received(SMALL_CHUNK * 100)
+                if interrupts:
+                    connection.interrupt(BodyTooLargeError("the body is too long"))
+                await asyncio.sleep(0)
+            await reading
+
+        with pytest.raises(WireError):
+            asyncio.run(flood())
+
+    def test_time_limit(self) -> None:
+        """Guards against a time limit that starts only once the bytes run out."""
+        waits = 0
+
+        def count_wait() -> None:
+            nonlocal waits
+            waits += 1
+
+        async def read() -> None:
+            connection = open_client()
+            connection.before_wait = count_wait
+            connection.data_received(CHUNKED_HEAD + SMALL_CHUNK * 1_000 + LAST_CHUNK)
+            await connection.read_response()
+
+        asyncio.run(read())
+        assert waits
