Read a store that has returned within its time to recover

After failed calls an instance paused for 1, 2, 4 and then 6 s without jitter. A reset fails on all instances at once, so they kept in step, and a store that returned early in the last pause was read by nobody for almost 6 s.

The longest pause is now derived from stableMs, half of it is drawn at random, and an instance whose call failed retries until one succeeds, whether or not it is the reader. This also ends another fault: an instance that became the reader long after an outage deferred the first removals beyond drainMs.

TestBackoff failed before: 19 of 40 lengths of an outage, the step of 20 instances, and the late deferral.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -220,6 +220,7 @@
             is_reader=lambda: self._membership.is_reader(self._clock.read()),
             uses_short_watches=self._membership.uses_short_watches,
             on_change=self._apply_read_records,
+            recovery_ms=settings.store_recovery_ms,
             clock=self._clock,
             rng=self._rng,
             log=self._log,
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -45,6 +45,9 @@
         Hosts to contact while no other instances are known.
     store_address : str
         Address of the platform's store.
+    store_recovery_ms : float
+        Time in milliseconds after an outage of the store by which its changes must be
+        in force again.
     retry_options : RetryBudgetOptions
         Retry budget of the fleet for each service.
     directory_ttl_s : float
@@ -67,6 +70,7 @@
     permit_port: int
     seed_hosts: tuple[str, ...]
     store_address: str = attrs.field(validator=check_address)
+    store_recovery_ms: float
     retry_options: RetryBudgetOptions
     directory_ttl_s: float
     grace_ms: float
@@ -117,6 +121,7 @@
             permit_port=int(network["internalPortRange"][0]) + 1,
             seed_hosts=_extract_hosts(network.get("seeds") or ()),
             store_address=document["platform"]["platform"]["address"],
+            store_recovery_ms=float(bounds["stableMs"]),
             retry_options=RetryBudgetOptions(
                 ratio=float(bounds["retryBudgetRatio"]),
                 slack=float(bounds["retryBudgetSlack"]),
--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -109,6 +109,7 @@
                 "ttl_max_s": 5,
                 "graceS": 6,
                 "probesPerS": 60,
+                "stableMs": 3000,
             }
         },
     }
--- a/src/currantline/replica/_reader.py
+++ b/src/currantline/replica/_reader.py
@@ -33,10 +33,20 @@
 # reads would have notified it by then.
 BOOTSTRAP_WAIT_MS = 400.0
 
-# Time for which an instance leaves reading to others after a failed call. Doubles with
-# each further failure, up to the maximum.
+# Pause after a failed call. Doubles with each further failure, up to a maximum that
+# follows from the time within which the platform must be read again after an outage.
 INITIAL_BACKOFF_MS = 1_000.0
-MAX_BACKOFF_MS = 6_000.0
+MIN_BACKOFF_MS = 250.0
+
+# The part of the pause that is not drawn at random. All instances lose the platform at
+# the same moment and must not return to it in step.
+FIXED_BACKOFF_SHARE = 0.5
+
+# Time after which a call has failed while the platform is down.
+MAX_CALL_MS = 1_000.0
+
+# Time for the change of readers, and for a change to reach all instances.
+DISSEMINATION_MS = 700.0
 
 # Records that expired during an outage of the platform are published again within 2 s
 # of its recovery.
@@ -84,6 +94,9 @@
         Returns whether this instance must detect unanswered watches quickly.
     on_change : callable
         Called with the records that changed; the sequence may be empty.
+    recovery_ms : float
+        Time in milliseconds after an outage of the platform by which all instances
+        must follow its changes again.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -101,6 +114,7 @@
         is_reader: Callable[[], bool],
         uses_short_watches: Callable[[], bool],
         on_change: Callable[[Sequence[Record]], None],
+        recovery_ms: float,
         clock: Clock,
         rng: random.Random,
         log: EventLog,
@@ -110,20 +124,23 @@
         self._is_reader = is_reader
         self._uses_short_watches = uses_short_watches
         self._on_change = on_change
+        self._max_backoff_ms = max(
+            MIN_BACKOFF_MS, recovery_ms - MAX_CALL_MS - DISSEMINATION_MS
+        )
         self._clock = clock
         self._rng = rng
         self._log = log
         self._started_ms = clock.read()
         self._needs_full_read = False
-        self._backoff_ms = INITIAL_BACKOFF_MS
+        self._failures = 0
         self._backoff_until_ms = 0.0
         self._is_platform_down = False
         self._grace_until_ms = 0.0
 
     @property
     def can_reach_platform(self) -> bool:
-        """Whether no back-off after a failed call to the platform is in progress."""
-        return self._clock.read() >= self._backoff_until_ms
+        """Whether the last call to the platform did not fail."""
+        return not self._is_platform_down
 
     async def run_deferred_removals(self) -> None:
         """Remove records that are still missing after an outage, until cancelled."""
@@ -155,8 +172,9 @@
             self._handle_failure(error)
 
     def _should_read(self) -> bool:
-        if not self.can_reach_platform:
-            return False
+        if self._is_platform_down:
+            # Each instance finds out by itself when it can read for others again.
+            return self._clock.read() >= self._backoff_until_ms
         is_isolated = not self._replica.revision and (
             self._clock.read() - self._started_ms >= BOOTSTRAP_WAIT_MS
         )
@@ -182,6 +200,8 @@
         return bool(changed)
 
     def _choose_watch_timeout(self) -> int:
+        if self._is_platform_down:
+            return SHORT_WATCH_TIMEOUT_MS[0]
         if self._uses_short_watches():
             return self._rng.randint(*SHORT_WATCH_TIMEOUT_MS)
         return WATCH_TIMEOUT_MS
@@ -208,12 +228,18 @@
         if self._is_platform_down:
             self._log.write("platform_regained", revision=self._replica.revision)
         self._is_platform_down = False
-        self._backoff_ms = INITIAL_BACKOFF_MS
+        self._failures = 0
 
     def _handle_failure(self, error: PlatformError) -> None:
         self._log.write(
             "platform_lost", reason=str(error), revision=self._replica.revision
         )
         self._is_platform_down = True
-        self._backoff_until_ms = self._clock.read() + self._backoff_ms
-        self._backoff_ms = min(MAX_BACKOFF_MS, 2 * self._backoff_ms)
+        self._backoff_until_ms = self._clock.read() + self._choose_backoff()
+        self._failures += 1
+
+    def _choose_backoff(self) -> float:
+        # The exponent is bounded because the power is computed before the maximum.
+        backoff_ms = INITIAL_BACKOFF_MS * 2.0 ** min(self._failures, 30)
+        jitter = self._rng.uniform(FIXED_BACKOFF_SHARE, 1.0)
+        return min(self._max_backoff_ms, backoff_ms) * jitter
--- a/src/currantline/replica/tests/test_reader.py
+++ b/src/currantline/replica/tests/test_reader.py
@@ -5,12 +5,16 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
+import pytest
 
 from currantline.exceptions import HistoryLostError, PlatformError
 from currantline.replica import PlatformReader, Record, Replica
+from currantline.replica._reader import DISSEMINATION_MS
 from currantline.standin.network import LoopClock, Network, run_session
 from currantline.telemetry import EventLog
 
+RECOVERY_MS = 3_000.0
+
 
 @attrs.frozen
 class Batch:
@@ -28,6 +32,7 @@
         self.batch = Batch((Record("a", 1, "x"), Record("b", 2, "y")), 2)
         self.events: asyncio.Queue[Batch] = asyncio.Queue()
         self.calls: list[str] = []
+        self.call_times_s: list[float] = []
 
     async def read_all(self) -> Batch:
         """Return the batch."""
@@ -39,6 +44,7 @@
     async def watch(self, after: int, *, wait_ms: int) -> Batch:
         """Return the next batch of changes, or an empty one after the wait."""
         self.calls.append("watch")
+        self.call_times_s.append(asyncio.get_running_loop().time())
         if self.error:
             raise self.error
         try:
@@ -51,7 +57,7 @@
 class Harness:
     """Reader with a fake platform."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int = 1) -> None:
         clock = LoopClock(asyncio.get_running_loop())
         self.platform = FakePlatform()
         self.replica = Replica()
@@ -64,8 +70,9 @@
             is_reader=lambda: self.is_reader,
             uses_short_watches=lambda: False,
             on_change=lambda changed: None,
+            recovery_ms=RECOVERY_MS,
             clock=clock,
-            rng=random.Random(1),
+            rng=random.Random(seed),
             log=log,
         )
 
@@ -173,3 +180,63 @@
             assert text.count(b"platform_regained") == 1
 
         run(scenario)
+
+
+class TestBackoff:
+    """Calls while the platform is down."""
+
+    @pytest.mark.parametrize("length_s", [0.5 * n for n in range(1, 41)])
+    def test_returned_platform_is_read(self, length_s: float) -> None:
+        """Guards against a platform that no instance reads long after its return."""
+
+        async def scenario(harness: Harness) -> None:
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(0.1)
+            harness.platform.error = PlatformError("down")
+            await asyncio.sleep(length_s)
+            harness.platform.error = None
+            returned_s = loop.time()
+            await asyncio.sleep(RECOVERY_MS / 1000)
+            first_s = min(s for s in harness.platform.call_times_s if s >= returned_s)
+            assert first_s - returned_s <= (RECOVERY_MS - DISSEMINATION_MS) / 1000
+
+        run(scenario)
+
+    def test_instances_are_out_of_step(self) -> None:
+        """Guards against a fleet that returns to the platform all at once."""
+        pauses_s = []
+
+        async def session(seed: int) -> None:
+            harness = Harness(seed)
+            harness.platform.error = PlatformError("down")
+            harness.replica.merge([Record("a", 1, "x")], 1)
+            reading = asyncio.create_task(harness.reader.run())
+            await asyncio.sleep(8.0)
+            reading.cancel()
+            times_s = harness.platform.call_times_s
+            pauses_s.append(times_s[-1] - times_s[-2])
+
+        for seed in range(20):
+            run_session(Network(), session(seed))
+        assert len({round(pause_s, 1) for pause_s in pauses_s}) > 3
+
+    def test_retries_without_being_the_reader(self) -> None:
+        """Guards against an instance that takes an old outage for a recent one.
+
+        Removals are deferred after an outage; those that are read long after it must
+        be in force at once.
+        """
+
+        async def scenario(harness: Harness) -> None:
+            await asyncio.sleep(0.1)
+            harness.platform.error = PlatformError("down")
+            await asyncio.sleep(5.0)
+            harness.platform.error = None
+            harness.is_reader = False
+            await asyncio.sleep(60.0)
+            harness.is_reader = True
+            harness.platform.events.put_nowait(Batch((Record("a", 5, None),), 5))
+            await asyncio.sleep(0.5)
+            assert harness.replica.list_keys() == ["b"]
+
+        run(scenario)
