Let a restarted instance show which records are gone

A full read shows that a record is absent but leaves no mark. An instance that still held the record took over the revision of the restarted one and kept it, and the restarted one took the record back, since it knew none with that key.

A replica now states up to which revision it has no marks. An instance that is behind that revision pulls all records and removes what is absent. A record up to the own revision that isn't held is ignored, as it must have been removed. The statement is passed beside the changes, since instances of earlier releases accept no further field in them.

--- a/src/currantline/fleet/_replica_puller.py
+++ b/src/currantline/fleet/_replica_puller.py
@@ -134,6 +134,8 @@
         after = previous.position if previous is not None and is_same_incarnation else 0
         try:
             changes = await self._pull(source.host, after)
+            if changes.after and self._replica.is_gap_before(changes):
+                changes = await self._pull(source.host, 0)
         except (WireError, PeerError) as error:
             self._log.write("pull_failed", peer=source.host, reason=str(error))
             return False
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -50,11 +50,19 @@
 )
 from currantline.routing import RouteTable
 from currantline.telemetry import EventLog, Meter
-from currantline.wire import HttpClient, HttpServer, Request, Response, fetch
+from currantline.wire import (
+    HttpClient,
+    HttpServer,
+    Request,
+    Response,
+    fetch,
+    find_header,
+)
 
 __all__ = ["Gateway"]
 
 CHANGES_PATH = "/changes"
+HISTORY_HEADER = "currantline-history-revision"
 METRICS_PATH = "/metrics"
 
 # Port of the metrics endpoint; the deploy file states the same port.
@@ -382,7 +390,9 @@
             self._membership_protocol.notify_replica_change(is_from_platform=True)
 
     def _apply_pulled_changes(self, changes: Changes) -> None:
-        changed = self.replica.merge(changes.records, changes.revision)
+        changed = self.replica.apply_changes(
+            changes, defer_removals_until=self._reader.find_grace_deadline()
+        )
         self._published.apply(changed)
         if changed:
             self._membership_protocol.notify_replica_change(is_from_platform=False)
@@ -406,16 +416,19 @@
         response = await fetch(address, request, timeout_ms=PULL_TIMEOUT_MS)
         if response.status != 200:
             raise PeerError(f"{host} answered with status {response.status}")
-        return decode_changes(response.body)
+        history = find_header(response.headers, HISTORY_HEADER) or "0"
+        if not history.isdecimal():
+            raise PeerError(f"{host} answered with history {history!r}")
+        return decode_changes(response.body, after=after, history_revision=int(history))
 
     async def _handle_peer_request(self, request: Request) -> Response:
         path, _, query = request.target.partition("?")
         after = query.removeprefix("after=")
         if path != CHANGES_PATH or not after.isdecimal():
             return Response(status=404)
-        return Response(
-            status=200, body=encode_changes(self.replica.list_changes(int(after)))
-        )
+        changes = self.replica.list_changes(int(after))
+        history = (HISTORY_HEADER, str(changes.history_revision))
+        return Response(status=200, headers=(history,), body=encode_changes(changes))
 
     async def _handle_metrics_request(self, request: Request) -> Response:
         if request.target != METRICS_PATH:
--- a/src/currantline/replica/_codec.py
+++ b/src/currantline/replica/_codec.py
@@ -18,7 +18,10 @@
 
 
 def encode_changes(changes: Changes) -> bytes:
-    """Encode changes."""
+    """Encode changes; `after` and `history_revision` are passed beside them.
+
+    Instances of earlier releases accept no further fields here.
+    """
     rows = [[r.key, r.revision, r.document] for r in changes.records]
     document = [changes.position, changes.revision, rows]
     return zlib.compress(
@@ -26,9 +29,18 @@
     )
 
 
-def decode_changes(data: bytes) -> Changes:
+def decode_changes(data: bytes, *, after: int, history_revision: int) -> Changes:
     """Decode changes received from another instance.
 
+    Parameters
+    ----------
+    data : bytes
+        The encoded changes.
+    after : int
+        Position after which the changes were requested.
+    history_revision : int
+        Revision after which the other instance has a mark for each removal.
+
     Raises
     ------
     PeerError
@@ -37,6 +49,12 @@
     try:
         position, revision, rows = json.loads(zlib.decompress(data))
         records = tuple(Record(str(row[0]), int(row[1]), row[2]) for row in rows)
-        return Changes(position=int(position), revision=int(revision), records=records)
+        return Changes(
+            after=after,
+            position=int(position),
+            revision=int(revision),
+            history_revision=history_revision,
+            records=records,
+        )
     except (*MALFORMED_DATA_ERRORS, zlib.error) as error:
         raise PeerError(f"malformed changes: {error}") from error
--- a/src/currantline/replica/_reader.py
+++ b/src/currantline/replica/_reader.py
@@ -142,6 +142,17 @@
         """Whether the last call to the platform did not fail."""
         return not self._is_platform_down
 
+    def find_grace_deadline(self) -> float | None:
+        """Return the time until which removals are deferred, None if they are not.
+
+        Records that expired during an outage of the platform are published again soon
+        after its return.
+        """
+        now = self._clock.read()
+        if self._is_platform_down:
+            return now + RECOVERY_GRACE_MS
+        return self._grace_until_ms if now < self._grace_until_ms else None
+
     async def run_deferred_removals(self) -> None:
         """Remove records that are still missing after an outage, until cancelled."""
         while True:
@@ -187,7 +198,7 @@
             changed = self._replica.replace(
                 batch.records,
                 batch.revision,
-                defer_removals_until=self._find_grace_deadline(),
+                defer_removals_until=self.find_grace_deadline(),
             )
             self._needs_full_read = False
         else:
@@ -207,7 +218,7 @@
         return WATCH_TIMEOUT_MS
 
     def _merge(self, batch: RecordBatch) -> list[Record]:
-        grace_until_ms = self._find_grace_deadline()
+        grace_until_ms = self.find_grace_deadline()
         records = list(batch.records)
         if grace_until_ms is not None:
             self._replica.defer_removals(
@@ -216,10 +227,6 @@
             records = [r for r in records if not r.is_removed]
         return self._replica.merge(records, batch.revision)
 
-    def _find_grace_deadline(self) -> float | None:
-        is_in_grace_period = self._clock.read() < self._grace_until_ms
-        return self._grace_until_ms if is_in_grace_period else None
-
     def _start_grace_period(self) -> None:
         if self._is_platform_down:
             self._grace_until_ms = self._clock.read() + RECOVERY_GRACE_MS
--- a/src/currantline/replica/_replica.py
+++ b/src/currantline/replica/_replica.py
@@ -1,10 +1,19 @@
-"""Replica that merges records from the platform and from other instances."""
+"""Replica that merges records from the platform and from other instances.
+
+A replica with revision R is complete up to R: it holds each record that is published at
+R. A record up to R that it lacks has therefore been removed. A removal leaves a mark, a
+record without content, so that instances which still hold the record learn of it. A
+full read shows only that a record is absent, so there are no marks for what was removed
+up to `Replica.history_revision`. Instances that are behind that revision have to
+compare all records, see `Replica.apply_changes`.
+"""
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
+from currantline.exceptions import InvariantError
 from currantline.replica._record import Record
 
 __all__ = ["Changes", "Replica"]
@@ -16,17 +25,23 @@
 
     Parameters
     ----------
+    after : int
+        Position in the change sequence of the replica after which records are
+        included; 0 if they are all records.
     position : int
-        Position in the change sequence of the replica up to which records are
-        included.
+        Position up to which records are included.
     revision : int
         Platform revision up to which the replica is complete.
+    history_revision : int
+        Platform revision after which the replica has a mark for each removal.
     records : tuple of Record
         The changed records.
     """
 
+    after: int = 0
     position: int
     revision: int
+    history_revision: int = 0
     records: tuple[Record, ...]
 
 
@@ -44,6 +59,7 @@
         self._deferred_removals: dict[str, tuple[float, Record]] = {}
         self.position = 0
         self.revision = 0
+        self.history_revision = 0
         self.digest = 0
 
     def find(self, key: str) -> str | None:
@@ -58,6 +74,9 @@
     def merge(self, records: Iterable[Record], revision: int) -> list[Record]:
         """Apply records that are newer than the known ones.
 
+        A record up to the revision of this replica is either known or has been removed,
+        so it is ignored.
+
         Parameters
         ----------
         records : iterable of Record
@@ -70,25 +89,71 @@
         list of Record
             The records that changed.
         """
-        changed = [record for record in records if self._apply(record)]
+        news = [record for record in records if not self._is_outdated(record)]
+        changed = [record for record in news if self._apply(record)]
         self.revision = max(self.revision, revision)
         return changed
 
+    def is_gap_before(self, changes: Changes) -> bool:
+        """Return whether removals before some changes of another replica are unknown.
+
+        All records of the other replica are needed then.
+        """
+        return changes.history_revision > self.revision
+
+    def apply_changes(
+        self, changes: Changes, *, defer_removals_until: float | None = None
+    ) -> list[Record]:
+        """Apply the changes of another replica.
+
+        Parameters
+        ----------
+        changes : Changes
+            All records of the other replica if there is a gap before the changes.
+        defer_removals_until : float, optional
+            Time in milliseconds until which records that the other replica lacks are
+            kept, see `replace`.
+
+        Returns
+        -------
+        list of Record
+            The records that changed.
+
+        Raises
+        ------
+        InvariantError
+            If records are missing from the changes.
+        """
+        if not self.is_gap_before(changes):
+            return self.merge(changes.records, changes.revision)
+        if changes.after:
+            raise InvariantError("changes after a gap do not include all records")
+        return self.replace(
+            changes.records,
+            changes.revision,
+            history_revision=changes.history_revision,
+            defer_removals_until=defer_removals_until,
+        )
+
     def replace(
         self,
-        records: Iterable[Record],
+        records: Collection[Record],
         revision: int,
         *,
+        history_revision: int | None = None,
         defer_removals_until: float | None = None,
     ) -> list[Record]:
         """Apply the result of a full read.
 
         Parameters
         ----------
-        records : iterable of Record
+        records : collection of Record
             All published records.
         revision : int
             Revision at the start of the read.
+        history_revision : int, optional
+            Revision after which the records include a mark for each removal; the
+            revision of the read by default.
         defer_removals_until : float, optional
             Time in milliseconds until which records that the read lacks are kept.
             Records may expire during an outage of the platform and be published again
@@ -99,13 +164,18 @@
         list of Record
             The records that changed.
         """
-        published_records = {record.key: record for record in records}
+        if revision > self.revision:
+            history = revision if history_revision is None else history_revision
+            self.history_revision = max(self.history_revision, history)
+        # Marks are no evidence: a record may have been written again since, and been
+        # removed without a mark.
+        published = {record.key for record in records if not record.is_removed}
         absent = [
             Record(key, max(revision, self._records[key].revision), None)
             for key in self.list_keys()
-            if key not in published_records and self._records[key].revision <= revision
+            if key not in published and self._records[key].revision <= revision
         ]
-        changed = self.merge(published_records.values(), revision)
+        changed = self.merge(records, revision)
         if defer_removals_until is None:
             return changed + [record for record in absent if self._apply(record)]
         for record in absent:
@@ -139,11 +209,16 @@
         positions = self._positions.items()
         keys = [key for key, position in positions if position > after]
         return Changes(
+            after=after,
             position=self.position,
             revision=self.revision,
+            history_revision=self.history_revision,
             records=tuple(self._records[key] for key in keys),
         )
 
+    def _is_outdated(self, record: Record) -> bool:
+        return not record.is_removed and record.revision <= self.revision
+
     def _apply(self, record: Record) -> bool:
         previous = self._records.get(record.key)
         if not record.replaces(previous):
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -218,6 +218,27 @@
 
         run(scenario)
 
+    def test_removal_while_readers_restart(self) -> None:
+        """Guards against a target that has left and is used again after restarts.
+
+        The readers of both data centres are killed, a target leaves, and the readers
+        start again before the remaining instances read the store.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            readers = ("10.1.0.1", "10.2.0.1")
+            for host in readers:
+                await deployment.kill(host)
+            deployment.store.remove("servers/i-2")
+            await asyncio.sleep(0.1)
+            deployment.network.thaw_all()
+            await asyncio.gather(*(deployment.add_instance(host) for host in readers))
+            await asyncio.sleep(APPLY_LIMIT_MS / 1000)
+            for gateway in deployment.gateways.values():
+                assert gateway.targets.find("i-2") is None
+
+        run(scenario)
+
     def test_restart_while_the_store_is_down(self) -> None:
         """Guards against a restarted instance that cannot serve without the store."""
 
