Keep deferred removals when their reader ends

After an outage of the store, removals are deferred for 2.1 s, as records that expired in it are published again. The instance that read them claimed the new revision at once. Others took the revision over without the removal; if the instance ended before the removal was due, nobody ever read it again, and callers were sent to a target that had left. A write and a removal of one record in one batch also lost the removal.

The claimed revision now stays behind what has been read while a removal is deferred, so that others read it themselves.

--- a/src/currantline/replica/_reader.py
+++ b/src/currantline/replica/_reader.py
@@ -203,10 +203,14 @@
             self._needs_full_read = False
         else:
             batch = await self._platform.watch(
-                self._replica.revision, wait_ms=self._choose_watch_timeout()
+                self._replica.read_revision, wait_ms=self._choose_watch_timeout()
             )
             self._start_grace_period()
-            changed = self._merge(batch)
+            changed = self._replica.merge(
+                batch.records,
+                batch.revision,
+                defer_removals_until=self.find_grace_deadline(),
+            )
         self._on_change(changed)
         return bool(changed)
 
@@ -217,16 +221,6 @@
             return self._rng.randint(*SHORT_WATCH_TIMEOUT_MS)
         return WATCH_TIMEOUT_MS
 
-    def _merge(self, batch: RecordBatch) -> list[Record]:
-        grace_until_ms = self.find_grace_deadline()
-        records = list(batch.records)
-        if grace_until_ms is not None:
-            self._replica.defer_removals(
-                [r for r in records if r.is_removed], grace_until_ms
-            )
-            records = [r for r in records if not r.is_removed]
-        return self._replica.merge(records, batch.revision)
-
     def _start_grace_period(self) -> None:
         if self._is_platform_down:
             self._grace_until_ms = self._clock.read() + RECOVERY_GRACE_MS
--- a/src/currantline/replica/_replica.py
+++ b/src/currantline/replica/_replica.py
@@ -51,6 +51,21 @@
     A record is replaced only by a newer one, so that late reports have no effect.
     Each change gets a position in the change sequence of the replica, so that other
     instances can request the changes since their last request.
+
+    Attributes
+    ----------
+    position : int
+        Position of the last change.
+    revision : int
+        Platform revision up to which the replica is complete. It stays behind
+        `read_revision` while removals are deferred, so that another instance reads
+        them again if this one ends first.
+    read_revision : int
+        Platform revision up to which changes have been read.
+    history_revision : int
+        Platform revision after which the replica has a mark for each removal.
+    digest : int
+        Hash of the records that are not removed.
     """
 
     def __init__(self) -> None:
@@ -59,6 +74,7 @@
         self._deferred_removals: dict[str, tuple[float, Record]] = {}
         self.position = 0
         self.revision = 0
+        self.read_revision = 0
         self.history_revision = 0
         self.digest = 0
 
@@ -71,10 +87,16 @@
         """Return the keys of all records that are not removed."""
         return [key for key, r in self._records.items() if not r.is_removed]
 
-    def merge(self, records: Iterable[Record], revision: int) -> list[Record]:
+    def merge(
+        self,
+        records: Iterable[Record],
+        revision: int,
+        *,
+        defer_removals_until: float | None = None,
+    ) -> list[Record]:
         """Apply records that are newer than the known ones.
 
-        A record up to the revision of this replica is either known or has been removed,
+        A record up to `read_revision` is either known or has been removed,
         so it is ignored.
 
         Parameters
@@ -83,6 +105,9 @@
             All changes up to ``revision`` that this replica lacks.
         revision : int
             Revision up to which the records are complete.
+        defer_removals_until : float, optional
+            Time in milliseconds until which removed records are kept, unless they are
+            published again.
 
         Returns
         -------
@@ -90,8 +115,12 @@
             The records that changed.
         """
         news = [record for record in records if not self._is_outdated(record)]
+        if defer_removals_until is not None:
+            removals = [r for r in news if r.is_removed and self._is_held(r.key)]
+            self._defer(removals, defer_removals_until)
+            news = [record for record in news if record not in removals]
         changed = [record for record in news if self._apply(record)]
-        self.revision = max(self.revision, revision)
+        self._advance(revision)
         return changed
 
     def is_gap_before(self, changes: Changes) -> bool:
@@ -175,19 +204,11 @@
             for key in self.list_keys()
             if key not in published and self._records[key].revision <= revision
         ]
+        if defer_removals_until is not None:
+            self._defer(absent, defer_removals_until)
+            return self.merge(records, revision)
         changed = self.merge(records, revision)
-        if defer_removals_until is None:
-            return changed + [record for record in absent if self._apply(record)]
-        for record in absent:
-            self._deferred_removals.setdefault(
-                record.key, (defer_removals_until, record)
-            )
-        return changed
-
-    def defer_removals(self, removals: Iterable[Record], until: float) -> None:
-        """Apply removals only after a time, unless the records are published again."""
-        for record in removals:
-            self._deferred_removals.setdefault(record.key, (until, record))
+        return changed + [record for record in absent if self._apply(record)]
 
     def apply_due_removals(self, now: float) -> list[Record]:
         """Apply deferred removals whose time has come.
@@ -202,7 +223,9 @@
         ]
         for record in due:
             del self._deferred_removals[record.key]
-        return [record for record in due if self._apply(record)]
+        changed = [record for record in due if self._apply(record)]
+        self._advance(self.read_revision)
+        return changed
 
     def list_changes(self, after: int) -> Changes:
         """Return the changes after a position of this replica."""
@@ -216,14 +239,34 @@
             records=tuple(self._records[key] for key in keys),
         )
 
+    def _defer(self, removals: Iterable[Record], until: float) -> None:
+        for record in removals:
+            due, deferred = self._deferred_removals.get(record.key, (until, None))
+            is_newer = deferred is None or record.revision > deferred.revision
+            if is_newer and record.replaces(self._records.get(record.key)):
+                # A removal that is read once more becomes due no later.
+                self._deferred_removals[record.key] = (due, record)
+
+    def _advance(self, revision: int) -> None:
+        self.read_revision = max(self.read_revision, revision)
+        if not self._deferred_removals:
+            self.revision = self.read_revision
+
+    def _is_held(self, key: str) -> bool:
+        record = self._records.get(key)
+        return record is not None and not record.is_removed
+
     def _is_outdated(self, record: Record) -> bool:
-        return not record.is_removed and record.revision <= self.revision
+        is_kept = record.is_removed or record.key in self._deferred_removals
+        return not is_kept and record.revision <= self.read_revision
 
     def _apply(self, record: Record) -> bool:
         previous = self._records.get(record.key)
         if not record.replaces(previous):
             return False
-        self._deferred_removals.pop(record.key, None)
+        _, deferred = self._deferred_removals.get(record.key, (0.0, None))
+        if record.is_removed or record.replaces(deferred):
+            self._deferred_removals.pop(record.key, None)
         self._records[record.key] = record
         self.position += 1
         self._positions[record.key] = self.position
--- a/src/currantline/replica/tests/test_reader.py
+++ b/src/currantline/replica/tests/test_reader.py
@@ -157,7 +157,7 @@
             assert not harness.reader.can_reach_platform
             harness.platform.error = None
             harness.platform.events.put_nowait(Batch((Record("a", 5, None),), 5))
-            while harness.replica.revision < 5:
+            while harness.replica.read_revision < 5:
                 await asyncio.sleep(0.05)
             assert sorted(harness.replica.list_keys()) == ["a", "b"]
             harness.platform.events.put_nowait(Batch((Record("c", 6, "z"),), 6))
--- a/src/currantline/replica/tests/test_replica.py
+++ b/src/currantline/replica/tests/test_replica.py
@@ -71,6 +71,43 @@
         assert replica.apply_due_removals(100.0) == [Record("b", 4, None)]
         assert replica.list_keys() == ["a"]
 
+    def test_deferring_instance_is_lost(self) -> None:
+        """Guards against a removal that is lost with the instance that deferred it.
+
+        Others must not take over a revision up to which they lack a removal.
+        """
+        reader, other = Replica(), Replica()
+        for replica in (reader, other):
+            replica.merge([Record("a", 1, "x")], 1)
+        changes = [Record("a", 2, None), Record("b", 3, "y")]
+        reader.merge(changes, 3, defer_removals_until=100.0)
+        assert (reader.revision, reader.read_revision) == (1, 3)
+        other.apply_changes(reader.list_changes(0))
+        assert other.list_keys() == ["a", "b"]
+        assert other.revision < 2
+        assert reader.apply_due_removals(100.0) == [Record("a", 2, None)]
+        assert reader.revision == 3
+
+    def test_absence_is_deferred(self) -> None:
+        """Guards against an absence that is lost with the instance that read it."""
+        replica = Replica()
+        replica.merge([Record("a", 1, "x")], 1)
+        replica.replace([], 5, defer_removals_until=100.0)
+        assert (replica.revision, replica.list_keys()) == (1, ["a"])
+        other = Replica()
+        other.merge([Record("a", 1, "x"), Record("a", 4, None)], 7)
+        replica.apply_changes(other.list_changes(0))
+        assert (replica.revision, replica.list_keys()) == (7, [])
+
+    def test_written_and_removed_while_deferring(self) -> None:
+        """Guards against a removal that is forgotten for an earlier change."""
+        replica = Replica()
+        replica.merge([Record("a", 1, "x")], 1)
+        changes = [Record("a", 2, "y"), Record("a", 3, None)]
+        replica.merge(changes, 3, defer_removals_until=100.0)
+        replica.apply_due_removals(100.0)
+        assert replica.list_keys() == []
+
     def test_changes_after_a_position(self) -> None:
         """Guards against pulls that miss changes or always return all records."""
         replica = Replica()
@@ -158,7 +195,10 @@
 
     @pytest.mark.parametrize("seed", range(60))
     def test_no_removed_record(self, seed: int) -> None:
-        """Guards against replicas that hold a record beyond its removal."""
+        """Guards against replicas that hold a record beyond its removal.
+
+        Removals are deferred at random, as after an outage.
+        """
         rng = random.Random(seed)
         store = Store()
         replicas = [Replica() for _ in range(4)]
@@ -179,12 +219,18 @@
             later = store.list_records(store.revision)
             page = [r for key, r in records.items() if key < boundary]
             page += [r for key, r in later.items() if key >= boundary]
-            replicas[index].replace(page, started)
+            replicas[index].replace(
+                page, started, defer_removals_until=rng.choice([None, now + 20.0])
+            )
 
         def watch(index: int) -> None:
             replica = replicas[index]
             if replica.revision:
-                replica.merge(store.history[replica.revision :], store.revision)
+                replica.merge(
+                    store.history[replica.read_revision :],
+                    store.revision,
+                    defer_removals_until=rng.choice([None, now + 20.0]),
+                )
 
         def pull(index: int, source: int) -> None:
             replica = replicas[index]
@@ -192,9 +238,13 @@
             if changes.after and replica.is_gap_before(changes):
                 changes = replicas[source].list_changes(0)
             checkpoints[index, source] = changes.position
-            replica.apply_changes(changes)
+            replica.apply_changes(
+                changes, defer_removals_until=rng.choice([None, now + 20.0])
+            )
 
+        now = 0.0
         for _ in range(300):
+            now += 1.0
             index, source = rng.sample(range(4), 2)
             action = rng.choices(
                 ("change", "restart", "read", "watch", "pull"), (8, 1, 2, 2, 8)
@@ -206,14 +256,20 @@
             else:
                 {"restart": restart, "read": read, "watch": watch}[action](index)
             for replica in replicas:
+                replica.apply_due_removals(now)
                 published = store.list_records(replica.revision)
                 for record in replica.list_changes(0).records:
                     if not record.is_removed and record.revision <= replica.revision:
                         assert published.get(record.key) == record
-        read(0)
-        watch(0)
+        for index in range(4):
+            if not replicas[index].revision:
+                read(index)
+        for index in range(4):
+            watch(index)
+            replicas[index].apply_due_removals(now + 100.0)
         for index in range(1, 4):
             pull(index, 0)
+            replicas[index].apply_due_removals(now + 100.0)
         assert len({(r.revision, r.digest) for r in replicas}) == 1
         assert sorted(replicas[3].list_keys()) == sorted(
             store.list_records(store.revision)
