Refuse entries of targets that cannot be used

One entry of another writer with an address without a port made requests end with 502, and a key with an unpaired surrogate ended the task that follows the store, and with it the process, at each start.

Fields were checked for their type only. A bad address raised ValueError or OverflowError when a connection was opened, a bad key UnicodeEncodeError when it was hashed; nothing expected either.

A PublishedTarget now validates its name, address and warm-up time, connect raises WireError for an address that it cannot use, an unexpected error while a record is applied is logged and ends nothing else, and an unreadable value is treated like an invalid document. Numbers in Keep-Alive and in the position of a pull are bounded as well.

TestOddEntries puts 64 entries and five names into a running deployment: three addresses and one name failed before. Five cases of TestConnect failed before. The fixture of test_limit_reader had an empty address; it has a valid one now.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Coroutine, Sequence
 from typing import Any
 
@@ -62,6 +63,7 @@
 __all__ = ["Gateway"]
 
 CHANGES_PATH = "/changes"
+POSITION_PATTERN = re.compile(r"[0-9]{1,20}")
 HISTORY_HEADER = "currantline-history-revision"
 METRICS_PATH = "/metrics"
 
@@ -417,14 +419,14 @@
         if response.status != 200:
             raise PeerError(f"{host} answered with status {response.status}")
         history = find_header(response.headers, HISTORY_HEADER) or "0"
-        if not history.isdecimal():
+        if not POSITION_PATTERN.fullmatch(history):
             raise PeerError(f"{host} answered with history {history!r}")
         return decode_changes(response.body, after=after, history_revision=int(history))
 
     async def _handle_peer_request(self, request: Request) -> Response:
         path, _, query = request.target.partition("?")
         after = query.removeprefix("after=")
-        if path != CHANGES_PATH or not after.isdecimal():
+        if path != CHANGES_PATH or not POSITION_PATTERN.fullmatch(after):
             return Response(status=404)
         changes = self.replica.list_changes(int(after))
         history = (HISTORY_HEADER, str(changes.history_revision))
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -1,13 +1,26 @@
 """A target as published on the platform, and its state in an instance."""
 
+import re
+from typing import Any
+
 import attrs
 
+from currantline.exceptions import InvalidValueError
 from currantline.placement._load_report import LoadReport
 from currantline.placement._passive_health import PassiveHealth
 from currantline.placement._rate_limit import RateLimit
+from currantline.validators import check_address, check_at_least, check_finite
 
 __all__ = ["PublishedTarget", "Target"]
 
+# Names are sent in a header.
+NAME_PATTERN = re.compile(r"[!-~]{1,200}")
+
+
+def _check_name(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
+    if not NAME_PATTERN.fullmatch(value):
+        raise InvalidValueError(f"{value!r:.80} is not a name", path=attribute.name)
+
 
 @attrs.frozen(kw_only=True)
 class PublishedTarget:
@@ -31,16 +44,23 @@
         Whether the target accepts no new requests.
     warmup_ms : float
         Remaining warm-up time in milliseconds.
+
+    Raises
+    ------
+    InvalidValueError
+        If the name, the address or the warm-up time cannot be used.
     """
 
-    name: str
+    name: str = attrs.field(validator=_check_name)
     started_unix_ms: int = 0
-    address: str
+    address: str = attrs.field(validator=check_address)
     service: str
     data_centre: str
     slots: int
     is_draining: bool = False
-    warmup_ms: float = 0.0
+    warmup_ms: float = attrs.field(
+        default=0.0, validator=[check_finite, check_at_least(0.0)]
+    )
 
 
 @attrs.define(eq=False)
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -8,7 +8,11 @@
 from collections.abc import Mapping
 from typing import Any
 
-from currantline.exceptions import MALFORMED_DATA_ERRORS, ConfigurationError
+from currantline.exceptions import (
+    MALFORMED_DATA_ERRORS,
+    ConfigurationError,
+    InvalidValueError,
+)
 from currantline.placement import PublishedTarget
 from currantline.routing import (
     CallerLimits,
@@ -77,19 +81,19 @@
     Raises
     ------
     ConfigurationError
-        If a field is missing or has the wrong type, or the state is unknown.
+        If a field is missing or cannot be used, or the state is unknown.
     """
     document = _load_object(text, key)
     try:
         info, status = document["info"], document["status"]
         state, address = status["state"], document["address"]
         if state not in (READY, DRAINING):
-            raise ConfigurationError(f"unknown state {state!r}", source=key)
+            raise ConfigurationError(f"unknown state {state!r:.80}", source=key)
         slots, born = info["slots"], document.get("born", 0)
         warmup_ms = status.get("warmupLeftMs", 0)
         _check_types(key, slots=(slots, int), born=(born, int), address=(address, str))
         if not 0 <= slots <= MAX_SLOTS:
-            raise ConfigurationError(f"{slots!r} slots", source=key, path="slots")
+            raise ConfigurationError(f"{slots!r:.80} slots", source=key, path="slots")
         _check_types(key, service=(info["service"], str), zone=(info["zone"], str))
         _check_types(key, warmupLeftMs=(warmup_ms, (int, float)))
         return PublishedTarget(
@@ -102,7 +106,9 @@
             is_draining=state == DRAINING,
             warmup_ms=float(warmup_ms),
         )
-    except MALFORMED_DATA_ERRORS as error:
+    except ConfigurationError:
+        raise
+    except (*MALFORMED_DATA_ERRORS, InvalidValueError) as error:
         raise ConfigurationError(
             f"{type(error).__name__}: {error}", source=key
         ) from error
@@ -122,7 +128,7 @@
     for name, (value, expected) in fields.items():
         if not isinstance(value, expected) or isinstance(value, bool):
             raise ConfigurationError(
-                f"{value!r} has the wrong type", source=source, path=name
+                f"{value!r:.80} has the wrong type", source=source, path=name
             )
 
 
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -32,6 +32,9 @@
 
 HTTP_GONE = 410
 
+# Document in place of a value that cannot be read; it is not valid JSON.
+UNREADABLE = ""
+
 
 @attrs.frozen(kw_only=True)
 class RecordBatch:
@@ -108,7 +111,9 @@
         self, path: str, query: dict[str, Any], timeout_ms: float
     ) -> dict[str, Any]:
         self.calls += 1
-        request = Request(method="GET", target=f"{path}?{urlencode(query)}")
+        # Another program may have chosen a key that is not valid Unicode.
+        encoded = urlencode(query, errors="surrogatepass")
+        request = Request(method="GET", target=f"{path}?{encoded}")
         try:
             response = await self._http.fetch(request, timeout_ms=timeout_ms)
         except WireError as error:
@@ -137,20 +142,24 @@
     return revision
 
 
-def _decode_items(items: Iterable[Any]) -> Iterable[Record]:
-    for item in items:
-        try:
-            document = None if item.get("removed") else _decode_value(item["value"])
-            yield Record(str(item["key"]), int(item["revision"]), document)
-        except MALFORMED_DATA_ERRORS as error:
-            raise PlatformError(f"cannot decode item: {error}") from error
+def _decode_items(items: Iterable[Any]) -> list[Record]:
+    try:
+        return [_decode_item(item) for item in items]
+    except MALFORMED_DATA_ERRORS as error:
+        raise PlatformError(f"cannot decode item: {error}") from error
+
+
+def _decode_item(item: dict[str, Any]) -> Record:
+    document = None if item.get("removed") else _decode_value(item["value"])
+    return Record(str(item["key"]), int(item["revision"]), document)
 
 
-def _decode_value(value: str) -> str:
+def _decode_value(value: Any) -> str:
     try:
         data = base64.b64decode(value, validate=True)
-    except binascii.Error as error:
-        raise PlatformError(f"value is not base64: {error}") from error
+    except (binascii.Error, TypeError, ValueError):
+        # One unreadable value must not keep instances from following the others.
+        return UNREADABLE
     # Another program may write bytes that are not UTF-8; the replacement characters
     # mark them without failing the read.
     return data.decode("utf-8", errors="replace")
--- a/src/currantline/published_state.py
+++ b/src/currantline/published_state.py
@@ -67,10 +67,17 @@
     def apply(self, changed: Iterable[Record]) -> None:
         """Apply changed records; invalid ones are logged and not used."""
         for record in changed:
-            if record.key == CONFIGURATION_KEY:
-                self._apply_configuration(record)
-            elif record.key.startswith(TARGET_PREFIX):
-                self._apply_target(record)
+            try:
+                self._apply_record(record)
+            except Exception as error:
+                # One record must not keep the instance from following the others.
+                self._log.write("record_failed", key=record.key, reason=repr(error))
+
+    def _apply_record(self, record: Record) -> None:
+        if record.key == CONFIGURATION_KEY:
+            self._apply_configuration(record)
+        elif record.key.startswith(TARGET_PREFIX):
+            self._apply_target(record)
 
     def _apply_configuration(self, record: Record) -> None:
         if record.document is None:
--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -7,7 +7,7 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.exceptions import TargetConnectError
+from currantline.exceptions import TargetConnectError, WireError
 from currantline.telemetry import Meter
 from currantline.wire import (
     BodyMemory,
@@ -43,7 +43,8 @@
 # machines have 200 MB.
 MAX_RESPONSE_BYTES_HELD = 48 * 1024 * 1024
 
-KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
+# Longer numbers do not fit into a float.
+KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d{1,9})")
 
 
 @attrs.define(eq=False)
@@ -158,7 +159,7 @@
                     max_body_bytes=MAX_RESPONSE_BODY_BYTES,
                     body_memory=self._body_memory,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, WireError) as error:
             raise TargetConnectError(f"cannot reach {address}: {error!r}") from error
         return Lease(address, connection)
 
--- a/src/currantline/relay/tests/test_limit_reader.py
+++ b/src/currantline/relay/tests/test_limit_reader.py
@@ -28,7 +28,9 @@
 ) -> list[float]:
     """Return what one response makes a reader observe, NaN for the end of a limit."""
     target = Target(
-        PublishedTarget(name="t", address="", service="s", data_centre="a", slots=1),
+        PublishedTarget(
+            name="t", address="10.0.0.1:80", service="s", data_centre="a", slots=1
+        ),
         rate_limit=RateLimit(previous, 0.0),
     )
     observed: list[float] = []
--- a/src/currantline/replica/_replica.py
+++ b/src/currantline/replica/_replica.py
@@ -277,4 +277,6 @@
 def _hash(record: Record | None) -> int:
     if record is None or record.is_removed:
         return 0
-    return zlib.crc32(f"{record.key}:{record.revision}".encode())
+    # A key may hold what is not valid Unicode.
+    text = f"{record.key}:{record.revision}"
+    return zlib.crc32(text.encode(errors="surrogatepass"))
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """End-to-end tests of deployments on the users' platform, in virtual time."""
 
 import asyncio
+import json
 from typing import Any
 
 import pytest
@@ -20,6 +21,51 @@
 ENTRY = make_target_entry("10.9.0.9:80")
 
 
+def make_odd_entry(table: str | None, field: str, value: str) -> bytes:
+    """Return an entry of a target with one field in JSON as given."""
+    document: dict[str, Any] = make_target_entry("10.9.0.9:80")
+    (document[table] if table else document)[field] = "ODD"
+    return json.dumps(document).replace('"ODD"', value).encode()
+
+
+NESTED = "[" * 900 + "]" * 900
+ODD_ENTRIES = [
+    b"[" * 100_000,
+    b'{"info":' * 50_000,
+    *(
+        make_odd_entry(table, field, value)
+        for table, field in [
+            (None, "address"),
+            (None, "born"),
+            ("info", "slots"),
+            ("info", "service"),
+            ("info", "zone"),
+            ("status", "state"),
+            ("status", "warmupLeftMs"),
+        ]
+        for value in (NESTED, "1e999", "-1e999", "NaN", "9" * 400, "9" * 5000, "{}")
+    ),
+    *(
+        make_odd_entry(None, "address", json.dumps(address))
+        for address in [
+            "",
+            "10.9.0.9",
+            "10.9.0.9:",
+            "10.9.0.9:0",
+            "10.9.0.9:-1",
+            "10.9.0.9:65536",
+            "10.9.0.9:" + "9" * 30,
+            "10.9.0.9:80:80",
+            "10.9.0.999:80",
+            "example:80",
+            ":80",
+            "10.9.0.9\n:80",
+            "\ud800:80",
+        ]
+    ),
+]
+
+
 class TestRequests:
     """Requests, address queries and metrics without faults."""
 
@@ -173,6 +219,52 @@
         run(scenario)
 
 
+class TestOddEntries:
+    """Entries of targets that another program has written."""
+
+    @pytest.mark.parametrize("number", range(len(ODD_ENTRIES)))
+    def test_odd_entry(self, number: int) -> None:
+        """Guards against one odd entry that ends an instance or a request.
+
+        The entry is there when an instance starts, changes, and is passed on to others.
+        """
+
+        async def scenario(deployment: Deployment) -> None:
+            deployment.store.put("servers/odd", ODD_ENTRIES[number])
+            await asyncio.sleep(0.5)
+            await deployment.kill("10.1.0.2")
+            deployment.network.thaw_all()
+            await deployment.add_instance("10.1.0.2")
+            await asyncio.sleep(1.0)
+            for host in HOSTS:
+                for _ in range(4):
+                    assert (await deployment.call(host)).status == 200
+            deployment.store.put("servers/odd", ENTRY)
+            deployment.store.put("op/config", make_configuration(7))
+            await asyncio.sleep(1.0)
+            assert deployment.list_versions() == [7] * 4
+            for gateway in deployment.gateways.values():
+                assert gateway.targets.find("odd") is not None
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        "name", ["a b", "a\r\nx: y", "\u00e9", "\ud800", "x" * 5000]
+    )
+    def test_odd_name(self, name: str) -> None:
+        """Guards against a name that cannot be written into a header."""
+
+        async def scenario(deployment: Deployment) -> None:
+            for worker in ("i-1", "i-2"):
+                deployment.store.remove(f"servers/{worker}")
+            deployment.store.put(f"servers/{name}", make_target_entry("10.9.0.1:80"))
+            await asyncio.sleep(3.0)
+            for host in HOSTS:
+                assert (await deployment.call(host)).status == 503
+
+        run(scenario)
+
+
 class TestFaults:
     """Failures of the store, of instances and of the network."""
 
--- a/src/currantline/validators.py
+++ b/src/currantline/validators.py
@@ -1,13 +1,14 @@
 """Validators for attrs fields."""
 
 import ipaddress
+import math
 from typing import Any
 
 import attrs
 
 from currantline.exceptions import InvalidValueError
 
-__all__ = ["check_address", "check_at_least"]
+__all__ = ["check_address", "check_at_least", "check_finite"]
 
 
 def check_address(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
@@ -26,7 +27,7 @@
         is_valid = False
     if not is_valid:
         raise InvalidValueError(
-            f"{value!r} is not an IP address and a port such as 127.0.0.1:8080",
+            f"{value!r:.80} is not an IP address and a port such as 127.0.0.1:8080",
             path=attribute.name,
         )
 
@@ -41,3 +42,17 @@
             )
 
     return check
+
+
+def check_finite(
+    instance: Any, attribute: "attrs.Attribute[float]", value: float
+) -> None:
+    """Check that a number is finite.
+
+    Raises
+    ------
+    InvalidValueError
+        If it is infinite or not a number.
+    """
+    if not math.isfinite(value):
+        raise InvalidValueError(f"{value!r} is not finite", path=attribute.name)
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -10,6 +10,7 @@
 from currantline.exceptions import (
     BodyTooLargeError,
     ProtocolError,
+    WireError,
 )
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._messages import Headers, Request, Response
@@ -381,8 +382,12 @@
     ------
     OSError
         If the address cannot be reached.
+    WireError
+        If it is not an address.
     """
     host, _, port = address.rpartition(":")
+    if not (host and port.isdecimal() and int(port[:6]) < 65536):
+        raise WireError(f"{address!r:.80} is not an address")
     _, connection = await asyncio.get_running_loop().create_connection(
         lambda: HttpConnection(
             h11.CLIENT, max_body_bytes=max_body_bytes, body_memory=body_memory
--- a/src/currantline/wire/tests/test_connection.py
+++ b/src/currantline/wire/tests/test_connection.py
@@ -8,7 +8,7 @@
 import pytest
 
 from currantline.exceptions import BodyTooLargeError, WireError
-from currantline.wire import HttpConnection, HttpServer, Request, Response
+from currantline.wire import HttpConnection, HttpServer, Request, Response, connect
 
 T = TypeVar("T")
 
@@ -150,6 +150,18 @@
         assert asyncio.run(serve()) >= requests
 
 
+class TestConnect:
+    """Opening connections."""
+
+    @pytest.mark.parametrize(
+        "address", ["", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:-1", "127.0.0.1:65536"]
+    )
+    def test_invalid_address(self, address: str) -> None:
+        """Guards against an address that ends the task which connects to it."""
+        with pytest.raises(WireError):
+            asyncio.run(connect(address, max_body_bytes=1))
+
+
 class TestInterruption:
     """Limits that end a body before it is complete."""
 
