Pass header values on byte for byte, and end every request

Values were read as Latin-1 and written as ASCII. The UnicodeEncodeError came up in the done callback that writes responses, which expected ProtocolError only: the request was off the queue and the connection stayed open and silent.

Values are now encoded as they are decoded, for requests and responses. A response that cannot be written is replaced by 502, and any other error while writing closes the connection.

TestHeaderBytes, test_unwritable_response and test_unexpected_error_in_writing failed before.

--- a/src/currantline/relay/_pipeline.py
+++ b/src/currantline/relay/_pipeline.py
@@ -21,6 +21,7 @@
 # Maximum number of requests of one connection in progress.
 MAX_REQUESTS = 16
 
+BAD_GATEWAY = 502
 CLOSE = ("connection", "close")
 
 
@@ -123,15 +124,23 @@
         if not self._entries and self.on_empty is not None:
             self.on_empty()
 
+    def _encode(self, entry: _Entry, response: Response) -> bytes:
+        try:
+            return entry.exchange.encode_response(response)
+        except ProtocolError as error:
+            self._log.write("answer_replaced", reason=str(error))
+            return entry.exchange.encode_response(Response(status=BAD_GATEWAY))
+
     def _write(self, entry: _Entry) -> None:
         response = entry.task.result()
         # Requests behind this one have been passed on, and their responses must follow.
         if self._is_draining() and not self._entries:
             response = attrs.evolve(response, headers=(*response.headers, CLOSE))
         try:
-            self._connection.write(entry.exchange.encode_response(response))
-        except ProtocolError as error:
-            self._log.write("answer_not_written", reason=str(error))
+            self._connection.write(self._encode(entry, response))
+        except Exception as error:
+            # The caller must see an end, whatever the fault is.
+            self._log.write("answer_not_written", reason=repr(error))
             self._is_closed = True
             self._connection.abort()
             return
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -255,6 +255,8 @@
         Response to all health checks in place of a success, if not empty.
     requests : int
         Number of received requests.
+    heads : list of bytes
+        Request lines and headers of the received requests.
     """
 
     name: str
@@ -264,6 +266,7 @@
     before_health: bytes = b""
     health: bytes = b""
     requests: int = 0
+    heads: list[bytes] = attrs.field(factory=list)
 
     async def start(self, address: str) -> None:
         """Listen on ``ip:port``."""
@@ -303,6 +306,7 @@
                 self._transport.write(text.encode())
             return
         self._script.requests += 1
+        self._script.heads.append(head)
         response = self._script.responses.pop(0) if self._script.responses else b""
         if response:
             self._transport.write(response)
--- a/src/currantline/relay/tests/test_relay.py
+++ b/src/currantline/relay/tests/test_relay.py
@@ -5,9 +5,16 @@
 
 import pytest
 
-from currantline.relay.tests.support import RelayHarness, make_route, run_scenario
+from currantline.relay.tests.support import (
+    CALLER,
+    LISTEN_ADDRESS,
+    RelayHarness,
+    make_route,
+    run_scenario,
+)
 from currantline.routing import WeightedService
-from currantline.wire import Response, find_header
+from currantline.standin.network import run_on_host
+from currantline.wire import Response, connect, find_header
 
 SIGNED = b"x-id: a\r\nx-signature: s\r\n"
 NON_IDEMPOTENT = make_route(is_idempotent=False)
@@ -598,6 +605,32 @@
         run_scenario(scenario, NON_IDEMPOTENT)
 
 
+class TestHeaderBytes:
+    """Header values with bytes above 0x7f, which HTTP allows."""
+
+    def test_both_directions(self) -> None:
+        """Guards against a header byte that leaves a caller without any answer."""
+        value = b"text/\xe9\xff"
+        answer = SIGNED + b"content-type: " + value + b"\r\ncontent-length: 0\r\n\r\n"
+
+        async def scenario(harness: RelayHarness) -> None:
+            script = await harness.add_scripted_target(b"HTTP/1.1 200 OK\r\n" + answer)
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await run_on_host(
+                CALLER, connect(LISTEN_ADDRESS, max_body_bytes=1_000)
+            )
+            connection.discard_response()
+            head = b"GET /a HTTP/1.1\r\nhost: h\r\nx-id: a\r\nx-name: " + value
+            connection.write(head + b"\r\n\r\n")
+            async with asyncio.timeout(1.0):
+                response = await connection.read_response()
+            assert response.status == 200
+            assert find_header(response.headers, "content-type") == "text/\xe9\xff"
+            assert b"x-name: " + value in script.heads[0]
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
+
 class TestBrokenHead:
     """A target that closes the connection in the middle of the head of its response."""
 
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -1,8 +1,10 @@
 """Tests of the server for caller connections."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import attrs
+import pytest
 
 from currantline.relay import RelayServer
 from currantline.relay._body_budget import BodyBudget
@@ -33,6 +35,22 @@
     return await run_on_host(CALLER, connect(LISTEN_ADDRESS, max_body_bytes=1_000_000))
 
 
+async def start_server(
+    harness: RelayHarness, handle: Callable[[Request, float], Awaitable[Response]]
+) -> RelayServer:
+    """Start a server with a handler of its own."""
+    server = RelayServer(
+        handle,
+        is_idempotent=lambda request: True,
+        names=NAMES,
+        read_limits=CallerLimits,
+        clock=harness.clock,
+        log=EventLog("i", clock=harness.clock, write=len),
+    )
+    await server.start(LISTEN_ADDRESS)
+    return server
+
+
 MEBIBYTE = 1024 * 1024
 UPLOADS = make_route(is_idempotent=False, timeout_ms=4_000.0)
 
@@ -345,15 +363,7 @@
             return Response(status=200)
 
         async def scenario(harness: RelayHarness) -> None:
-            server = RelayServer(
-                handle,
-                is_idempotent=lambda request: True,
-                names=NAMES,
-                read_limits=CallerLimits,
-                clock=harness.clock,
-                log=EventLog("i", clock=harness.clock, write=len),
-            )
-            await server.start(LISTEN_ADDRESS)
+            await start_server(harness, handle)
             connection = await open_connection()
             write_pipelined(connection, "a", "b")
             connection.discard_response()
@@ -363,6 +373,43 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize(
+        ("header", "status"), [(("x\r\n", "1"), 502), (("x", "\u20ac"), 502)]
+    )
+    def test_unwritable_response(self, header: tuple[str, str], status: int) -> None:
+        """Guards against a response that cannot be written and leaves no answer."""
+
+        async def handle(request: Request, arrived_ms: float) -> Response:
+            headers = (header,) if request.target == "/a" else ()
+            return Response(status=200, headers=headers)
+
+        async def scenario(harness: RelayHarness) -> None:
+            await start_server(harness, handle)
+            connection = await open_connection()
+            write_pipelined(connection, "a", "b")
+            for expected in (status, 200):
+                connection.discard_response()
+                async with asyncio.timeout(1.0):
+                    assert (await connection.read_response()).status == expected
+
+        run_scenario(scenario)
+
+    def test_unexpected_error_in_writing(self) -> None:
+        """Guards against a fault after which a connection stays open and silent."""
+
+        async def handle(request: Request, arrived_ms: float) -> Response:
+            return Response(status=200, headers=((None, "1"),))  # type: ignore[arg-type]
+
+        async def scenario(harness: RelayHarness) -> None:
+            server = await start_server(harness, handle)
+            connection = await open_connection()
+            write_pipelined(connection, "a")
+            await asyncio.sleep(0.5)
+            assert connection.is_lost
+            assert server.active_requests == 0
+
+        run_scenario(scenario)
+
 
 class TestBodies:
     """Request bodies, which may be large."""
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages over one asyncio connection, parsed by h11."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -66,8 +66,10 @@
         if response.status not in NO_BODY_STATUSES and is_length_known:
             headers = _add_length(response.headers, response.body)
         try:
-            head = h11.Response(status_code=response.status, headers=headers)
-        except h11.LocalProtocolError as error:
+            head = h11.Response(
+                status_code=response.status, headers=_encode_headers(headers)
+            )
+        except (h11.LocalProtocolError, UnicodeError) as error:
             raise ProtocolError(str(error)) from error
         body = b"" if self._is_head_request else response.body
         return _encode(self._h11, head, body)
@@ -153,9 +155,9 @@
             head = h11.Request(
                 method=request.method,
                 target=request.target,
-                headers=_add_length(request.headers, request.body),
+                headers=_encode_headers(_add_length(request.headers, request.body)),
             )
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             raise ProtocolError(str(error)) from error
         return _encode(self._h11, head, request.body)
 
@@ -417,6 +419,11 @@
     return [*headers, ("content-length", str(len(body)))]
 
 
+def _encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    # Inverse of _decode, so that all values are passed on byte for byte.
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 def _decode(headers: Any) -> Headers:
     return tuple(
         (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
