Count bodies in chunks as they are read

A body in chunks reserved 1 MB whatever its size, and each complete body was copied up to three more times: joined, encoded, and buffered by the transport.

The reservation now grows with the body. Without room, the body of which least has been read is refused before it runs. The memory for bodies follows from that of the machine. Large bodies are written in pieces without a copy, collected in segments, and the allocator returns large blocks.

TestBodiesInChunks and TestLargeRequests failed before.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -39,6 +39,7 @@
     RelayServer,
     Sender,
     TargetSelector,
+    find_max_bytes_held,
     find_max_idle,
 )
 from currantline.replica import (
@@ -326,6 +327,7 @@
             read_limits=lambda: self._published.limits,
             clock=self._clock,
             log=self._log,
+            max_body_bytes_held=find_max_bytes_held(self._settings.memory_bytes),
         )
         ttl_s = min(DIRECTORY_TTL_S, self._settings.directory_ttl_s)
         self._directory = HttpServer(
--- a/src/currantline/gatewayd.py
+++ b/src/currantline/gatewayd.py
@@ -10,6 +10,7 @@
 from currantline.clock import MonotonicClock
 from currantline.exceptions import CurrantlineError, SettingsError
 from currantline.gateway import Gateway
+from currantline.memory import return_large_blocks
 from currantline.platform import SETTINGS_VARIABLE, InstanceSettings, read_settings
 from currantline.telemetry import EventLog, open_standard_output
 
@@ -30,6 +31,7 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    return_large_blocks()
     return asyncio.run(_serve(settings, path))
 
 
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -56,6 +56,8 @@
         Time in milliseconds between SIGTERM and SIGKILL.
     max_probes_per_s : int
         Maximum number of health checks of one target per second, from all instances.
+    memory_bytes : int
+        Memory of the machine. A process that exceeds it is killed.
     """
 
     name: str
@@ -75,6 +77,7 @@
     directory_ttl_s: float
     grace_ms: float
     max_probes_per_s: int
+    memory_bytes: int
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -130,6 +133,7 @@
             directory_ttl_s=float(bounds["ttl_max_s"]),
             grace_ms=1000.0 * float(bounds["graceS"]),
             max_probes_per_s=max(1, int(bounds["probesPerS"])),
+            memory_bytes=int(node["limits"]["memoryMb"]) * 1_000_000,
         )
     except KeyError as error:
         key = str(error.args[0])
--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -87,6 +87,7 @@
             "ip": host,
             "zone": data_centre,
             "region": "r",
+            "limits": {"memoryMb": 300},
             "unknown": 1,
         },
         "network": {
--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -1,5 +1,6 @@
 """Reverse proxy: forwards caller requests to targets and returns the responses."""
 
+from currantline.relay._body_budget import find_max_bytes_held
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._names import HeaderNames
@@ -20,5 +21,6 @@
     "RelayServer",
     "Sender",
     "TargetSelector",
+    "find_max_bytes_held",
     "find_max_idle",
 ]
--- a/src/currantline/relay/_body_budget.py
+++ b/src/currantline/relay/_body_budget.py
@@ -4,7 +4,8 @@
 upload at once, the bodies would exceed the memory of the instance. Each caller
 therefore waits, before its body is read, until there is room for the whole of it;
 meanwhile TCP flow control holds the body back at the caller. Reserving whole bodies
-rules out that many partly read ones fill the memory and none can be completed.
+rules out that many partly read ones fill the memory and none can be completed. Bodies
+of unknown size are counted while they are read, see `GrowingBodies`.
 """
 
 import asyncio
@@ -12,7 +13,30 @@
 
 import attrs
 
-__all__ = ["BodyBudget"]
+__all__ = ["MIN_BODY_BYTES_HELD", "BodyBudget", "find_max_bytes_held"]
+
+# Memory that is not for request bodies: the program, the bodies of responses, received
+# bytes that have not been read, and a copy of one body when it is complete.
+OTHER_BYTES = 128 * 1024 * 1024
+
+# Fits into the smallest machines, which have 200 MB.
+MIN_BODY_BYTES_HELD = 40 * 1024 * 1024
+
+
+def find_max_bytes_held(memory_bytes: int) -> int:
+    """Return the total size of the request bodies that an instance may hold.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory of the machine.
+
+    Examples
+    --------
+    >>> [find_max_bytes_held(mib << 20) >> 20 for mib in (200, 300, 552)]
+    [72, 172, 424]
+    """
+    return max(MIN_BODY_BYTES_HELD, memory_bytes - OTHER_BYTES)
 
 
 @attrs.define(eq=False)
@@ -44,7 +68,7 @@
         size : int
             Size of the body in bytes.
         """
-        bounded = min(size, self._max_bytes)
+        bounded = self.bound(size)
         if not self._waiters and self._has_room(bounded):
             self.held_bytes += bounded
             return bounded
@@ -61,6 +85,20 @@
             raise
         return bounded
 
+    def bound(self, size: int) -> int:
+        """Return the memory that a body of a size counts as."""
+        return min(size, self._max_bytes)
+
+    def grow(self, size: int) -> bool:
+        """Reserve more for a body without waiting; return False if there is no room.
+
+        A body that is being read goes before those that wait.
+        """
+        if not self._has_room(size):
+            return False
+        self.held_bytes += size
+        return True
+
     def release(self, size: int) -> None:
         """Return reserved memory."""
         self.held_bytes -= size
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import h11
 
@@ -13,7 +14,8 @@
     ProtocolError,
     WireError,
 )
-from currantline.relay._body_budget import BodyBudget
+from currantline.relay._body_budget import MIN_BODY_BYTES_HELD, BodyBudget
+from currantline.relay._growing_bodies import GrowingBodies, GrowingBody
 from currantline.relay._names import HeaderNames
 from currantline.relay._pipeline import Pipeline
 from currantline.routing import CallerLimits
@@ -31,11 +33,7 @@
 # Time in milliseconds after which a caller that acknowledges no data counts as gone.
 DEAD_CALLER_TIMEOUT_MS = 10_000
 
-# Total size of the request bodies held by an instance. The smallest machines have
-# 200 MB, and a body is copied once when it is encoded and once when it is written.
-MAX_BODY_BYTES_HELD = 40 * 1024 * 1024
-
-# Memory reserved for a body in chunks, whose size is not known before its end.
+# Memory reserved at first for a body in chunks, whose size is not known before its end.
 UNKNOWN_BODY_BYTES = 1024 * 1024
 
 # Time in milliseconds for which a caller waits for memory before it is refused.
@@ -72,6 +70,8 @@
         Source of time.
     log : EventLog
         Log of events.
+    max_body_bytes_held : int
+        Total size of the request bodies held at the same time.
     """
 
     def __init__(
@@ -83,6 +83,7 @@
         read_limits: Callable[[], CallerLimits],
         clock: Clock,
         log: EventLog,
+        max_body_bytes_held: int = MIN_BODY_BYTES_HELD,
     ) -> None:
         self._handle = handle
         self._is_idempotent = is_idempotent
@@ -90,7 +91,8 @@
         self._read_limits = read_limits
         self._clock = clock
         self._log = log
-        self._body_budget = BodyBudget(MAX_BODY_BYTES_HELD)
+        self._body_budget = BodyBudget(max_body_bytes_held)
+        self._growing_bodies = GrowingBodies(self._body_budget)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[HttpConnection] = set()
@@ -200,10 +202,14 @@
                 return False
             if _has_body(head):
                 reserved = await self._reserve_body(head)
+            body = GrowingBody(connection.interrupt, reserved)
             if connection.is_continue_expected:
                 # An interim response must not precede those to earlier requests.
                 await pipeline.wait_until_empty()
-            request = await self._read_body(connection, head)
+            try:
+                request = await self._read_body(connection, head, body)
+            finally:
+                reserved = body.reserved_bytes
             exchange = connection.split_exchange()
             is_idempotent = self._is_idempotent(request)
             if not is_idempotent:
@@ -285,12 +291,25 @@
         except TimeoutError as error:
             raise CallerTimeoutError("the head did not arrive in time") from error
 
-    async def _read_body(self, connection: HttpConnection, head: Request) -> Request:
+    async def _read_body(
+        self, connection: HttpConnection, head: Request, body: GrowingBody
+    ) -> Request:
+        on_data = None
+        if _is_chunked(head):
+            self._growing_bodies.start(body)
+            on_data = partial(self._growing_bodies.add, body)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
-                return await connection.read_request_body(head)
+                return await connection.read_request_body(head, on_data=on_data)
         except TimeoutError as error:
             raise CallerTimeoutError("the body did not arrive in time") from error
+        except NoMemoryForBodyError as error:
+            self._log.write(
+                "body_refused", request_id=self._read_id(head), reason=str(error)
+            )
+            raise
+        finally:
+            self._growing_bodies.end(body)
 
     async def _run_handler(self, request: Request, arrived_ms: float) -> Response:
         if self._is_refusing:
@@ -336,5 +355,8 @@
 
 def _has_body(head: Request) -> bool:
     length = find_header(head.headers, "content-length")
-    is_chunked = find_header(head.headers, "transfer-encoding") is not None
-    return is_chunked or length not in (None, "0")
+    return _is_chunked(head) or length not in (None, "0")
+
+
+def _is_chunked(head: Request) -> bool:
+    return find_header(head.headers, "transfer-encoding") is not None
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import attrs
 import pytest
 
+from currantline.exceptions import NoMemoryForBodyError
 from currantline.relay import RelayServer
 from currantline.relay._body_budget import BodyBudget
+from currantline.relay._growing_bodies import GrowingBodies, GrowingBody
 from currantline.relay.tests.support import (
     CALLER,
     LISTEN_ADDRESS,
@@ -35,6 +38,11 @@
     return await run_on_host(CALLER, connect(LISTEN_ADDRESS, max_body_bytes=1_000_000))
 
 
+CHUNKED_HEAD = (
+    b"POST /%s HTTP/1.1\r\nhost: h\r\nx-id: %s\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+
+
 async def start_server(
     harness: RelayHarness, handle: Callable[[Request, float], Awaitable[Response]]
 ) -> RelayServer:
@@ -511,6 +519,103 @@
         run_scenario(scenario)
 
 
+class TestBodiesInChunks:
+    """Request bodies whose size is not known before their end."""
+
+    def test_memory(self) -> None:
+        """Guards against uploads in chunks that exceed the memory of an instance.
+
+        The largest bodies are completed, the others are refused before they run.
+        """
+
+        async def upload(name: str, chunks: int) -> Response:
+            connection = await open_connection()
+            connection.discard_response()
+            connection.write(CHUNKED_HEAD % (name.encode(), name.encode()))
+            for _ in range(chunks):
+                connection.write(b"100000\r\n" + bytes(MEBIBYTE) + b"\r\n")
+                await asyncio.sleep(0.05)
+            connection.write(b"0\r\n\r\n")
+            return await connection.read_response()
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker(slots=200, work_ms=100.0)
+            await harness.server.start(LISTEN_ADDRESS)
+            uploads = asyncio.gather(*(upload(f"u{n}", 3) for n in range(30)))
+            held = 0
+            while not uploads.done():
+                held = max(held, harness.server.held_body_bytes)
+                await asyncio.sleep(0.01)
+            statuses = [response.status for response in await uploads]
+            assert statuses.count(200) >= 10
+            assert set(statuses) == {200, 503}
+            assert 30 * MEBIBYTE < held <= 40 * MEBIBYTE
+            assert harness.server.held_body_bytes == 0
+            assert len(harness.list_ran()) == statuses.count(200)
+
+        run_scenario(scenario, UPLOADS)
+
+    def test_caller_stops(self) -> None:
+        """Guards against memory that stays reserved after a caller left midway."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_worker()
+            await harness.server.start(LISTEN_ADDRESS)
+            connection = await open_connection()
+            chunk = b"300000\r\n" + bytes(3 * MEBIBYTE) + b"\r\n"
+            connection.write(CHUNKED_HEAD % (b"a", b"a") + chunk)
+            await asyncio.sleep(0.1)
+            assert harness.server.held_body_bytes == 3 * MEBIBYTE
+            connection.close()
+            await asyncio.sleep(0.1)
+            assert harness.server.held_body_bytes == 0
+            assert harness.list_ran() == []
+
+        run_scenario(scenario, UPLOADS)
+
+
+class TestGrowingBodies:
+    """Reservations that grow with a body."""
+
+    def test_smallest_is_refused(self) -> None:
+        """Guards against bodies that fill the memory so that none is completed."""
+        refused: list[int] = []
+        budget = BodyBudget(10)
+        bodies = GrowingBodies(budget)
+        growing = [
+            GrowingBody(partial(lambda n, _: refused.append(n), n), 0) for n in range(3)
+        ]
+        for body, size in zip(growing, (4, 1, 3), strict=True):
+            bodies.start(body)
+            bodies.add(body, size)
+        bodies.add(growing[0], 4)
+        assert (refused, budget.held_bytes) == ([1, 2], 8)
+        with pytest.raises(NoMemoryForBodyError):
+            bodies.add(growing[1], 1)
+        bodies.end(growing[0])
+        budget.release(growing[0].reserved_bytes)
+        assert budget.held_bytes == 0
+
+    def test_larger_than_budget(self) -> None:
+        """Guards against a body that can never be read."""
+        budget = BodyBudget(10)
+        bodies, body = GrowingBodies(budget), GrowingBody(print, 0)
+        bodies.start(body)
+        for _ in range(5):
+            bodies.add(body, 4)
+        assert budget.held_bytes == 10
+
+    def test_first_reservation(self) -> None:
+        """Guards against memory that a short body keeps reserved."""
+        budget = BodyBudget(10)
+        bodies, body = GrowingBodies(budget), GrowingBody(print, 6)
+        assert budget.grow(6)
+        bodies.start(body)
+        bodies.add(body, 2)
+        bodies.end(body)
+        assert (body.reserved_bytes, budget.held_bytes) == (2, 2)
+
+
 class TestBodyBudget:
     """Reservations of memory."""
 
--- /dev/null
+++ b/src/currantline/wire/_body_buffer.py
@@ -0,0 +1,38 @@
+"""Buffer for a body that arrives in parts of any size."""
+
+__all__ = ["BodyBuffer"]
+
+# Size from which a segment is complete.
+MIN_SEGMENT_BYTES = 65_536
+
+
+class BodyBuffer:
+    """Collects a body in segments of similar size.
+
+    A part of its own object takes many times the size of a small chunk. One buffer that
+    grows to the size of a large body leaves gaps in the memory of the process that are
+    as large as the body.
+
+    Attributes
+    ----------
+    size : int
+        Number of collected bytes.
+    """
+
+    def __init__(self) -> None:
+        self._segments: list[bytes] = []
+        self._segment = bytearray()
+        self.size = 0
+
+    def append(self, data: bytes | bytearray) -> None:
+        """Add a part to the end of the body."""
+        self.size += len(data)
+        self._segment += data
+        if len(self._segment) >= MIN_SEGMENT_BYTES:
+            self._segments.append(bytes(self._segment))
+            self._segment.clear()
+
+    def join(self) -> bytes:
+        """Return the body."""
+        self._segments.append(bytes(self._segment))
+        return b"".join(self._segments)
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -12,9 +12,10 @@
     ProtocolError,
     WireError,
 )
+from currantline.wire._body_buffer import BodyBuffer
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._messages import Headers, Request, Response
-from currantline.wire._stream import ByteStream
+from currantline.wire._stream import MAX_PIECE_BYTES, ByteStream
 
 __all__ = ["HttpConnection", "ServerExchange", "connect"]
 
@@ -72,7 +73,7 @@
         except (h11.LocalProtocolError, UnicodeError) as error:
             raise ProtocolError(str(error)) from error
         body = b"" if self._is_head_request else response.body
-        return _encode(self._h11, head, body)
+        return b"".join(_encode(self._h11, head, body))
 
 
 class HttpConnection(ByteStream):
@@ -150,6 +151,24 @@
         ProtocolError
             If it is not a valid HTTP request.
         """
+        return b"".join(self._encode_request(request))
+
+    def write_request(self, request: Request) -> None:
+        """Write a complete request to the transport without suspending.
+
+        Raises
+        ------
+        ProtocolError
+            If it is not a valid HTTP request.
+        """
+        parts = self._encode_request(request)
+        if len(request.body) <= MAX_PIECE_BYTES:
+            self.write(b"".join(parts))
+            return
+        for part in parts:
+            self.write_in_pieces(part)
+
+    def _encode_request(self, request: Request) -> list[bytes]:
         self._is_head_request = request.method == "HEAD"
         try:
             head = h11.Request(
@@ -161,10 +180,6 @@
             raise ProtocolError(str(error)) from error
         return _encode(self._h11, head, request.body)
 
-    def write_request(self, request: Request) -> None:
-        """Write a complete request to the transport without suspending."""
-        self.write(self.encode_request(request))
-
     def write_response(self, response: Response) -> None:
         """Write a complete response to the transport without suspending."""
         self.write(self._open_exchange().encode_response(response))
@@ -247,9 +262,19 @@
         """Whether the peer sends the body only after an interim response 100."""
         return self._h11.they_are_waiting_for_100_continue and not self.has_unread
 
-    async def read_request_body(self, head: Request) -> Request:
+    async def read_request_body(
+        self, head: Request, *, on_data: Callable[[int], object] | None = None
+    ) -> Request:
         """Read the body of a request and return the complete request.
 
+        Parameters
+        ----------
+        head : Request
+            Request without its body.
+        on_data : callable, optional
+            Called with the size of each part of the body. An error that it raises ends
+            the reading.
+
         Raises
         ------
         ProtocolError
@@ -260,7 +285,7 @@
         if self.is_continue_expected:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self.write(self._h11.send(interim) or b"")
-        return attrs.evolve(head, body=await self._read_body())
+        return attrs.evolve(head, body=await self._read_body(on_data))
 
     async def read_response(self, *, accept_unframed: bool = False) -> Response:
         """Read one complete response.
@@ -324,29 +349,30 @@
             return True
         return self._is_head_request
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, on_data: Callable[[int], object] | None = None) -> bytes:
         try:
-            return await self._collect_body()
+            return await self._collect_body(on_data)
         finally:
             if self._body_memory is not None:
                 self._body_memory.release(self)
 
-    async def _collect_body(self) -> bytes:
-        # One buffer, as an object for each small chunk takes many times its size.
-        body = bytearray()
+    async def _collect_body(self, on_data: Callable[[int], object] | None) -> bytes:
+        body = BodyBuffer()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return body.join()
             if not isinstance(event, h11.Data):
                 raise ProtocolError("the connection closed within a message")
-            body += event.data
-            if len(body) > self._max_body_bytes:
+            body.append(event.data)
+            if body.size > self._max_body_bytes:
                 raise BodyTooLargeError(
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
             if self._body_memory is not None:
                 self._body_memory.add(self, len(event.data))
+            if on_data is not None:
+                on_data(len(event.data))
 
     async def _next_event(self) -> Any:
         await self._count_event()
@@ -403,12 +429,17 @@
 
 def _encode(
     state: h11.Connection, head: h11.Request | h11.Response, body: bytes
-) -> bytes:
+) -> list[bytes]:
+    events: list[h11.Event] = [head, h11.EndOfMessage()]
+    if body:
+        events.insert(1, h11.Data(data=body))
     try:
-        data = state.send(head) or b""
-        if body:
-            data += state.send(h11.Data(data=body)) or b""
-        return data + (state.send(h11.EndOfMessage()) or b"")
+        # Without the copy of the body that joined parts would contain.
+        return [
+            part
+            for event in events
+            for part in state.send_with_data_passthrough(event) or ()
+        ]
     except h11.LocalProtocolError as error:
         raise ProtocolError(str(error)) from error
 
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -3,14 +3,18 @@
 import asyncio
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 
 from currantline.exceptions import CurrantlineError, WireError
 
-__all__ = ["ByteStream"]
+__all__ = ["MAX_PIECE_BYTES", "ByteStream"]
 
 MAX_UNREAD_BYTES = 65536
 
+# Maximum size of the pieces that `ByteStream.write_in_pieces` hands to the transport.
+MAX_PIECE_BYTES = 262_144
+
 # Closing a socket with unread bytes sends a reset, which may discard a response that
 # the peer has not read yet. The close therefore waits this long for the peer's EOF.
 LINGER_S = 1.0
@@ -44,6 +48,7 @@
         self._is_client = is_client
         self._transport: asyncio.Transport
         self._unread = bytearray()
+        self._unwritten: deque[memoryview] = deque()
         self._is_lost = False
         self._is_broken = False
         self._has_early_response = False
@@ -107,6 +112,15 @@
         """Write bytes to the transport without suspending."""
         self._transport.write(data)
 
+    def write_in_pieces(self, data: bytes) -> None:
+        """Write bytes as fast as the transport takes them, without suspending.
+
+        The transport copies what the socket does not take at once, so it gets large
+        data in pieces. What it has not got yet is discarded when this side closes.
+        """
+        self._unwritten.append(memoryview(data))
+        self._write_pieces()
+
     async def drain(self) -> None:
         """Wait until the transport accepts more bytes.
 
@@ -133,6 +147,7 @@
 
     def close(self) -> None:
         """Close the connection without waiting."""
+        self._unwritten.clear()
         if not self._is_discarding:
             self._transport.close()
 
@@ -150,6 +165,7 @@
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
+        self._unwritten.clear()
         self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -163,7 +179,8 @@
         """Buffer received bytes for the reader."""
         if self._is_discarding:
             return
-        if self._is_client and self._transport.get_write_buffer_size():
+        is_written = not (self._unwritten or self._transport.get_write_buffer_size())
+        if self._is_client and not is_written:
             self._has_early_response = True
         self._unread += data
         if len(self._unread) > MAX_UNREAD_BYTES and self._data_waiter is None:
@@ -179,6 +196,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed."""
         self._is_broken = exc is not None
+        self._unwritten.clear()
         self._mark_lost()
 
     def pause_writing(self) -> None:
@@ -188,8 +206,16 @@
     def resume_writing(self) -> None:
         """Resume waiting writers, as the transport's write buffer has room."""
         self._is_writing_paused = False
+        self._write_pieces()
         self._wake_waiters()
 
+    def _write_pieces(self) -> None:
+        while self._unwritten and not self._is_writing_paused:
+            data = self._unwritten.popleft()
+            if len(data) > MAX_PIECE_BYTES:
+                self._unwritten.appendleft(data[MAX_PIECE_BYTES:])
+            self._transport.write(data[:MAX_PIECE_BYTES])
+
     def _mark_lost(self) -> None:
         self._is_lost = True
         self._wake_waiters()
--- a/src/currantline/wire/tests/test_connection.py
+++ b/src/currantline/wire/tests/test_connection.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
+import attrs
 import h11
 import pytest
 
@@ -162,6 +163,54 @@
             asyncio.run(connect(address, max_body_bytes=1))
 
 
+class TestLargeRequests:
+    """Requests that a socket does not take at once."""
+
+    def test_pieces(self) -> None:
+        """Guards against copies of large bodies, and against spoiled ones."""
+        body = bytes(range(256)) * 8_000
+        connection = HttpConnection(h11.CLIENT, max_body_bytes=1_000)
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        connection.pause_writing()
+        connection.write_request(attrs.evolve(REQUEST, method="POST", body=body))
+        assert transport.writes == 0
+        while not transport.written.endswith(body):
+            written = len(transport.written)
+            connection.resume_writing()
+            connection.pause_writing()
+            assert len(transport.written) > written
+        assert transport.written.count(b"content-length: 2048000\r\n") == 1
+
+    def test_early_response(self) -> None:
+        """Guards against a connection in use again before its request is written.
+
+        The target would take the next request for the rest of the body.
+        """
+        connection = HttpConnection(h11.CLIENT, max_body_bytes=1_000)
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        connection.pause_writing()
+        body = bytes(1_000_000)
+        connection.write_request(attrs.evolve(REQUEST, method="POST", body=body))
+        connection.data_received(OTHER_RESPONSE)
+        asyncio.run(connection.read_response())
+        connection.resume_writing()
+        assert not connection.is_reusable
+
+    def test_closed(self) -> None:
+        """Guards against bytes written to a connection that is given up."""
+        connection = HttpConnection(h11.CLIENT, max_body_bytes=1_000)
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        connection.pause_writing()
+        body = bytes(1_000_000)
+        connection.write_request(attrs.evolve(REQUEST, method="POST", body=body))
+        connection.abort()
+        connection.resume_writing()
+        assert transport.writes == 0
+
+
 class TestInterruption:
     """Limits that end a body before it is complete."""
 
