Close only after a refused caller has stopped sending

The connection was closed one second after the answer, whatever still came. A close with unread bytes sends a reset, which discards the answer that a caller reads only after it has sent its whole body.

The close now waits until nothing has come for a second, for 30 s at most.

--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -16,8 +16,11 @@
 MAX_PIECE_BYTES = 262_144
 
 # Closing a socket with unread bytes sends a reset, which may discard a response that
-# the peer has not read yet. The close therefore waits this long for the peer's EOF.
+# the peer has not read yet. The close therefore waits for the peer's EOF: until nothing
+# has come for this long, since a peer may read only after it has sent its whole body,
+# and for the maximum if that does not end.
 LINGER_S = 1.0
+MAX_LINGER_S = 30.0
 
 
 class ByteStream(asyncio.Protocol):
@@ -53,6 +56,7 @@
         self._is_broken = False
         self._has_early_response = False
         self._is_discarding = False
+        self._has_discarded = False
         self._is_reading_paused = False
         self._is_writing_paused = False
         self._interruption: CurrantlineError | None = None
@@ -161,7 +165,7 @@
         self._resume_reading()
         self._transport.write_eof()
         loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_S, self._transport.close)
+        loop.call_later(LINGER_S, self._end_linger, loop.time() + MAX_LINGER_S)
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
@@ -178,6 +182,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes for the reader."""
         if self._is_discarding:
+            self._has_discarded = True
             return
         is_written = not (self._unwritten or self._transport.get_write_buffer_size())
         if self._is_client and not is_written:
@@ -209,6 +214,14 @@
         self._write_pieces()
         self._wake_waiters()
 
+    def _end_linger(self, end_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        if self._has_discarded and loop.time() < end_s:
+            self._has_discarded = False
+            loop.call_later(LINGER_S, self._end_linger, end_s)
+        else:
+            self._transport.close()
+
     def _write_pieces(self) -> None:
         while self._unwritten and not self._is_writing_paused:
             data = self._unwritten.popleft()
--- a/src/currantline/wire/tests/test_connection.py
+++ b/src/currantline/wire/tests/test_connection.py
@@ -9,6 +9,7 @@
 import pytest
 
 from currantline.exceptions import BodyTooLargeError, WireError
+from currantline.standin.network import Network, run_session
 from currantline.wire import HttpConnection, HttpServer, Request, Response, connect
 
 T = TypeVar("T")
@@ -32,6 +33,7 @@
         super().__init__()
         self.written = b""
         self.writes = 0
+        self.is_closed = False
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Collect the bytes."""
@@ -52,11 +54,15 @@
     def resume_reading(self) -> None:
         """Do nothing, since bytes are received on request only."""
 
+    def write_eof(self) -> None:
+        """Do nothing."""
+
     def abort(self) -> None:
         """Do nothing."""
 
     def close(self) -> None:
-        """Do nothing."""
+        """Record that the connection is closed."""
+        self.is_closed = True
 
 
 def open_client() -> HttpConnection:
@@ -211,6 +217,33 @@
         assert transport.writes == 0
 
 
+class TestClose:
+    """Closing while the peer still sends."""
+
+    @pytest.mark.parametrize(("sent_s", "closed_s"), [(0, 1), (5, 6), (100, 30)])
+    def test_after_eof(self, sent_s: int, closed_s: int) -> None:
+        """Guards against a reset that discards a refusal of a long upload.
+
+        A caller may read the response only after it has sent its whole body.
+        """
+
+        async def refuse() -> None:
+            connection = HttpConnection(h11.SERVER, max_body_bytes=1_000)
+            transport = FakeTransport()
+            connection.connection_made(transport)
+            connection.close_after_eof()
+            for second in range(closed_s):
+                await asyncio.sleep(0.5)
+                if second < sent_s:
+                    connection.data_received(b"x")
+                assert not transport.is_closed
+                await asyncio.sleep(0.5)
+            await asyncio.sleep(0.1)
+            assert transport.is_closed
+
+        run_session(Network(), refuse())
+
+
 class TestInterruption:
     """Limits that end a body before it is complete."""
 
