Keep away from targets that leave or want silence

Nothing read either header, so requests, retries, hedges, waiting requests and health checks went on.

Each response to a request or health check is read for both. The marks belong to the start of the target: an older entry, or one that is published again, does not undo that it leaves, a new start does. A silence is bounded at 300 s, never shortened, and extended by a random share of up to a tenth. find_unavailability is the one place that says whether a target may get a request now, why not and until when; selection, probes, hedges and freed slots ask it. If all targets of a service want silence, requests are refused at once with a Retry-After between the end of the first silence and a quarter later.

Not done: the soak's checks of both rules and the table of instances over fleet sizes.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -34,6 +34,7 @@
     ConnectionPool,
     LimitedTargetSelector,
     LoadProber,
+    NoticeReader,
     RateLimitReader,
     Relay,
     RelayServer,
@@ -274,10 +275,14 @@
         limit_reader = RateLimitReader(
             names=HEADERS, observe=self._permits.observe, log=self._log
         )
+        notice_reader = NoticeReader(
+            names=HEADERS, clock=self._clock, rng=self._rng, log=self._log
+        )
         prober = LoadProber(
             self._pool,
             names=HEADERS,
             limit_reader=limit_reader,
+            notice_reader=notice_reader,
             clock=self._clock,
             meter=self.meter,
             log=self._log,
@@ -302,6 +307,7 @@
             self._pool,
             names=HEADERS,
             limit_reader=limit_reader,
+            notice_reader=notice_reader,
             latencies=latencies,
             clock=self._clock,
             log=self._log,
--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -10,6 +10,11 @@
     select_candidate,
     select_hedge_candidate,
 )
+from currantline.placement._availability import (
+    Unavailability,
+    UnavailabilityReason,
+    find_unavailability,
+)
 from currantline.placement._choice import (
     Candidate,
     choose_candidate,
@@ -36,6 +41,8 @@
     "RequestTiming",
     "Target",
     "TargetRegistry",
+    "Unavailability",
+    "UnavailabilityReason",
     "choose_candidate",
     "choose_probe_targets",
     "estimate_response_ms",
@@ -43,6 +50,7 @@
     "find_max_wait_ms",
     "find_optimal_concurrency",
     "find_refusal_reason",
+    "find_unavailability",
     "has_good_candidate",
     "is_overdue",
     "parse_load_header",
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -87,6 +87,10 @@
         Limit of requests that the target names.
     next_permit_ms : float
         Time until which permits for the target are expected to be used up.
+    is_leaving : bool
+        Whether a response of the target said that it leaves.
+    silent_until_ms : float
+        Time until which the target asked this instance for silence.
     """
 
     published: PublishedTarget
@@ -98,6 +102,8 @@
     last_report: LoadReport | None = None
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     next_permit_ms: float = 0.0
+    is_leaving: bool = False
+    silent_until_ms: float = 0.0
 
     @property
     def name(self) -> str:
@@ -109,11 +115,6 @@
         """IP address and port."""
         return self.published.address
 
-    @property
-    def is_usable(self) -> bool:
-        """Whether new requests may be sent to the target."""
-        return not (self.published.is_draining or self.is_address_reused)
-
     @property
     def is_rate_limited(self) -> bool:
         """Whether the target limits the requests of the fleet."""
--- a/src/currantline/platform/_headers.py
+++ b/src/currantline/platform/_headers.py
@@ -23,4 +23,6 @@
     # Requests per second that the target takes from all instances together, while its
     # responses state it. The page that introduces it leaves out the common prefix.
     rate_limit=("x-currantline-server-limit", "server-limit"),
+    # "1" in all responses of a target that leaves.
+    leaving=("x-currantline-server-leaving", "server-leaving"),
 )
--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -4,6 +4,7 @@
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._names import HeaderNames
+from currantline.relay._notice_reader import NoticeReader
 from currantline.relay._pool import ConnectionPool, find_max_idle
 from currantline.relay._prober import LoadProber
 from currantline.relay._relay import Relay
@@ -16,6 +17,7 @@
     "HeaderNames",
     "LimitedTargetSelector",
     "LoadProber",
+    "NoticeReader",
     "RateLimitReader",
     "Relay",
     "RelayServer",
--- a/src/currantline/relay/_names.py
+++ b/src/currantline/relay/_names.py
@@ -28,6 +28,8 @@
     rate_limit : tuple of str
         Requests per second that the target takes from the whole fleet; any of the names
         may be used.
+    leaving : tuple of str
+        "1" if the target leaves; any of the names may be used.
     """
 
     request_id: str
@@ -38,3 +40,4 @@
     target: str
     load: str
     rate_limit: tuple[str, ...]
+    leaving: tuple[str, ...]
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -370,7 +370,8 @@
         )
 
     def _strip_headers(self, response: Response) -> Response:
-        dropped = {self._names.load, self._names.target, *self._names.rate_limit}
+        names = self._names
+        dropped = {names.load, names.target, *names.rate_limit, *names.leaving}
         dropped |= {"connection", "keep-alive"}
         dropped |= {"transfer-encoding", "content-length"}
         headers = tuple(h for h in response.headers if h[0] not in dropped)
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -188,7 +188,7 @@
             return Selection(reason=refusal_reason)
         known = self._list_usable(context, exclude)
         if not known:
-            return Selection(reason="no target")
+            return self._refuse(context, exclude)
         limited = [target for target in known if target.is_rate_limited]
         usable = [target for target in known if not target.is_rate_limited]
         if not usable:
@@ -212,7 +212,7 @@
         searches: int,
         freed: Target | None,
     ) -> Selection | None:
-        if freed is not None and freed.is_rate_limited:
+        if freed is not None and (freed.is_rate_limited or freed not in usable):
             freed = None
         if freed is not None:
             freed.skip_until_ms = 0.0
@@ -296,7 +296,7 @@
     ) -> Selection | None:
         if lease is None:
             return None
-        if not self._targets.is_current(target):
+        if not self._targets.is_current(target, self._clock.read()):
             self._prober.release(lease)
             return None
         return Selection(target, lease, predicted_ms)
@@ -332,9 +332,21 @@
     def _list_usable(
         self, context: RequestContext, exclude: Collection[str]
     ) -> list[Target]:
-        usable = self._targets.list_usable(context.service.name)
+        usable = self._targets.list_usable(context.service.name, self._clock.read())
         return [target for target in usable if target.name not in exclude]
 
+    def _refuse(self, context: RequestContext, exclude: Collection[str]) -> Selection:
+        silent = [
+            target
+            for target in self._targets.list_usable(context.service.name)
+            if target.name not in exclude
+        ]
+        if not silent:
+            return Selection(reason="no target")
+        until_ms = min(target.silent_until_ms for target in silent)
+        wait_ms = max(0.0, until_ms - self._clock.read())
+        return Selection(reason="all targets asked for silence", wait_ms=wait_ms)
+
     async def _probe(
         self, context: RequestContext, usable: list[Target], searches: int
     ) -> list[ProbeResult]:
@@ -380,11 +392,12 @@
 
     def _list_current(self, probed: list[ProbeResult]) -> list[Candidate]:
         # A target may have started draining, or named a limit, while it was probed.
+        now = self._clock.read()
         candidates = [result.candidate for result in probed]
         return [
             c
             for c in candidates
-            if self._targets.is_current(c.target) and not c.target.is_rate_limited
+            if self._targets.is_current(c.target, now) and not c.target.is_rate_limited
         ]
 
     def _claim(
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -15,6 +15,7 @@
 )
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
+from currantline.relay._notice_reader import NoticeReader
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.relay._selection import RequestContext
 from currantline.telemetry import EventLog
@@ -79,6 +80,8 @@
         Header names.
     limit_reader : RateLimitReader
         Reads the limits that targets name.
+    notice_reader : NoticeReader
+        Reads what targets say of their availability.
     latencies : LatencyAverages
         Average response times of routes, updated by each success.
     clock : Clock
@@ -93,6 +96,7 @@
         *,
         names: HeaderNames,
         limit_reader: RateLimitReader,
+        notice_reader: NoticeReader,
         latencies: LatencyAverages,
         clock: Clock,
         log: EventLog,
@@ -100,6 +104,7 @@
         self._pool = pool
         self._names = names
         self._limit_reader = limit_reader
+        self._notice_reader = notice_reader
         self._latencies = latencies
         self._clock = clock
         self._log = log
@@ -119,7 +124,7 @@
             lease.connection.write_request(
                 self._build_request(request, target, context)
             )
-            response = await self._read_matching_response(lease, context)
+            response = await self._read_matching_response(lease, target, context)
             self._record_load(response, target)
         except WireError as error:
             reason = str(error)
@@ -154,12 +159,13 @@
         )
 
     async def _read_matching_response(
-        self, lease: Lease, context: RequestContext
+        self, lease: Lease, target: Target, context: RequestContext
     ) -> Response:
         may_be_repeated = lease.has_carried_request or lease.has_carried_refusal
         lease.has_carried_request = True
         for _ in range(MAX_RESPONSES_READ):
             response = await lease.connection.read_response(accept_unframed=True)
+            self._notice_reader.read(target, response)
             request_id = find_header(response.headers, self._names.request_id)
             if request_id is None and may_be_repeated:
                 # It may be an earlier response that the target has sent once more.
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -22,6 +22,7 @@
     HeaderNames,
     LimitedTargetSelector,
     LoadProber,
+    NoticeReader,
     RateLimitReader,
     Relay,
     RelayServer,
@@ -52,6 +53,7 @@
     target="x-target",
     load="x-load",
     rate_limit=("x-limit", "limit"),
+    leaving=("x-leaving", "leaving"),
 )
 HOST = "10.0.0.1"
 CALLER = "10.0.9.9"
@@ -185,10 +187,12 @@
         pool = ConnectionPool(clock=self.clock, meter=self.meter)
         self.pool = pool
         limit_reader = RateLimitReader(names=NAMES, observe=self._observe, log=log)
+        notice_reader = NoticeReader(names=NAMES, clock=self.clock, rng=rng, log=log)
         prober = LoadProber(
             pool,
             names=NAMES,
             limit_reader=limit_reader,
+            notice_reader=notice_reader,
             clock=self.clock,
             meter=self.meter,
             log=log,
@@ -213,6 +217,7 @@
                 pool,
                 names=NAMES,
                 limit_reader=limit_reader,
+                notice_reader=notice_reader,
                 latencies=latencies,
                 clock=self.clock,
                 log=log,
--- a/src/currantline/soak/_environment.py
+++ b/src/currantline/soak/_environment.py
@@ -164,13 +164,13 @@
         windows = [self.checker.record_limit(name, per_s, now) for name in names]
         workers = [self.workers[name].worker for name in names]
         for worker in workers:
-            worker.rate_limit_headers = make_rate_limit_headers(per_s)
+            worker.extra_headers = make_rate_limit_headers(per_s)
         try:
             yield
         finally:
             for window, worker in zip(windows, workers, strict=True):
                 window.end_ms = self.clock.read()
-                worker.rate_limit_headers = ()
+                worker.extra_headers = ()
 
     def change_configuration(self) -> None:
         """Route all requests to the other service."""
--- a/src/currantline/standin/worker.py
+++ b/src/currantline/standin/worker.py
@@ -35,8 +35,10 @@
         Whether it executes requests but never responds.
     is_failing : bool
         Whether it responds to every request with status 500.
-    rate_limit_headers : tuple
-        Headers of all its responses that name a limit of requests, none by default.
+    extra_headers : tuple
+        Further headers of all its responses, none by default.
+    received : int
+        Number of requests and health checks that it received.
     started_ids : list of str
         Identifiers of the requests that it started to execute, in order.
     time_left_ms : list of float
@@ -55,9 +57,10 @@
     is_rejecting: bool = False
     is_losing: bool = False
     is_failing: bool = False
-    rate_limit_headers: tuple[tuple[str, str], ...] = ()
+    extra_headers: tuple[tuple[str, str], ...] = ()
     running: int = 0
     health_checks: int = 0
+    received: int = 0
     started_ids: list[str] = attrs.field(factory=list)
     time_left_ms: list[float] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
@@ -65,26 +68,31 @@
 
     async def handle(self, request: Request) -> Response:
         """Respond to a request or a health check."""
+        self.received += 1
         names = self.header_names
-        own = ((names.target, self.name), *self.rate_limit_headers)
         if request.target == HEALTH_PATH:
             self.health_checks += 1
-            return Response(status=200, headers=(*own, self._report_load()))
+            headers = (*self._list_own_headers(), self._report_load())
+            return Response(status=200, headers=headers)
         request_id = find_header(request.headers, names.request_id) or ""
         expected = find_header(request.headers, names.expected_target)
-        echo = (*own, (names.request_id, request_id))
+        echo = (names.request_id, request_id)
         if expected not in (None, self.name):
-            return Response(status=421, headers=echo)
+            return Response(status=421, headers=(*self._list_own_headers(), echo))
         if self.is_rejecting or self.running >= self.slots:
-            headers = (*echo, (names.not_run, "1"), self._report_load())
+            not_run = (names.not_run, "1")
+            headers = (*self._list_own_headers(), echo, not_run, self._report_load())
             return Response(status=503, headers=headers)
         await self._run(request, request_id)
         signature = (names.signature, f"{self.name}.{request_id}")
         load = self._report_load(answered=1)
-        headers = (*echo, signature, load)
+        headers = (*self._list_own_headers(), echo, signature, load)
         status = 500 if self.is_failing else 200
         return Response(status=status, headers=headers, body=request.target.encode())
 
+    def _list_own_headers(self) -> tuple[tuple[str, str], ...]:
+        return ((self.header_names.target, self.name), *self.extra_headers)
+
     def _report_load(self, *, answered: int = 0) -> tuple[str, str]:
         load = f"{self.running + answered},0,{self.slots},{self.slowness}"
         return self.header_names.load, load
--- a/src/currantline/tests/test_rate_limits.py
+++ b/src/currantline/tests/test_rate_limits.py
@@ -32,7 +32,7 @@
 
     def name_limit(self, per_s: float) -> None:
         """Name a limit in all further responses."""
-        self.worker.rate_limit_headers = make_rate_limit_headers(per_s)
+        self.worker.extra_headers = make_rate_limit_headers(per_s)
 
     def count_since(self, start_s: float) -> int:
         """Return the number of requests that arrived since a time."""
@@ -116,7 +116,7 @@
             limited = RecordedWorker(deployment.workers["i-1"])
             limited.name_limit(1.0)
             await send_steadily(deployment, per_s=20.0, duration_s=4.0)
-            limited.worker.rate_limit_headers = ()
+            limited.worker.extra_headers = ()
             if is_restarted:
                 entry = make_target_entry("10.9.0.1:80")
                 deployment.store.put("servers/i-1", {**entry, "born": 6})
