Refuse a body for good once its memory is given away

A body in chunks that was refused for a larger one while its last bytes had come already was read to its end: the request was handled, and the refusal stayed pending on the connection, where it would have ended a later wait with a 503 that no request had caused.

The reader of a body now asks once more at the end, and an interruption is discarded with the body that it was for. The same holds for responses that are given up for want of memory.

TestBodiesInChunks::test_refused_at_its_end failed before: the request was handled and got 200.

--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -300,7 +300,11 @@
             on_data = partial(self._growing_bodies.add, body)
         try:
             async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
-                return await connection.read_request_body(head, on_data=on_data)
+                request = await connection.read_request_body(head, on_data=on_data)
+            if on_data is not None:
+                # The body may have been refused when its last bytes had come already.
+                on_data(0)
+            return request
         except TimeoutError as error:
             raise CallerTimeoutError("the body did not arrive in time") from error
         except NoMemoryForBodyError as error:
@@ -310,6 +314,7 @@
             raise
         finally:
             self._growing_bodies.end(body)
+            connection.clear_interruption()
 
     async def _run_handler(self, request: Request, arrived_ms: float) -> Response:
         if self._is_refusing:
--- a/src/currantline/relay/tests/test_server.py
+++ b/src/currantline/relay/tests/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Any
 
 import attrs
 import pytest
@@ -44,7 +45,9 @@
 
 
 async def start_server(
-    harness: RelayHarness, handle: Callable[[Request, float], Awaitable[Response]]
+    harness: RelayHarness,
+    handle: Callable[[Request, float], Awaitable[Response]],
+    **values: Any,
 ) -> RelayServer:
     """Start a server with a handler of its own."""
     server = RelayServer(
@@ -54,6 +57,7 @@
         read_limits=CallerLimits,
         clock=harness.clock,
         log=EventLog("i", clock=harness.clock, write=len),
+        **values,
     )
     await server.start(LISTEN_ADDRESS)
     return server
@@ -555,6 +559,38 @@
 
         run_scenario(scenario, UPLOADS)
 
+    def test_refused_at_its_end(self) -> None:
+        """Guards against a refusal that is written as the answer to a later request.
+
+        A body is refused for another one while its last bytes have come already.
+        """
+        handled: list[str] = []
+
+        async def handle(request: Request, arrived_ms: float) -> Response:
+            handled.append(request.target)
+            return Response(status=200)
+
+        async def scenario(harness: RelayHarness) -> None:
+            server = await start_server(
+                harness, handle, max_body_bytes_held=3 * MEBIBYTE
+            )
+            small, large = await open_connection(), await open_connection()
+            small.write(CHUNKED_HEAD % (b"small", b"s") + b"2\r\nxy\r\n")
+            large.write(CHUNKED_HEAD % (b"large", b"l"))
+            await asyncio.sleep(0.1)
+            large.write(b"280000\r\n" + bytes(0x280000) + b"\r\n0\r\n\r\n")
+            small.write(b"0\r\n\r\n")
+            for connection, status in ((large, 200), (small, 503)):
+                connection.discard_response()
+                assert (await connection.read_response()).status == status
+            await asyncio.sleep(0.5)
+            assert handled == ["/large"]
+            assert small.is_lost
+            assert not small.has_unread
+            assert server.held_body_bytes == 0
+
+        run_scenario(scenario, UPLOADS)
+
     def test_caller_stops(self) -> None:
         """Guards against memory that stays reserved after a caller left midway."""
 
--- a/src/currantline/replica/_replica.py
+++ b/src/currantline/replica/_replica.py
@@ -115,10 +115,12 @@
             The records that changed.
         """
         news = [record for record in records if not self._is_outdated(record)]
+        deferred: set[tuple[str, int]] = set()
         if defer_removals_until is not None:
             removals = [r for r in news if r.is_removed and self._is_held(r.key)]
             self._defer(removals, defer_removals_until)
-            news = [record for record in news if record not in removals]
+            deferred = {(record.key, record.revision) for record in removals}
+        news = [r for r in news if (r.key, r.revision) not in deferred]
         changed = [record for record in news if self._apply(record)]
         self._advance(revision)
         return changed
@@ -257,6 +259,7 @@
         return record is not None and not record.is_removed
 
     def _is_outdated(self, record: Record) -> bool:
+        # A record whose removal is deferred may still be replaced by a newer one.
         is_kept = record.is_removed or record.key in self._deferred_removals
         return not is_kept and record.revision <= self.read_revision
 
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -355,6 +355,8 @@
         finally:
             if self._body_memory is not None:
                 self._body_memory.release(self)
+                # It would end the next exchange if this body was complete already.
+                self.clear_interruption()
 
     async def _collect_body(self, on_data: Callable[[int], object] | None) -> bytes:
         body = BodyBuffer()
