Move the encoding of messages out of the connection

wire/_connection.py had grown to 463 lines with two subjects: reading and writing on a connection, and how h11 encodes messages. The encoding has a module of its own now; nothing else changes. The tests of wire and of the server pass.

--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -2,7 +2,8 @@
 
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._client import HttpClient
-from currantline.wire._connection import HttpConnection, ServerExchange, connect
+from currantline.wire._connection import HttpConnection, connect
+from currantline.wire._encoding import ServerExchange
 from currantline.wire._fetch import fetch
 from currantline.wire._messages import (
     HOP_BY_HOP,
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages over one asyncio connection, parsed by h11."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -14,10 +14,16 @@
 )
 from currantline.wire._body_buffer import BodyBuffer
 from currantline.wire._body_memory import BodyMemory
+from currantline.wire._encoding import (
+    NO_BODY_STATUSES,
+    ServerExchange,
+    decode_headers,
+    encode_request,
+)
 from currantline.wire._messages import Headers, Request, Response
 from currantline.wire._stream import MAX_PIECE_BYTES, ByteStream
 
-__all__ = ["HttpConnection", "ServerExchange", "connect"]
+__all__ = ["HttpConnection", "connect"]
 
 MAX_HEAD_BYTES = 32768
 # Maximum time without an acknowledgement of sent bytes or of a keep-alive probe. Hosts
@@ -28,53 +34,6 @@
 # tasks. A peer may send 40,000 chunks in one read of the socket.
 MAX_EVENTS_PER_TURN = 64
 
-NO_BODY_STATUSES = frozenset({204, 304})
-
-
-class ServerExchange:
-    """A request that a server has read, and the encoding of its response.
-
-    Parameters
-    ----------
-    state : h11.Connection
-        State of the exchange.
-    is_head_request : bool
-        Whether the request is a HEAD request.
-    """
-
-    def __init__(self, state: h11.Connection, *, is_head_request: bool) -> None:
-        self._h11 = state
-        self._is_head_request = is_head_request
-
-    @property
-    def is_persistent(self) -> bool:
-        """Whether the connection stays open after the response."""
-        return self._h11.our_state in (h11.SEND_RESPONSE, h11.DONE) and (
-            self._h11.their_state is h11.DONE
-        )
-
-    def encode_response(self, response: Response) -> bytes:
-        """Encode a complete response as bytes for `ByteStream.write`.
-
-        Raises
-        ------
-        ProtocolError
-            If it is not a valid HTTP response.
-        """
-        headers = list(response.headers)
-        # The content length of a response to HEAD without a body is not known here.
-        is_length_known = response.body or not self._is_head_request
-        if response.status not in NO_BODY_STATUSES and is_length_known:
-            headers = _add_length(response.headers, response.body)
-        try:
-            head = h11.Response(
-                status_code=response.status, headers=_encode_headers(headers)
-            )
-        except (h11.LocalProtocolError, UnicodeError) as error:
-            raise ProtocolError(str(error)) from error
-        body = b"" if self._is_head_request else response.body
-        return b"".join(_encode(self._h11, head, body))
-
 
 class HttpConnection(ByteStream):
     """One side of an HTTP/1.1 connection.
@@ -170,15 +129,7 @@
 
     def _encode_request(self, request: Request) -> list[bytes]:
         self._is_head_request = request.method == "HEAD"
-        try:
-            head = h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=_encode_headers(_add_length(request.headers, request.body)),
-            )
-        except (h11.LocalProtocolError, UnicodeError) as error:
-            raise ProtocolError(str(error)) from error
-        return _encode(self._h11, head, request.body)
+        return encode_request(self._h11, request)
 
     def write_response(self, response: Response) -> None:
         """Write a complete response to the transport without suspending."""
@@ -248,7 +199,7 @@
         if not isinstance(event, h11.Request):
             return None
         self._is_head_request = event.method == b"HEAD"
-        headers = _decode(event.headers)
+        headers = decode_headers(event.headers)
         self._check_head(event.target, headers)
         self._check_length(headers)
         return Request(
@@ -315,7 +266,7 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ProtocolError("the connection closed before a response")
-        headers = _decode(event.headers)
+        headers = decode_headers(event.headers)
         self._check_head(b"", headers)
         is_framed = self._has_framing(event.status_code, headers)
         if not (is_framed or accept_unframed):
@@ -427,37 +378,3 @@
     )
     connection.set_dead_peer_timeout(DEAD_PEER_TIMEOUT_MS)
     return connection
-
-
-def _encode(
-    state: h11.Connection, head: h11.Request | h11.Response, body: bytes
-) -> list[bytes]:
-    events: list[h11.Event] = [head, h11.EndOfMessage()]
-    if body:
-        events.insert(1, h11.Data(data=body))
-    try:
-        # Without the copy of the body that joined parts would contain.
-        return [
-            part
-            for event in events
-            for part in state.send_with_data_passthrough(event) or ()
-        ]
-    except h11.LocalProtocolError as error:
-        raise ProtocolError(str(error)) from error
-
-
-def _add_length(headers: Headers, body: bytes) -> list[tuple[str, str]]:
-    if any(name == "content-length" for name, _ in headers):
-        return list(headers)
-    return [*headers, ("content-length", str(len(body)))]
-
-
-def _encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
-    # Inverse of _decode, so that all values are passed on byte for byte.
-    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
-
-
-def _decode(headers: Any) -> Headers:
-    return tuple(
-        (name.decode("ascii"), value.decode("latin-1")) for name, value in headers
-    )
