Name what responses say of a target's availability as such

The reader of responses is named after the availability of a target now, and both headers with a number are parsed by one function.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -31,10 +31,10 @@
 )
 from currantline.published_state import PublishedState
 from currantline.relay import (
+    AvailabilityReader,
     ConnectionPool,
     LimitedTargetSelector,
     LoadProber,
-    NoticeReader,
     RateLimitReader,
     Relay,
     RelayServer,
@@ -275,14 +275,14 @@
         limit_reader = RateLimitReader(
             names=HEADERS, observe=self._permits.observe, log=self._log
         )
-        notice_reader = NoticeReader(
+        availability_reader = AvailabilityReader(
             names=HEADERS, clock=self._clock, rng=self._rng, log=self._log
         )
         prober = LoadProber(
             self._pool,
             names=HEADERS,
             limit_reader=limit_reader,
-            notice_reader=notice_reader,
+            availability_reader=availability_reader,
             clock=self._clock,
             meter=self.meter,
             log=self._log,
@@ -307,7 +307,7 @@
             self._pool,
             names=HEADERS,
             limit_reader=limit_reader,
-            notice_reader=notice_reader,
+            availability_reader=availability_reader,
             latencies=latencies,
             clock=self._clock,
             log=self._log,
--- a/src/currantline/placement/_rate_limit.py
+++ b/src/currantline/placement/_rate_limit.py
@@ -5,6 +5,7 @@
 import attrs
 
 from currantline.exceptions import InvalidValueError
+from currantline.validators import parse_amount
 
 __all__ = ["RateLimit", "parse_rate_limit"]
 
@@ -44,9 +45,6 @@
     2.9
     """
     try:
-        per_s = float(value)
-    except ValueError as error:
-        raise InvalidValueError(f"invalid limit {value!r}: not a number") from error
-    if not math.isfinite(per_s) or per_s < 0:
-        raise InvalidValueError(f"invalid limit {value!r}: out of range")
-    return per_s
+        return parse_amount(value)
+    except InvalidValueError as error:
+        raise InvalidValueError(f"invalid limit: {error.message}") from error
--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -1,10 +1,10 @@
 """Reverse proxy: forwards caller requests to targets and returns the responses."""
 
+from currantline.relay._availability_reader import AvailabilityReader
 from currantline.relay._body_budget import find_max_bytes_held
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._names import HeaderNames
-from currantline.relay._notice_reader import NoticeReader
 from currantline.relay._pool import ConnectionPool, find_max_idle
 from currantline.relay._prober import LoadProber
 from currantline.relay._relay import Relay
@@ -13,11 +13,11 @@
 from currantline.relay._server import RelayServer
 
 __all__ = [
+    "AvailabilityReader",
     "ConnectionPool",
     "HeaderNames",
     "LimitedTargetSelector",
     "LoadProber",
-    "NoticeReader",
     "RateLimitReader",
     "Relay",
     "RelayServer",
--- a/src/currantline/relay/_notice_reader.py
+++ b/src/currantline/relay/_availability_reader.py
@@ -1,6 +1,5 @@
 """Reads from responses that a target leaves, or wants no requests for a while."""
 
-import math
 import random
 
 from currantline.clock import Clock
@@ -8,9 +7,10 @@
 from currantline.placement import Target
 from currantline.relay._names import HeaderNames
 from currantline.telemetry import EventLog
+from currantline.validators import parse_amount
 from currantline.wire import Response, find_header
 
-__all__ = ["NoticeReader", "parse_retry_after"]
+__all__ = ["AvailabilityReader"]
 
 LEAVING = "1"
 MISDIRECTED_REQUEST, UNAVAILABLE = 421, 503
@@ -24,29 +24,7 @@
 JITTER_SHARE = 0.1
 
 
-def parse_retry_after(value: str) -> float:
-    """Return the time in milliseconds that a Retry-After header states in seconds.
-
-    Raises
-    ------
-    InvalidValueError
-        If the value is not a finite number of at least 0.
-
-    Examples
-    --------
-    >>> parse_retry_after("0.3")
-    300.0
-    """
-    try:
-        after_ms = 1000.0 * float(value)
-    except ValueError as error:
-        raise InvalidValueError(f"{value!r:.80} is not a number of seconds") from error
-    if not math.isfinite(after_ms) or after_ms < 0:
-        raise InvalidValueError(f"{value!r:.80} is out of range")
-    return after_ms
-
-
-class NoticeReader:
+class AvailabilityReader:
     """Marks targets by what they say of themselves in their responses.
 
     Both marks belong to the start of a target that sent the response. A new start of
@@ -73,7 +51,7 @@
         self._log = log
 
     def read(self, target: Target, response: Response) -> None:
-        """Read the notices in a response that came from a target.
+        """Read what a response says of the target that sent it.
 
         Parameters
         ----------
@@ -98,7 +76,7 @@
         if response.status != UNAVAILABLE or value is None:
             return
         try:
-            after_ms = parse_retry_after(value)
+            after_ms = 1000.0 * parse_amount(value)
         except InvalidValueError as error:
             self._log.write("silence_refused", target=target.name, reason=str(error))
             return
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -13,9 +13,9 @@
     WireError,
 )
 from currantline.placement import Candidate, LoadReport, Target, parse_load_header
+from currantline.relay._availability_reader import AvailabilityReader
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
-from currantline.relay._notice_reader import NoticeReader
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.telemetry import EventLog, Meter
 from currantline.wire import Request, Response, find_header
@@ -66,7 +66,7 @@
         Header names.
     limit_reader : RateLimitReader
         Reads the limits that targets name.
-    notice_reader : NoticeReader
+    availability_reader : AvailabilityReader
         Reads what targets say of their availability.
     clock : Clock
         Source of time.
@@ -82,7 +82,7 @@
         *,
         names: HeaderNames,
         limit_reader: RateLimitReader,
-        notice_reader: NoticeReader,
+        availability_reader: AvailabilityReader,
         clock: Clock,
         meter: Meter,
         log: EventLog,
@@ -90,7 +90,7 @@
         self._pool = pool
         self._names = names
         self._limit_reader = limit_reader
-        self._notice_reader = notice_reader
+        self._availability_reader = availability_reader
         self._clock = clock
         self._meter = meter
         self._log = log
@@ -231,7 +231,7 @@
             target.is_address_reused = True
             self._log.write("target_replaced", target=target.name, found=name)
             raise ProtocolError(f"{name} responded at the address of {target.name}")
-        self._notice_reader.read(target, response)
+        self._availability_reader.read(target, response)
         if name is None and self._is_repeated(response, lease):
             raise ProtocolError("received a late response to an earlier request")
         self._limit_reader.read(target, response, is_success=False)
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -13,9 +13,9 @@
     Target,
     parse_load_header,
 )
+from currantline.relay._availability_reader import AvailabilityReader
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
-from currantline.relay._notice_reader import NoticeReader
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.relay._selection import RequestContext
 from currantline.telemetry import EventLog
@@ -80,7 +80,7 @@
         Header names.
     limit_reader : RateLimitReader
         Reads the limits that targets name.
-    notice_reader : NoticeReader
+    availability_reader : AvailabilityReader
         Reads what targets say of their availability.
     latencies : LatencyAverages
         Average response times of routes, updated by each success.
@@ -96,7 +96,7 @@
         *,
         names: HeaderNames,
         limit_reader: RateLimitReader,
-        notice_reader: NoticeReader,
+        availability_reader: AvailabilityReader,
         latencies: LatencyAverages,
         clock: Clock,
         log: EventLog,
@@ -104,7 +104,7 @@
         self._pool = pool
         self._names = names
         self._limit_reader = limit_reader
-        self._notice_reader = notice_reader
+        self._availability_reader = availability_reader
         self._latencies = latencies
         self._clock = clock
         self._log = log
@@ -165,7 +165,7 @@
         lease.has_carried_request = True
         for _ in range(MAX_RESPONSES_READ):
             response = await lease.connection.read_response(accept_unframed=True)
-            self._notice_reader.read(target, response)
+            self._availability_reader.read(target, response)
             request_id = find_header(response.headers, self._names.request_id)
             if request_id is None and may_be_repeated:
                 # It may be an earlier response that the target has sent once more.
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -18,11 +18,11 @@
     TargetRegistry,
 )
 from currantline.relay import (
+    AvailabilityReader,
     ConnectionPool,
     HeaderNames,
     LimitedTargetSelector,
     LoadProber,
-    NoticeReader,
     RateLimitReader,
     Relay,
     RelayServer,
@@ -187,12 +187,14 @@
         pool = ConnectionPool(clock=self.clock, meter=self.meter)
         self.pool = pool
         limit_reader = RateLimitReader(names=NAMES, observe=self._observe, log=log)
-        notice_reader = NoticeReader(names=NAMES, clock=self.clock, rng=rng, log=log)
+        availability_reader = AvailabilityReader(
+            names=NAMES, clock=self.clock, rng=rng, log=log
+        )
         prober = LoadProber(
             pool,
             names=NAMES,
             limit_reader=limit_reader,
-            notice_reader=notice_reader,
+            availability_reader=availability_reader,
             clock=self.clock,
             meter=self.meter,
             log=log,
@@ -217,7 +219,7 @@
                 pool,
                 names=NAMES,
                 limit_reader=limit_reader,
-                notice_reader=notice_reader,
+                availability_reader=availability_reader,
                 latencies=latencies,
                 clock=self.clock,
                 log=log,
--- a/src/currantline/validators.py
+++ b/src/currantline/validators.py
@@ -8,7 +8,7 @@
 
 from currantline.exceptions import InvalidValueError
 
-__all__ = ["check_address", "check_at_least", "check_finite"]
+__all__ = ["check_address", "check_at_least", "check_finite", "parse_amount"]
 
 
 def check_address(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
@@ -56,3 +56,25 @@
     """
     if not math.isfinite(value):
         raise InvalidValueError(f"{value!r} is not finite", path=attribute.name)
+
+
+def parse_amount(value: str) -> float:
+    """Return the finite number of at least 0 that a text states.
+
+    Raises
+    ------
+    InvalidValueError
+        If it states no such number.
+
+    Examples
+    --------
+    >>> parse_amount("2.9")
+    2.9
+    """
+    try:
+        amount = float(value)
+    except ValueError as error:
+        raise InvalidValueError(f"{value!r:.80} is not a number") from error
+    if not math.isfinite(amount) or amount < 0:
+        raise InvalidValueError(f"{value!r:.80} is out of range")
+    return amount
