Collect bodies in segments whose memory returns to the system

Segments of 64 KiB are below the size from which the allocator returns a block, so the heap kept the most that partly read bodies had used, beside the complete ones. A segment has 256 KiB now.

TestBodyBuffer failed before.

--- a/src/currantline/memory.py
+++ b/src/currantline/memory.py
@@ -2,7 +2,7 @@
 
 import ctypes
 
-__all__ = ["return_large_blocks"]
+__all__ = ["LARGE_BLOCK_BYTES", "return_large_blocks"]
 
 # Parameter of mallopt(3), see malloc.h of the GNU C library.
 M_MMAP_THRESHOLD = -3
--- a/src/currantline/wire/_body_buffer.py
+++ b/src/currantline/wire/_body_buffer.py
@@ -1,9 +1,12 @@
 """Buffer for a body that arrives in parts of any size."""
 
+from currantline.memory import LARGE_BLOCK_BYTES
+
 __all__ = ["BodyBuffer"]
 
-# Size from which a segment is complete.
-MIN_SEGMENT_BYTES = 65_536
+# Size from which a segment is complete. The memory of such a block returns to the
+# system once it is free, so that other bodies can use it in blocks of other sizes.
+MIN_SEGMENT_BYTES = 2 * LARGE_BLOCK_BYTES
 
 
 class BodyBuffer:
--- a/src/currantline/wire/tests/test_connection.py
+++ b/src/currantline/wire/tests/test_connection.py
@@ -9,8 +9,10 @@
 import pytest
 
 from currantline.exceptions import BodyTooLargeError, WireError
+from currantline.memory import LARGE_BLOCK_BYTES
 from currantline.standin.network import Network, run_session
 from currantline.wire import HttpConnection, HttpServer, Request, Response, connect
+from currantline.wire._body_buffer import BodyBuffer
 
 T = TypeVar("T")
 
@@ -169,6 +171,25 @@
             asyncio.run(connect(address, max_body_bytes=1))
 
 
+class TestBodyBuffer:
+    """Memory of a body that arrives in parts."""
+
+    @pytest.mark.parametrize("part", [b"x", b"xyz" * 50_000])
+    def test_segments(self, part: bytes) -> None:
+        """Guards against memory that stays with the process after a body has gone.
+
+        Segments in blocks that do not return to the system, and complete bodies, took
+        an instance over its memory together.
+        """
+        body = BodyBuffer()
+        count = 2_000_000 // len(part)
+        for _ in range(count):
+            body.append(part)
+        assert min(len(segment) for segment in body._segments) >= LARGE_BLOCK_BYTES
+        assert body.size == len(part) * count
+        assert body.join() == part * count
+
+
 class TestLargeRequests:
     """Requests that a socket does not take at once."""
 
