Let targets of the soak leave unannounced and ask for silence

The soak had no target that says in its responses that it leaves, or that rejects with Retry-After, so neither rule was checked with real processes.

Two faults and two checks are added: no request of an instance that passed on a response with the header reaches the target 2 s later, and at most two reach a target in its silence from half a second on. Kills, pauses and stops of the instance and faults of the path excuse it. Health checks have no request id and are not counted.

--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -10,6 +10,7 @@
     "format_settings",
     "make_configuration",
     "make_directory_query",
+    "make_leaving_headers",
     "make_rate_limit_headers",
     "make_settings",
     "make_target_entry",
@@ -27,6 +28,11 @@
     return [str(address) for address in json.loads(body)["addresses"]]
 
 
+def make_leaving_headers() -> tuple[tuple[str, str], ...]:
+    """Return the headers of responses of a target that leaves."""
+    return (("server-leaving", "1"),)
+
+
 def make_rate_limit_headers(per_s: float) -> tuple[tuple[str, str], ...]:
     """Return the headers by which a target limits its requests per second."""
     return (("x-currantline-server-limit", str(per_s)),)
--- a/src/currantline/soak/_environment.py
+++ b/src/currantline/soak/_environment.py
@@ -16,6 +16,7 @@
     READINESS_PATH,
     make_configuration,
     make_directory_query,
+    make_leaving_headers,
     make_rate_limit_headers,
     make_target_entry,
     read_addresses,
@@ -172,6 +173,28 @@
                 window.end_ms = self.clock.read()
                 worker.extra_headers = ()
 
+    @contextlib.contextmanager
+    def let_reject(self, name: str, after_s: float) -> Iterator[None]:
+        """Let a target reject requests and name a time of silence in the context."""
+        worker = self.workers[name].worker
+
+        def record(request_id: str) -> None:
+            now = self.clock.read()
+            self.checker.record_rejection(request_id, name, 1000 * after_s, now)
+
+        worker.on_reject, worker.is_rejecting = record, True
+        worker.extra_headers = (("retry-after", f"{after_s:.3f}"),)
+        try:
+            yield
+        finally:
+            worker.is_rejecting, worker.extra_headers = False, ()
+            worker.on_reject = lambda request_id: None
+
+    def announce_leaving(self, name: str) -> None:
+        """Let a target say that it leaves, without the store."""
+        self.workers[name].worker.extra_headers = make_leaving_headers()
+        self.checker.record_leaving(name, self.clock.read())
+
     def change_configuration(self) -> None:
         """Route all requests to the other service."""
         self.version += 1
--- a/src/currantline/soak/_faults.py
+++ b/src/currantline/soak/_faults.py
@@ -24,6 +24,9 @@
 LIMIT_S = 9.0
 LIMIT_RANGE_PER_S = (0.4, 4.0)
 
+# Range of the time of silence that a rejecting target names.
+SILENCE_RANGE_S = (0.3, 6.0)
+
 # Time for which a draining target keeps serving. This is three times the drain time
 # of the platform because some targets take longer.
 DRAIN_S = 6.0
@@ -190,22 +193,52 @@
 
     async def replace_target(self) -> None:
         """Start a target, then drain and remove another one of the same service."""
-        name = self.environment.rng.choice(list(self.environment.workers))
-        if name in self._reserved:
+        name = self._reserve_target()
+        if not name:
             return
-        self._reserved.add(name)
         await self.environment.add_target(self.environment.workers[name].service)
         self.environment.drain_target(name)
         await asyncio.sleep(DRAIN_S)
         with self.environment.record_fault("gone", name):
             await self.environment.remove_target(name)
 
+    async def announce_leaving(self) -> None:
+        """Let a target say that it leaves, and remove it some time later.
+
+        The store does not learn of it before.
+        """
+        name = self._reserve_target()
+        if not name:
+            return
+        await self.environment.add_target(self.environment.workers[name].service)
+        self.environment.announce_leaving(name)
+        await asyncio.sleep(DRAIN_S)
+        with self.environment.record_fault("gone", name):
+            await self.environment.remove_target(name)
+
+    async def want_silence(self) -> None:
+        """Let a target reject requests and ask for silence."""
+        name = self._reserve_target()
+        if not name:
+            return
+        after_s = self.environment.rng.uniform(*SILENCE_RANGE_S)
+        with self.environment.let_reject(name, after_s):
+            await self._wait_fault_duration()
+        self._reserved.discard(name)
+
     async def change_configuration(self) -> None:
         """Change the configuration once or three times in quick succession."""
         for _ in range(self.environment.rng.choice([1, 1, 3])):
             self.environment.change_configuration()
             await asyncio.sleep(0.2)
 
+    def _reserve_target(self) -> str:
+        name = self.environment.rng.choice(list(self.environment.workers))
+        if name in self._reserved:
+            return ""
+        self._reserved.add(name)
+        return name
+
     def _reserve_instance(self) -> str:
         free = [
             host for host in self.environment.instances if host not in self._reserved
@@ -242,6 +275,8 @@
         FaultInjector.harm_target,
         FaultInjector.limit_targets,
         FaultInjector.replace_target,
+        FaultInjector.announce_leaving,
+        FaultInjector.want_silence,
         FaultInjector.change_configuration,
     )
 }
--- a/src/currantline/soak/_guarantees.py
+++ b/src/currantline/soak/_guarantees.py
@@ -23,6 +23,14 @@
 LIMIT_WINDOW_MS = 4_000.0
 LIMIT_RATIO, LIMIT_SLACK = 1.5, 5
 
+# Time after a rejection from which the silence that it asks for must be kept, and the
+# number of requests during it that are allowed.
+SILENCE_APPLY_MS = 500.0
+SILENCE_SLACK = 2
+
+# Faults of an instance that do not excuse it from what a target told it.
+MINOR_FAULTS = frozenset({"reload", "store"})
+
 # Share of requests that must succeed after all faults have ended.
 MIN_ANSWERED_SHARE = 0.25
 
@@ -114,6 +122,14 @@
     started_ms: float
 
 
+@attrs.frozen
+class _Rejection:
+    name: str
+    target: str
+    after_ms: float
+    ms: float
+
+
 @attrs.define
 class GuaranteeChecker:
     """Collects observations and reports violated guarantees.
@@ -131,6 +147,8 @@
     )
     _limit_windows: list[LimitWindow] = attrs.field(factory=list)
     _drain_times_ms: dict[str, float] = attrs.field(factory=dict)
+    _leaving_times_ms: dict[str, float] = attrs.field(factory=dict)
+    _rejections: list[_Rejection] = attrs.field(factory=list)
     _services: list[tuple[float, str]] = attrs.field(factory=list)
 
     def record_call(self, call: Call) -> None:
@@ -169,6 +187,16 @@
         """Record that the store acknowledged the drain of a target."""
         self._drain_times_ms[target] = ms
 
+    def record_leaving(self, target: str, ms: float) -> None:
+        """Record that all responses of a target say from now on that it leaves."""
+        self._leaving_times_ms[target] = ms
+
+    def record_rejection(
+        self, name: str, target: str, after_ms: float, ms: float
+    ) -> None:
+        """Record that a target rejected a request and named a time of silence."""
+        self._rejections.append(_Rejection(name, target, after_ms, ms))
+
     def record_configuration(self, service: str, ms: float) -> None:
         """Record that the store acknowledged routing requests to a service."""
         self._services.append((ms, service))
@@ -195,6 +223,10 @@
         if checks_time_bounds:
             for window in self._limit_windows:
                 violations += self._check_limit(window)
+            for target, begin_ms in self._leaving_times_ms.items():
+                violations += self._check_leaving(target, begin_ms)
+            for rejection in self._rejections:
+                violations += self._check_silence(rejection)
         unknown = self._executions.keys() - self._calls.keys()
         return violations + [
             f"{name} was executed but never sent" for name in sorted(unknown)
@@ -267,6 +299,67 @@
             f"{window.target} got {most} requests in 4 s, limit {window.per_s:.1f}/s"
         ]
 
+    def _check_leaving(self, target: str, begin_ms: float) -> list[str]:
+        """Look for requests of instances that had passed on that a target leaves."""
+        calls = [
+            (self._calls[name], execution)
+            for name, executions in self._executions.items()
+            for execution in executions
+            if execution.target == target and name in self._calls
+        ]
+        heard_ms: dict[str, float] = {}
+        for call, _ in calls:
+            if call.status == 200 and call.sent_ms >= begin_ms:
+                earliest_ms = heard_ms.get(call.instance, math.inf)
+                heard_ms[call.instance] = min(earliest_ms, call.ended_ms)
+        return [
+            f"{call.name} reached {target} after {call.instance} knew that it leaves"
+            for call, execution in calls
+            if (since_ms := heard_ms.get(call.instance, math.inf)) + APPLY_LIMIT_MS
+            < call.sent_ms
+            and self._has_run(call.instance, since_ms, execution.started_ms)
+        ]
+
+    def _check_silence(self, rejection: _Rejection) -> list[str]:
+        """Count the requests of an instance to a target that asked it for silence."""
+        if rejection.name not in self._calls:
+            return []
+        instance = self._calls[rejection.name].instance
+        arrivals = [
+            (name, execution.started_ms)
+            for name, executions in self._executions.items()
+            for execution in executions
+            if execution.target == rejection.target
+        ]
+        arrivals += [
+            (each.name, each.ms)
+            for each in self._rejections
+            if each.target == rejection.target
+        ]
+        begin_ms = rejection.ms + SILENCE_APPLY_MS
+        end_ms = rejection.ms + rejection.after_ms
+        early = [
+            ms
+            for name, ms in arrivals
+            if begin_ms < ms < end_ms
+            and name in self._calls
+            and self._calls[name].instance == instance
+        ]
+        is_excused = not (
+            self._has_run(instance, rejection.ms, end_ms)
+            and self._has_run(rejection.target, rejection.ms, rejection.ms)
+        )
+        if len(early) <= SILENCE_SLACK or is_excused:
+            return []
+        return [f"{len(early)} requests reached {rejection.target} in its silence"]
+
+    def _has_run(self, what: str, begin_ms: float, end_ms: float) -> bool:
+        """Return whether no fault but minor ones has interrupted an interval."""
+        return not any(
+            window.fault not in MINOR_FAULTS and window.overlaps(begin_ms, end_ms)
+            for window in self._fault_windows.get(what, ())
+        )
+
     def _list_allowed_services(self, sent_ms: float) -> set[str]:
         applied = [s for ms, s in self._services if ms <= sent_ms - APPLY_LIMIT_MS]
         recent = [s for ms, s in self._services if ms > sent_ms - APPLY_LIMIT_MS]
--- a/src/currantline/soak/tests/test_soak.py
+++ b/src/currantline/soak/tests/test_soak.py
@@ -114,6 +114,36 @@
         checker.record_fault("h", "pause", 9_000.0)
         assert checker.find_violations() == []
 
+    def test_leaving(self) -> None:
+        """Guards against undetected requests to a target that said that it leaves."""
+        checker = make_checker(make_call(), "t")
+        checker.record_leaving("t", 9_000.0)
+        assert checker.find_violations() == []
+        checker.record_call(make_call("late", sent_ms=12_100.0, ended_ms=12_110.0))
+        checker.record_execution("late", "t", "s", 12_100.0)
+        checker.record_call(
+            make_call("other", sent_ms=12_100.0, ended_ms=12_110.0, instance="i")
+        )
+        checker.record_execution("other", "t", "s", 12_100.0)
+        [violation] = checker.find_violations()
+        assert "late reached t after h knew" in violation
+        checker.record_fault("h", "kill", 11_000.0)
+        assert checker.find_violations() == []
+
+    def test_silence(self) -> None:
+        """Guards against undetected requests to a target that asked for silence."""
+        checker = make_checker(make_call(status=503))
+        checker.record_rejection("r", "t", 2_000.0, 10_000.0)
+        for number, ms in enumerate((10_400.0, 10_600.0, 11_000.0, 12_100.0)):
+            checker.record_call(make_call(f"r{number}", sent_ms=ms))
+            checker.record_execution(f"r{number}", "t", "s", ms)
+        assert checker.find_violations() == []
+        checker.record_call(make_call("third", sent_ms=11_900.0))
+        checker.record_execution("third", "t", "s", 11_900.0)
+        assert len(checker.find_violations()) == 1
+        checker.record_fault("h", "pause", 11_000.0)
+        assert checker.find_violations() == []
+
     def test_no_recovery(self) -> None:
         """Guards against an undetected failure to recover."""
         checker = make_checker(make_call(status=503))
--- a/src/currantline/standin/worker.py
+++ b/src/currantline/standin/worker.py
@@ -47,6 +47,8 @@
         Identifiers of the requests that were cancelled by a closed connection.
     on_start : callable
         Called with the identifier of each request that starts to execute.
+    on_reject : callable
+        Called with the identifier of each request that is rejected.
     """
 
     name: str
@@ -65,6 +67,7 @@
     time_left_ms: list[float] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
     on_start: Callable[[str], object] = lambda request_id: None
+    on_reject: Callable[[str], object] = lambda request_id: None
 
     async def handle(self, request: Request) -> Response:
         """Respond to a request or a health check."""
@@ -80,6 +83,7 @@
         if expected not in (None, self.name):
             return Response(status=421, headers=(*self._list_own_headers(), echo))
         if self.is_rejecting or self.running >= self.slots:
+            self.on_reject(request_id)
             not_run = (names.not_run, "1")
             headers = (*self._list_own_headers(), echo, not_run, self._report_load())
             return Response(status=503, headers=headers)
