Keep the fields of odd entries in the platform's folder

The odd entries of TestOddEntries named the platform's fields outside its folder. They are samples now; the test and its 64 entries are unchanged, and it passes.

--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -6,6 +6,7 @@
 from currantline.platform._endpoints import DIRECTORY_PATH, READINESS_PATH
 
 __all__ = [
+    "ODD_ENTRIES",
     "READINESS_PATH",
     "format_settings",
     "make_configuration",
@@ -134,3 +135,49 @@
         else:
             lines.append(f"{name} = {json.dumps(value)}")
     return "\n".join(lines)
+
+
+def _make_odd_entry(table: str | None, field: str, value: str) -> bytes:
+    """Return an entry of a target with one field in JSON as given."""
+    document: dict[str, Any] = make_target_entry("10.9.0.9:80")
+    (document[table] if table else document)[field] = "ODD"
+    return json.dumps(document).replace('"ODD"', value).encode()
+
+
+_NESTED = "[" * 900 + "]" * 900
+# Entries of another program, which name no target.
+ODD_ENTRIES = [
+    b"[" * 100_000,
+    b'{"info":' * 50_000,
+    *(
+        _make_odd_entry(table, field, value)
+        for table, field in [
+            (None, "address"),
+            (None, "born"),
+            ("info", "slots"),
+            ("info", "service"),
+            ("info", "zone"),
+            ("status", "state"),
+            ("status", "warmupLeftMs"),
+        ]
+        for value in (_NESTED, "1e999", "-1e999", "NaN", "9" * 400, "9" * 5000, "{}")
+    ),
+    *(
+        _make_odd_entry(None, "address", json.dumps(address))
+        for address in [
+            "",
+            "10.9.0.9",
+            "10.9.0.9:",
+            "10.9.0.9:0",
+            "10.9.0.9:-1",
+            "10.9.0.9:65536",
+            "10.9.0.9:" + "9" * 30,
+            "10.9.0.9:80:80",
+            "10.9.0.999:80",
+            "example:80",
+            ":80",
+            "10.9.0.9\n:80",
+            "\ud800:80",
+        ]
+    ),
+]
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -1,13 +1,16 @@
 """End-to-end tests of deployments on the users' platform, in virtual time."""
 
 import asyncio
-import json
 from typing import Any
 
 import pytest
 
 from currantline.exceptions import WireError
-from currantline.platform.samples import make_configuration, make_target_entry
+from currantline.platform.samples import (
+    ODD_ENTRIES,
+    make_configuration,
+    make_target_entry,
+)
 from currantline.standin.network import run_on_host
 from currantline.tests.support import (
     APPLY_LIMIT_MS,
@@ -21,51 +24,6 @@
 ENTRY = make_target_entry("10.9.0.9:80")
 
 
-def make_odd_entry(table: str | None, field: str, value: str) -> bytes:
-    """Return an entry of a target with one field in JSON as given."""
-    document: dict[str, Any] = make_target_entry("10.9.0.9:80")
-    (document[table] if table else document)[field] = "ODD"
-    return json.dumps(document).replace('"ODD"', value).encode()
-
-
-NESTED = "[" * 900 + "]" * 900
-ODD_ENTRIES = [
-    b"[" * 100_000,
-    b'{"info":' * 50_000,
-    *(
-        make_odd_entry(table, field, value)
-        for table, field in [
-            (None, "address"),
-            (None, "born"),
-            ("info", "slots"),
-            ("info", "service"),
-            ("info", "zone"),
-            ("status", "state"),
-            ("status", "warmupLeftMs"),
-        ]
-        for value in (NESTED, "1e999", "-1e999", "NaN", "9" * 400, "9" * 5000, "{}")
-    ),
-    *(
-        make_odd_entry(None, "address", json.dumps(address))
-        for address in [
-            "",
-            "10.9.0.9",
-            "10.9.0.9:",
-            "10.9.0.9:0",
-            "10.9.0.9:-1",
-            "10.9.0.9:65536",
-            "10.9.0.9:" + "9" * 30,
-            "10.9.0.9:80:80",
-            "10.9.0.999:80",
-            "example:80",
-            ":80",
-            "10.9.0.9\n:80",
-            "\ud800:80",
-        ]
-    ),
-]
-
-
 class TestRequests:
     """Requests, address queries and metrics without faults."""
 
