Keep the silence of a target whose entry comes back

Callers saw requests refused by a target that had asked their instance for silence, when its entry was removed and published again in that time (by a lookup that lags, or an entry that expired while the store was down), or when it came back under another address with the same start.

Cause: only the mark of leaving was remembered beside the entry; the time of silence was a field of the Target object, which is created anew for an entry that comes back. Besides, a response that was read after the removal of its target marked an object that nobody used any more.

Change: what a target says of its availability is one object for each start of the target (name and start time). All Target objects of that start share it, and the registry keeps it after a removal.

--- a/src/currantline/placement/_availability.py
+++ b/src/currantline/placement/_availability.py
@@ -47,10 +47,11 @@
     """
     if target.published.is_draining:
         return Unavailability(UnavailabilityReason.DRAINING)
-    if target.is_leaving:
+    if target.stated.is_leaving:
         return Unavailability(UnavailabilityReason.LEAVING)
     if target.is_address_reused:
         return Unavailability(UnavailabilityReason.REPLACED)
-    if now < target.silent_until_ms:
-        return Unavailability(UnavailabilityReason.SILENCE, target.silent_until_ms)
+    until_ms = target.stated.silent_until_ms
+    if now < until_ms:
+        return Unavailability(UnavailabilityReason.SILENCE, until_ms)
     return None
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -3,13 +3,15 @@
 import math
 
 from currantline.placement._availability import find_unavailability
+from currantline.placement._stated_availability import StatedAvailability
 from currantline.placement._target import PublishedTarget, Target
 
 __all__ = ["TargetRegistry"]
 
 
-# Maximum number of removed targets whose leaving is remembered.
-MAX_LEFT = 4_096
+# Maximum number of starts of targets, the current ones aside, for which is kept what
+# they said of their availability.
+MAX_EARLIER_STARTS = 4_096
 
 
 class TargetRegistry:
@@ -17,8 +19,8 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
-        # Start times of removed targets that said that they leave, by name.
-        self._left: dict[str, int] = {}
+        # By name and start time, the earliest first; also of removed targets.
+        self._stated: dict[tuple[str, int], StatedAvailability] = {}
 
     def update(self, entry: PublishedTarget, now: float) -> None:
         """Add a target or update its entry.
@@ -39,19 +41,15 @@
         self._targets[entry.name] = Target(
             entry,
             warmup_end_ms=now + entry.warmup_ms,
-            is_leaving=self._has_left(entry),
+            stated=self._find_stated(entry),
         )
 
     def remove(self, name: str) -> None:
         """Remove a target that is no longer published.
 
-        If it said that it leaves, it is not used again under the same start time.
+        What it said of its availability holds if the same start is published again.
         """
-        target = self._targets.pop(name, None)
-        if target is not None and target.is_leaving:
-            self._left[name] = target.published.started_unix_ms
-            while len(self._left) > MAX_LEFT:
-                del self._left[next(iter(self._left))]
+        self._targets.pop(name, None)
 
     def find(self, name: str) -> Target | None:
         """Return a target by name, or None."""
@@ -96,11 +94,21 @@
         is_published = self._targets.get(target.name) is target
         return is_published and find_unavailability(target, now) is None
 
-    def _has_left(self, entry: PublishedTarget) -> bool:
-        known = self._targets.get(entry.name)
-        if known is not None and known.is_leaving:
-            return known.published.started_unix_ms == entry.started_unix_ms
-        return self._left.get(entry.name) == entry.started_unix_ms
+    def _find_stated(self, entry: PublishedTarget) -> StatedAvailability:
+        start = (entry.name, entry.started_unix_ms)
+        stated = self._stated.pop(start, None) or StatedAvailability()
+        # The start that was published last comes last.
+        self._stated[start] = stated
+        if len(self._stated) > len(self._targets) + MAX_EARLIER_STARTS:
+            self._forget_earliest()
+        return stated
+
+    def _forget_earliest(self) -> None:
+        current = {
+            (name, target.published.started_unix_ms)
+            for name, target in self._targets.items()
+        }
+        del self._stated[next(start for start in self._stated if start not in current)]
 
     def __len__(self) -> int:
         return len(self._targets)
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -9,6 +9,7 @@
 from currantline.placement._load_report import LoadReport
 from currantline.placement._passive_health import PassiveHealth
 from currantline.placement._rate_limit import RateLimit
+from currantline.placement._stated_availability import StatedAvailability
 from currantline.validators import check_address, check_at_least, check_finite
 
 __all__ = ["PublishedTarget", "Target"]
@@ -87,10 +88,8 @@
         Limit of requests that the target names.
     next_permit_ms : float
         Time until which permits for the target are expected to be used up.
-    is_leaving : bool
-        Whether a response of the target said that it leaves.
-    silent_until_ms : float
-        Time until which the target asked this instance for silence.
+    stated : StatedAvailability
+        What this start of the target has said of its availability.
     """
 
     published: PublishedTarget
@@ -102,8 +101,7 @@
     last_report: LoadReport | None = None
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     next_permit_ms: float = 0.0
-    is_leaving: bool = False
-    silent_until_ms: float = 0.0
+    stated: StatedAvailability = attrs.field(factory=StatedAvailability)
 
     @property
     def name(self) -> str:
--- a/src/currantline/relay/_availability_reader.py
+++ b/src/currantline/relay/_availability_reader.py
@@ -67,8 +67,8 @@
 
     def _read_leaving(self, target: Target, response: Response) -> None:
         values = [find_header(response.headers, name) for name in self._names.leaving]
-        if LEAVING in values and not target.is_leaving:
-            target.is_leaving = True
+        if LEAVING in values and not target.stated.is_leaving:
+            target.stated.is_leaving = True
             self._log.write("target_leaving", target=target.name)
 
     def _read_silence(self, target: Target, response: Response) -> None:
@@ -85,8 +85,8 @@
             after_ms = MAX_SILENCE_MS
         after_ms *= 1.0 + self._rng.uniform(0.0, JITTER_SHARE)
         until_ms = self._clock.read() + after_ms
-        if until_ms > target.silent_until_ms:
-            target.silent_until_ms = until_ms
+        if until_ms > target.stated.silent_until_ms:
+            target.stated.silent_until_ms = until_ms
             self._log.write(
                 "target_silence", target=target.name, after_ms=round(after_ms)
             )
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -343,7 +343,7 @@
         ]
         if not silent:
             return Selection(reason="no target")
-        until_ms = min(target.silent_until_ms for target in silent)
+        until_ms = min(target.stated.silent_until_ms for target in silent)
         wait_ms = max(0.0, until_ms - self._clock.read())
         return Selection(reason="all targets asked for silence", wait_ms=wait_ms)
 
--- a/src/currantline/relay/tests/test_availability.py
+++ b/src/currantline/relay/tests/test_availability.py
@@ -128,7 +128,7 @@
             await harness.send("a")
             target = harness.targets.find("t1")
             assert target is not None
-            assert not target.is_leaving
+            assert not target.stated.is_leaving
 
         run_scenario(scenario)
 
@@ -138,7 +138,7 @@
         targets.update(make_entry(1), 0.0)
         target = targets.find("t")
         assert target is not None
-        target.is_leaving = True
+        target.stated.is_leaving = True
         targets.update(make_entry(1), 0.0)
         targets.update(make_entry(1, "10.0.1.2:80"), 0.0)
         assert targets.list_usable("s") == []
@@ -223,10 +223,10 @@
             running = asyncio.ensure_future(harness.send("a"))
             await asyncio.sleep(0.05)
             await reject_once(harness, worker, "5")
-            until_ms = target.silent_until_ms
+            until_ms = target.stated.silent_until_ms
             worker.extra_headers = (("retry-after", "0.1"),)
             assert (await running).status == 200
-            assert target.silent_until_ms == until_ms
+            assert target.stated.silent_until_ms == until_ms
 
         run_scenario(scenario, NON_IDEMPOTENT)
 
@@ -245,3 +245,28 @@
             assert (script.requests, len(other.started_ids)) == (0, 5)
 
         run_scenario(scenario)
+
+    @pytest.mark.parametrize("address", ["10.0.1.1:80", "10.0.1.2:80"])
+    def test_published_again(self, address: str) -> None:
+        """Guards against a silence that ends with an older state of the store."""
+        targets = TargetRegistry()
+        targets.update(make_entry(1), 0.0)
+        target = targets.find("t")
+        assert target is not None
+        target.stated.silent_until_ms = 5_000.0
+        targets.update(make_entry(1, "10.0.1.2:80"), 100.0)
+        assert targets.list_usable("s", 1_000.0) == []
+        targets.remove("t")
+        targets.update(make_entry(1, address), 200.0)
+        assert targets.list_usable("s", 4_999.0) == []
+        assert len(targets.list_usable("s", 5_000.0)) == 1
+
+    def test_new_start(self) -> None:
+        """Guards against a silence that outlasts the start that asked for it."""
+        targets = TargetRegistry()
+        targets.update(make_entry(1), 0.0)
+        target = targets.find("t")
+        assert target is not None
+        target.stated.silent_until_ms = 5_000.0
+        targets.update(make_entry(2), 100.0)
+        assert len(targets.list_usable("s", 200.0)) == 1
