Refuse a rejected request until the silence of its targets ends

Callers saw: a target rejects a request with 503 and Retry-After 0.6, no other target of the service is available, and the caller is told to come back after 0 to 20 ms. Its retry is refused in turn, and one of its few retries is lost.

Cause: the wait was found from the targets that the request had not tried yet. The one that had just asked for silence was left out, with the reason "no target", which means that none is published; without a retry in the budget the wait was not looked for at all.

Change: each refusal asks when the first published target of the service is available, tried or not. The reason names, by count, why targets are not used; "no target" alone is left for a service without any.

Evidence: TestSilence.test_rejected_caller failed before with a Retry-After of 0.005 s, for routes with one and with two attempts; both pass now.

--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -13,6 +13,8 @@
 from currantline.placement._availability import (
     Unavailability,
     UnavailabilityReason,
+    describe_unavailability,
+    find_next_available_ms,
     find_unavailability,
 )
 from currantline.placement._choice import (
@@ -45,9 +47,11 @@
     "UnavailabilityReason",
     "choose_candidate",
     "choose_probe_targets",
+    "describe_unavailability",
     "estimate_response_ms",
     "find_in_time_wait_ms",
     "find_max_wait_ms",
+    "find_next_available_ms",
     "find_optimal_concurrency",
     "find_refusal_reason",
     "find_unavailability",
--- a/src/currantline/placement/_availability.py
+++ b/src/currantline/placement/_availability.py
@@ -2,21 +2,33 @@
 
 import enum
 import math
+from collections import Counter
+from collections.abc import Collection
 
 import attrs
 
 from currantline.placement._target import Target
 
-__all__ = ["Unavailability", "UnavailabilityReason", "find_unavailability"]
+__all__ = [
+    "Unavailability",
+    "UnavailabilityReason",
+    "describe_unavailability",
+    "find_next_available_ms",
+    "find_unavailability",
+]
 
 
 class UnavailabilityReason(enum.Enum):
     """Why a target may get no request."""
 
-    DRAINING = "it is published as draining"
-    LEAVING = "it said that it leaves"
-    REPLACED = "another target responds at its address"
-    SILENCE = "it asked for silence"
+    # It is published as such.
+    DRAINING = "draining"
+    # A response of it said so.
+    LEAVING = "leaving"
+    # Another target responds at its address.
+    REPLACED = "replaced"
+    # It asked for silence, which has not ended.
+    SILENCE = "silent"
 
 
 @attrs.frozen
@@ -55,3 +67,40 @@
     if now < until_ms:
         return Unavailability(UnavailabilityReason.SILENCE, until_ms)
     return None
+
+
+def find_next_available_ms(targets: Collection[Target], now: float) -> float:
+    """Return when the first of some targets may get a request.
+
+    Parameters
+    ----------
+    targets : collection of Target
+        The published targets of a service.
+    now : float
+        Current time in milliseconds.
+
+    Returns
+    -------
+    float
+        Time in milliseconds, `now` if one may get it already, infinite if none will.
+    """
+    found = (find_unavailability(target, now) for target in targets)
+    return min((now if u is None else u.until_ms for u in found), default=math.inf)
+
+
+def describe_unavailability(targets: Collection[Target], now: float) -> str:
+    """Return for logs and callers why none of some targets may get a request.
+
+    Parameters
+    ----------
+    targets : collection of Target
+        The published targets of a service.
+    now : float
+        Current time in milliseconds.
+    """
+    found = [find_unavailability(target, now) for target in targets]
+    reasons = Counter(u.reason for u in found if u is not None)
+    if len(reasons) == 1 and UnavailabilityReason.SILENCE in reasons:
+        return "all targets asked for silence"
+    counts = [f"{reasons[r]} {r.value}" for r in UnavailabilityReason if r in reasons]
+    return f"no target: {', '.join(counts)}" if counts else "no target"
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -55,6 +55,10 @@
         """Return a target by name, or None."""
         return self._targets.get(name)
 
+    def list_published(self, service: str) -> list[Target]:
+        """Return all published targets of a service."""
+        return [t for t in self._targets.values() if t.published.service == service]
+
     def list_usable(self, service: str, now: float = math.inf) -> list[Target]:
         """Return the targets of a service that may receive new requests.
 
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -382,11 +382,16 @@
         context = progress.context
         bounds_ms = find_retry_after_bounds_ms(
             left_ms=max(0.0, context.caller_deadline_ms - self._clock.read()),
-            until_known_ms=progress.retry_after_ms,
+            until_known_ms=self._find_known_wait_ms(progress),
             rejected_objective_ms=context.route.objective_ms if progress.results else 0,
         )
         return self._build_refusal(reason, bounds_ms)
 
+    def _find_known_wait_ms(self, progress: _Progress) -> float:
+        wait_ms = self._selector.find_wait_ms(progress.context)
+        # The state that ends the wait for an unavailable service is not known.
+        return max(progress.retry_after_ms, wait_ms if math.isfinite(wait_ms) else 0.0)
+
     def _refuse(
         self, request: Request, reason: str, bounds_ms: tuple[float, float]
     ) -> Response:
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -12,6 +12,8 @@
     Target,
     TargetRegistry,
     choose_probe_targets,
+    describe_unavailability,
+    find_next_available_ms,
     find_refusal_reason,
     has_good_candidate,
     is_overdue,
@@ -155,6 +157,16 @@
         """Offer the slot of a finished request to the next waiting one."""
         self._find_queue(context).notify_slot_freed(target)
 
+    def find_wait_ms(self, context: RequestContext) -> float:
+        """Return the time until a target of the service of a request is available.
+
+        It counts the targets that have already received the request, since its caller
+        may send it again. It is infinite if no target will be available.
+        """
+        now = self._clock.read()
+        published = self._targets.list_published(context.service.name)
+        return find_next_available_ms(published, now) - now
+
     def release(self, selection: Selection) -> None:
         """Release the connection of a selection that is not used."""
         if selection.lease is not None:
@@ -188,7 +200,7 @@
             return Selection(reason=refusal_reason)
         known = self._list_usable(context, exclude)
         if not known:
-            return self._refuse(context, exclude)
+            return self._refuse(context)
         limited = [target for target in known if target.is_rate_limited]
         usable = [target for target in known if not target.is_rate_limited]
         if not usable:
@@ -335,17 +347,11 @@
         usable = self._targets.list_usable(context.service.name, self._clock.read())
         return [target for target in usable if target.name not in exclude]
 
-    def _refuse(self, context: RequestContext, exclude: Collection[str]) -> Selection:
-        silent = [
-            target
-            for target in self._targets.list_usable(context.service.name)
-            if target.name not in exclude
-        ]
-        if not silent:
-            return Selection(reason="no target")
-        until_ms = min(target.stated.silent_until_ms for target in silent)
-        wait_ms = max(0.0, until_ms - self._clock.read())
-        return Selection(reason="all targets asked for silence", wait_ms=wait_ms)
+    def _refuse(self, context: RequestContext) -> Selection:
+        if self.find_wait_ms(context) == 0:
+            return Selection(reason="all available targets rejected it")
+        published = self._targets.list_published(context.service.name)
+        return Selection(reason=describe_unavailability(published, self._clock.read()))
 
     async def _probe(
         self, context: RequestContext, usable: list[Target], searches: int
--- a/src/currantline/relay/tests/test_availability.py
+++ b/src/currantline/relay/tests/test_availability.py
@@ -1,10 +1,17 @@
 """Tests of what targets say of themselves: that they leave, or want silence."""
 
 import asyncio
+import math
 
 import pytest
 
-from currantline.placement import PublishedTarget, TargetRegistry
+from currantline.placement import (
+    PublishedTarget,
+    Target,
+    TargetRegistry,
+    describe_unavailability,
+    find_next_available_ms,
+)
 from currantline.relay.tests.support import RelayHarness, make_route, run_scenario
 from currantline.standin.worker import StandinWorker
 from currantline.wire import find_header
@@ -270,3 +277,32 @@
         target.stated.silent_until_ms = 5_000.0
         targets.update(make_entry(2), 100.0)
         assert len(targets.list_usable("s", 200.0)) == 1
+
+    @pytest.mark.parametrize("max_attempts", [1, 2])
+    def test_rejected_caller(self, max_attempts: int) -> None:
+        """Guards against a caller that is told to return during the silence."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            worker = await harness.add_worker(is_rejecting=True)
+            worker.extra_headers = (("retry-after", "0.6"),)
+            response = await harness.send("first")
+            assert response.status == 503
+            assert float(find_header(response.headers, "retry-after") or 0) >= 0.59
+
+        run_scenario(scenario, make_route(max_attempts=max_attempts))
+
+
+class TestRefusal:
+    """Reasons of refused requests in logs."""
+
+    def test_counts(self) -> None:
+        """Guards against a refusal that hides why targets are not used."""
+        targets = [Target(make_entry(number)) for number in range(3)]
+        assert describe_unavailability([], 0.0) == "no target"
+        targets[0].stated.is_leaving = targets[1].stated.is_leaving = True
+        targets[2].stated.silent_until_ms = 5.0
+        text = describe_unavailability(targets, 0.0)
+        assert text == "no target: 2 leaving, 1 silent"
+        assert find_next_available_ms(targets, 0.0) == 5.0
+        assert find_next_available_ms(targets, 6.0) == 6.0
+        assert find_next_available_ms(targets[:2], 0.0) == math.inf
