Measure what a fleet sends to targets that leave or want silence

The deployment of the tests takes any number of instances and records which of them sends each request and health check.

--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -1,11 +1,14 @@
 """Test harness: a deployment on the users' platform, in virtual time."""
 
 import asyncio
+import itertools
 import random
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
+import attrs
+
 from currantline.gateway import Gateway
 from currantline.platform import HEADERS, decode_settings
 from currantline.platform.samples import (
@@ -18,9 +21,21 @@
 from currantline.standin.store import StandinStore
 from currantline.standin.worker import StandinWorker
 from currantline.telemetry import EventLog
-from currantline.wire import HttpServer, Request, Response, fetch
-
-__all__ = ["APPLY_LIMIT_MS", "HOSTS", "STORE", "Deployment", "PipeliningCaller", "run"]
+from currantline.wire import HttpConnection, HttpServer, Request, Response, fetch
+
+__all__ = [
+    "APPLY_LIMIT_MS",
+    "HOSTS",
+    "STORE",
+    "Answer",
+    "Arrival",
+    "Deployment",
+    "PipeliningCaller",
+    "list_hosts",
+    "measure_call",
+    "run",
+    "send_steadily",
+]
 
 STORE, CALLER = "10.200.1.7", "10.99.0.1"
 DATA_CENTRES = ("a", "b")
@@ -28,18 +43,75 @@
 # Time after a write to the store by which the change must be in effect.
 APPLY_LIMIT_MS = 2_000.0
 
+# Latency objective of the requests.
+OBJECTIVE_MS = 400.0
+
 HOSTS = {"10.1.0.1": "a", "10.1.0.2": "a", "10.1.0.3": "a", "10.2.0.1": "b"}
 
 
+def list_hosts(instances: int) -> dict[str, str]:
+    """Return the hosts of a fleet, with their data centres."""
+    return {
+        f"10.{1 + n % 2}.{n // 200}.{n // 2 % 100 + 1}": "ab"[n % 2]
+        for n in range(instances)
+    }
+
+
+@attrs.define
+class Arrival:
+    """A request or health check that a target received.
+
+    Parameters
+    ----------
+    host : str
+        Instance that sent it.
+    at_s : float
+        Time of its arrival in seconds.
+    status : int
+        Status of the response, 0 if there is none yet.
+    """
+
+    host: str
+    at_s: float
+    status: int = 0
+
+
+class _RecordingServer(HttpServer):
+    """Records which instances send requests and health checks to a target."""
+
+    def __init__(self, worker: StandinWorker) -> None:
+        super().__init__(worker.handle)
+        self._worker = worker
+        self.arrivals: list[Arrival] = []
+
+    async def exchange(self, connection: HttpConnection, request: Request) -> None:
+        now_s = asyncio.get_running_loop().time()
+        arrival = Arrival(connection.peer_host, now_s)
+        self.arrivals.append(arrival)
+        response = await self._worker.handle(request)
+        arrival.status = response.status
+        connection.write_response(response)
+        await connection.drain()
+
+
 class Deployment:
-    """Four instances in two data centres, a store and two targets."""
+    """Instances in two data centres, a store and two targets.
+
+    Parameters
+    ----------
+    network : Network
+        Network of the hosts.
+    hosts : mapping of str to str
+        Hosts of the instances, with their data centres.
+    """
 
-    def __init__(self, network: Network) -> None:
+    def __init__(self, network: Network, hosts: Mapping[str, str] = HOSTS) -> None:
         self.network = network
+        self.hosts = hosts
         self.store = StandinStore()
         self.gateways: dict[str, Gateway] = {}
         self.workers: dict[str, StandinWorker] = {}
-        self.worker_servers: dict[str, HttpServer] = {}
+        self.worker_servers: dict[str, _RecordingServer] = {}
         self.starts = 0
 
     async def start(self) -> None:
@@ -48,13 +120,13 @@
         self.store.put("op/config", make_configuration(1))
         for number in (1, 2):
             await self.add_worker(f"i-{number}", f"10.9.0.{number}")
-        await asyncio.gather(*(self.add_instance(host) for host in HOSTS))
+        await asyncio.gather(*(self.add_instance(host) for host in self.hosts))
         await asyncio.sleep(3.0)
 
     async def add_worker(self, name: str, host: str, **values: Any) -> StandinWorker:
         """Start a target and register it in the store."""
         worker = StandinWorker(name=name, header_names=HEADERS, **values)
-        server = HttpServer(worker.handle)
+        server = _RecordingServer(worker)
         await run_on_host(host, server.start(f"{host}:80"))
         self.workers[name] = worker
         self.worker_servers[name] = server
@@ -66,7 +138,7 @@
         self.starts += 1
         seeds = ("10.1.0.1", "10.2.0.1")
         document = make_settings(
-            host, HOSTS[host], seeds=seeds, data_centres=DATA_CENTRES
+            host, self.hosts[host], seeds=seeds, data_centres=DATA_CENTRES
         )
         clock = LoopClock(asyncio.get_running_loop())
         gateway = Gateway(
@@ -118,6 +190,40 @@
         return [table.version if table else 0 for table in tables]
 
 
+@attrs.frozen
+class Answer:
+    """Response to a request, with its duration in milliseconds."""
+
+    status: int
+    took_ms: float
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether it is a success within the latency objective."""
+        return self.status == 200 and self.took_ms <= OBJECTIVE_MS
+
+
+async def send_steadily(
+    deployment: Deployment, *, per_s: float, duration_s: float
+) -> list[Answer]:
+    """Send requests to all instances in turn and return the responses."""
+    calls = []
+    hosts = itertools.cycle(deployment.gateways)
+    for number in range(round(per_s * duration_s)):
+        call = measure_call(deployment, next(hosts), f"{per_s}-{number}")
+        calls.append(asyncio.create_task(call))
+        await asyncio.sleep(1.0 / per_s)
+    return await asyncio.gather(*calls)
+
+
+async def measure_call(deployment: Deployment, host: str, request_id: str) -> Answer:
+    """Send a request and return its response."""
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    response = await deployment.call(host, request_id=request_id)
+    return Answer(response.status, 1000.0 * (loop.time() - start_s))
+
+
 class PipeliningCaller:
     """A caller that sends requests without waiting for the responses.
 
@@ -174,12 +280,14 @@
         self._transport, _ = await loop.create_connection(Receiver, self._host, 8641)
 
 
-def run(scenario: Callable[[Deployment], Awaitable[None]]) -> None:
+def run(
+    scenario: Callable[[Deployment], Awaitable[None]], hosts: Mapping[str, str] = HOSTS
+) -> None:
     """Run a scenario on a deployment that is ready."""
     network = Network(latency_ms=0.5)
 
     async def session() -> None:
-        deployment = Deployment(network)
+        deployment = Deployment(network, hosts)
         await deployment.start()
         await scenario(deployment)
 
--- a/src/currantline/tests/test_rate_limits.py
+++ b/src/currantline/tests/test_rate_limits.py
@@ -1,14 +1,17 @@
 """Limits of requests that targets name, in virtual time."""
 
 import asyncio
-import itertools
 
-import attrs
 import pytest
 
 from currantline.platform.samples import make_rate_limit_headers, make_target_entry
 from currantline.standin.worker import StandinWorker
-from currantline.tests.support import HOSTS, Deployment, run
+from currantline.tests.support import (
+    HOSTS,
+    Deployment,
+    run,
+    send_steadily,
+)
 
 # A limit is exceeded if the target gets more than 1.5 times the permitted requests, and
 # 5 more, in a window of this length.
@@ -17,9 +20,6 @@
 # Time by which each instance has got a response that names the limit.
 LEARNING_S = 1.0
 
-# Latency objective of the requests.
-OBJECTIVE_MS = 400.0
-
 
 class RecordedWorker:
     """Arrival times of the requests that a target executes, in seconds."""
@@ -47,40 +47,6 @@
         )
 
 
-@attrs.frozen
-class Answer:
-    """Response to a request, with its duration in milliseconds."""
-
-    status: int
-    took_ms: float
-
-    @property
-    def is_in_time(self) -> bool:
-        """Whether it is a success within the latency objective."""
-        return self.status == 200 and self.took_ms <= OBJECTIVE_MS
-
-
-async def send_steadily(
-    deployment: Deployment, *, per_s: float, duration_s: float
-) -> list[Answer]:
-    """Send requests to all instances in turn and return the responses."""
-    calls = []
-    hosts = itertools.cycle(deployment.gateways)
-    for number in range(round(per_s * duration_s)):
-        call = measure_call(deployment, next(hosts), f"{per_s}-{number}")
-        calls.append(asyncio.create_task(call))
-        await asyncio.sleep(1.0 / per_s)
-    return await asyncio.gather(*calls)
-
-
-async def measure_call(deployment: Deployment, host: str, request_id: str) -> Answer:
-    """Send a request and return its response."""
-    loop = asyncio.get_running_loop()
-    start_s = loop.time()
-    response = await deployment.call(host, request_id=request_id)
-    return Answer(response.status, 1000.0 * (loop.time() - start_s))
-
-
 class TestSumOfInstances:
     """Requests of the whole fleet to a target that has named a limit."""
 
