Decide in one module whether a target may get a request now

Cause: pauses after a full target or a failed health check, and the time of the next permit, were compared with the clock in four places of two selectors, apart from find_unavailability, so a new reason had to be added to each of them.

Change: find_pause stands beside find_unavailability, with the same reasons and end times; the selectors, probes, retries and waiting requests ask the two. is_current takes the time; its default, which ignored silence, is gone.

--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -15,6 +15,7 @@
     UnavailabilityReason,
     describe_unavailability,
     find_next_available_ms,
+    find_pause,
     find_unavailability,
 )
 from currantline.placement._choice import (
@@ -53,6 +54,7 @@
     "find_max_wait_ms",
     "find_next_available_ms",
     "find_optimal_concurrency",
+    "find_pause",
     "find_refusal_reason",
     "find_unavailability",
     "has_good_candidate",
--- a/src/currantline/placement/_availability.py
+++ b/src/currantline/placement/_availability.py
@@ -1,4 +1,9 @@
-"""Whether a target may get a request now, and if not, from when and why."""
+"""Whether a target may get a request now, and if not, from when and why.
+
+The selection, the probes, retries, hedges and waiting requests all ask here. What only
+makes a target less preferable, such as recent failures, is part of its predicted
+response time and of the choice of the targets to probe.
+"""
 
 import enum
 import math
@@ -14,6 +19,7 @@
     "UnavailabilityReason",
     "describe_unavailability",
     "find_next_available_ms",
+    "find_pause",
     "find_unavailability",
 ]
 
@@ -29,6 +35,10 @@
     REPLACED = "replaced"
     # It asked for silence, which has not ended.
     SILENCE = "silent"
+    # The fleet has no permit left within the limit that it names.
+    NO_PERMIT = "without permit"
+    # It was full, or a health check or connection failed.
+    PAUSED = "paused"
 
 
 @attrs.frozen
@@ -48,7 +58,7 @@
 
 
 def find_unavailability(target: Target, now: float) -> Unavailability | None:
-    """Return why a target may get no request or health check now, or None.
+    """Return why a target may get no request or health check at all now, or None.
 
     Parameters
     ----------
@@ -69,6 +79,23 @@
     return None
 
 
+def find_pause(target: Target, now: float) -> Unavailability | None:
+    """Return why an available target should not be tried for the moment, or None.
+
+    Parameters
+    ----------
+    target : Target
+        The target.
+    now : float
+        Current time in milliseconds.
+    """
+    if target.is_rate_limited:
+        reason, until_ms = UnavailabilityReason.NO_PERMIT, target.next_permit_ms
+    else:
+        reason, until_ms = UnavailabilityReason.PAUSED, target.skip_until_ms
+    return Unavailability(reason, until_ms) if now < until_ms else None
+
+
 def find_next_available_ms(targets: Collection[Target], now: float) -> float:
     """Return when the first of some targets may get a request.
 
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -85,15 +85,15 @@
         """Return the number of targets that limit the requests of the fleet."""
         return sum(1 for target in self._targets.values() if target.is_rate_limited)
 
-    def is_current(self, target: Target, now: float = math.inf) -> bool:
+    def is_current(self, target: Target, now: float) -> bool:
         """Return whether a target is still published and may receive new requests.
 
         Parameters
         ----------
         target : Target
             The target.
-        now : float, optional
-            Current time in milliseconds. By default silence is ignored.
+        now : float
+            Current time in milliseconds.
         """
         is_published = self._targets.get(target.name) is target
         return is_published and find_unavailability(target, now) is None
--- a/src/currantline/placement/tests/test_choice.py
+++ b/src/currantline/placement/tests/test_choice.py
@@ -163,7 +163,7 @@
         assert targets.find("t") is first
         targets.update(make_target("t", started_unix_ms=2).published, 0.0)
         assert [t.is_address_reused for t in targets.list_usable("s")] == [False]
-        assert not targets.is_current(first)
+        assert not targets.is_current(first, 0.0)
 
     def test_draining(self) -> None:
         """Guards against new requests for a draining target."""
--- a/src/currantline/relay/_limited_targets.py
+++ b/src/currantline/relay/_limited_targets.py
@@ -12,6 +12,7 @@
     choose_candidate,
     find_in_time_wait_ms,
     find_max_wait_ms,
+    find_pause,
     select_candidate,
 )
 from currantline.relay._selection import RequestContext, Selection, presume_idle
@@ -122,7 +123,7 @@
         return [
             presume_idle(context, target)
             for target in limited
-            if target.next_permit_ms <= now
+            if find_pause(target, now) is None
         ]
 
     async def _acquire(self, target: Target, wait_bounds: WaitBounds) -> Permit | None:
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -14,6 +14,7 @@
     choose_probe_targets,
     describe_unavailability,
     find_next_available_ms,
+    find_pause,
     find_refusal_reason,
     has_good_candidate,
     is_overdue,
@@ -270,7 +271,7 @@
         An instance that may probe no target of a service presumes that they are idle.
         """
         now = self._clock.read()
-        available = [target for target in usable if target.skip_until_ms <= now]
+        available = [target for target in usable if find_pause(target, now) is None]
         candidates = self._list_reported(available, MAX_LIMITED_REPORT_AGE_MS)
         if not candidates:
             candidates = [presume_idle(context, target) for target in available]
@@ -329,7 +330,7 @@
     ) -> bool:
         """Return whether targets are available but none may be probed now."""
         now = self._clock.read()
-        is_available = any(target.skip_until_ms <= now for target in usable)
+        is_available = any(find_pause(target, now) is None for target in usable)
         return is_available and self._count_probes_left(context) == 0
 
     def _count_probes_left(self, context: RequestContext) -> int:
@@ -376,7 +377,7 @@
         self, context: RequestContext, targets: list[Target], limit: int
     ) -> list[ProbeResult]:
         now = self._clock.read()
-        eligible = [t for t in targets if t.skip_until_ms <= now]
+        eligible = [t for t in targets if find_pause(t, now) is None]
         limit = min(limit, self._count_probes_left(context))
         if not eligible or limit == 0:
             return []
