--- a/src/currantline/gatewayd.py
+++ b/src/currantline/gatewayd.py
@@ -14,7 +14,7 @@
 from currantline.platform import SETTINGS_VARIABLE, InstanceSettings, read_settings
 from currantline.telemetry import EventLog, open_standard_output
 
-__all__ = ["run", "watch_settings"]
+__all__ = ["read_mtime_ns", "run", "watch_settings"]
 
 # Exit codes for invalid settings and for a failed background task.
 EXIT_BAD_SETTINGS, EXIT_FAILED = 2, 3
@@ -26,16 +26,18 @@
 def run() -> int:
     """Run an instance until it is stopped by a signal, and return the exit code."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    # A change from now on is noticed, although nothing watches the file yet.
+    mtime_ns = read_mtime_ns(path)
     try:
         settings = read_settings(path)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     return_large_blocks()
-    return asyncio.run(_serve(settings, path))
+    return asyncio.run(_serve(settings, path, mtime_ns))
 
 
-async def _serve(settings: InstanceSettings, path: str) -> int:
+async def _serve(settings: InstanceSettings, path: str, mtime_ns: int) -> int:
     clock = MonotonicClock()
     log = EventLog(
         settings.name,
@@ -61,7 +63,9 @@
     except CurrantlineError as error:
         log.write("start_failed", reason=str(error))
         return EXIT_BAD_SETTINGS
-    settings_watcher = asyncio.create_task(watch_settings(gateway, path, reload, log))
+    settings_watcher = asyncio.create_task(
+        watch_settings(gateway, path, reload, log, mtime_ns=mtime_ns)
+    )
     failure = asyncio.create_task(gateway.wait_for_failure())
     stopped = asyncio.create_task(stop.wait())
     await asyncio.wait({failure, stopped}, return_when=asyncio.FIRST_COMPLETED)
@@ -74,7 +78,12 @@
 
 
 async def watch_settings(
-    gateway: Gateway, path: str, reload: asyncio.Event, log: EventLog
+    gateway: Gateway,
+    path: str,
+    reload: asyncio.Event,
+    log: EventLog,
+    *,
+    mtime_ns: int,
 ) -> None:
     """Reload the settings whenever the file changes, until cancelled.
 
@@ -88,30 +97,31 @@
         When set, the file is read immediately.
     log : EventLog
         Log of events.
+    mtime_ns : int
+        Time of the last change of the file that is known, in nanoseconds.
     """
-    previous_mtime_ns = _read_mtime_ns(path)
     while True:
         try:
             async with asyncio.timeout(SETTINGS_POLL_INTERVAL_MS / 1000):
                 await reload.wait()
         except TimeoutError:
             pass
-        mtime_ns = _read_mtime_ns(path)
+        previous_mtime_ns, mtime_ns = mtime_ns, read_mtime_ns(path)
         if not reload.is_set() and mtime_ns == previous_mtime_ns:
             continue
         reload.clear()
-        previous_mtime_ns = mtime_ns
         try:
             gateway.reload(read_settings(path))
         except SettingsError as error:
             log.write("settings_refused", reason=str(error))
 
 
-def _read_mtime_ns(path: str) -> int:
+def read_mtime_ns(path: str) -> int:
+    """Return the time of the last change of a file in nanoseconds, 0 if unknown."""
     # The file may be absent for a moment while it is replaced.
     try:
         return os.stat(path).st_mtime_ns
-    except FileNotFoundError:
+    except (OSError, ValueError):
         return 0
 
 
--- a/src/currantline/tests/test_gatewayd.py
+++ b/src/currantline/tests/test_gatewayd.py
@@ -1,6 +1,7 @@
 """Tests of the daemon on the users' platform."""
 
 import asyncio
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -9,9 +10,10 @@
 import currantline
 from currantline.clock import MonotonicClock
 from currantline.gateway import Gateway
-from currantline.gatewayd import watch_settings
+from currantline.gatewayd import read_mtime_ns, watch_settings
 from currantline.platform import InstanceSettings
 from currantline.platform.samples import format_settings, make_settings
+from currantline.standin.network import Network, run_session
 from currantline.telemetry import EventLog
 
 # Iterations of the event loop to wait for a signal to be handled; one is enough.
@@ -27,6 +29,29 @@
     )
 
 
+def run_main(after: str, *, before: str = "") -> str:
+    """Run the main function of an instance and return what the code after it prints.
+
+    Without a settings file it returns after its imports.
+    """
+    code = (
+        "import runpy, sys\n"
+        f"sys.path += {[path for path in sys.path if 'site-packages' in path]!r}\n"
+        f"main = runpy.run_path({str(ROOT / 'deploy' / 'instance.py')!r})['main']\n"
+        f"{before}\n"
+        "main()\n"
+        f"{after}\n"
+    )
+    run = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={},
+    )
+    return run.stdout
+
+
 class _FakeGateway:
     """Records the settings that a gateway is asked to apply."""
 
@@ -43,25 +68,22 @@
 
     def test_modules(self) -> None:
         """Guards against imports of unused modules, which cost memory per instance."""
-        code = (
-            "import runpy, sys;"
-            f"sys.path += {[path for path in sys.path if 'site-packages' in path]!r};"
-            f"runpy.run_path({str(ROOT / 'deploy' / 'instance.py')!r})['main']();"
-            "print(*sys.modules)"
-        )
-        # Without a settings file the daemon exits after its imports.
-        run = subprocess.run(
-            [sys.executable, "-S", "-c", code],
-            capture_output=True,
-            text=True,
-            check=True,
-            env={},
-        )
-        loaded = set(run.stdout.split())
+        loaded = set(run_main("print(*sys.modules)").split())
         assert "currantline.gateway" in loaded
         assert not loaded & {"site", "pathlib", "prometheus_client"}
         assert not loaded & {"eliot", "grpclib", "google.protobuf", "yaml", "_ssl"}
 
+    def test_reload_signal(self) -> None:
+        """Guards against a SIGHUP that ends a process that is still starting."""
+        send_at_each_import = (
+            "import os, signal\n"
+            "class Finder:\n"
+            "    def find_spec(self, *args):\n"
+            "        os.kill(os.getpid(), signal.SIGHUP)\n"
+            "sys.meta_path.insert(0, Finder())\n"
+        )
+        assert run_main("print('ended')", before=send_at_each_import) == "ended\n"
+
 
 class TestSettingsFile:
     """A settings file that changes while the process runs."""
@@ -76,7 +98,7 @@
         async def scenario() -> None:
             gateway = cast(Gateway, fake_gateway)
             task = asyncio.create_task(
-                watch_settings(gateway, str(path), signalled, log)
+                watch_settings(gateway, str(path), signalled, log, mtime_ns=0)
             )
             await asyncio.sleep(0)
             path.unlink()
@@ -88,6 +110,29 @@
         asyncio.run(scenario())
         assert fake_gateway.seeds == [("10.1.0.2",)]
 
+    def test_changed_at_start(self, tmp_path: Path) -> None:
+        """Guards against a change that comes before the file is watched."""
+        path = tmp_path / "node.toml"
+        path.write_text(format_seeds("10.1.0.1"))
+        mtime_ns = read_mtime_ns(str(path))
+        path.write_text(format_seeds("10.1.0.2"))
+        os.utime(path, ns=(mtime_ns + 1, mtime_ns + 1))
+        fake_gateway = _FakeGateway()
+        log = EventLog("i", clock=MonotonicClock(), write=len)
+
+        async def scenario() -> None:
+            gateway = cast(Gateway, fake_gateway)
+            task = asyncio.create_task(
+                watch_settings(
+                    gateway, str(path), asyncio.Event(), log, mtime_ns=mtime_ns
+                )
+            )
+            await asyncio.sleep(5.0)
+            task.cancel()
+
+        run_session(Network(), scenario())
+        assert fake_gateway.seeds == [("10.1.0.2",)]
+
     async def _signal(self, signalled: asyncio.Event) -> None:
         signalled.set()
         for _ in range(MAX_LOOP_ITERATIONS):
