Check seeds and numbers of the settings file when it is read

A host with a null character, in a seed or a datagram, makes asyncio close the UDP socket of the instance for good (TypeError, seen on a real socket); a name is looked up in the event loop; inf, numbers too large for a float and deep nesting raise what the watcher of the file doesn't expect, so it ends and later changes are ignored.

Cause: values were converted, not checked, and the reader of the file expected fewer errors than other decoders.

Change: seeds that are no ip:port are left out and logged; other values that can't be used refuse the file; hosts in datagrams must be IP addresses. Reload takes over seeds and grace time only, as the other settings are read at start.

--- a/src/currantline/fleet/_codec.py
+++ b/src/currantline/fleet/_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding of datagrams between instances."""
 
+import functools
 import json
 from collections.abc import Sequence
 
@@ -11,6 +12,7 @@
     Member,
     MemberStatus,
 )
+from currantline.validators import is_ip
 
 __all__ = ["decode_datagram", "encode_datagram"]
 
@@ -20,6 +22,9 @@
 MEMBER_STATUSES = tuple(MemberStatus)
 HEALTH_STATES = tuple(Health)
 
+# Maximum number of hosts that are known to be IP addresses.
+MAX_KNOWN_HOSTS = 1_024
+
 
 def encode_datagram(datagram: Datagram, data_centres: Sequence[str]) -> bytes:
     """Encode a datagram.
@@ -94,7 +99,7 @@
 def _decode_member(row: list[int | str], data_centres: Sequence[str]) -> Member:
     host, data_centre_index, incarnation, version, flags = row
     return Member(
-        host=str(host),
+        host=_check_host(str(host)),
         data_centre=data_centres[int(data_centre_index)],
         incarnation=int(incarnation),
         version=int(version),
@@ -102,3 +107,12 @@
         can_reach_platform=bool(int(flags) & 4),
         health=HEALTH_STATES[int(flags) >> 3],
     )
+
+
+@functools.lru_cache(maxsize=MAX_KNOWN_HOSTS)
+def _check_host(host: str) -> str:
+    # The socket looks names up, which blocks the event loop, and is closed for good by
+    # what it does not accept.
+    if not is_ip(host):
+        raise PeerError(f"{host!r:.80} is not an IP address")
+    return host
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -6,6 +6,8 @@
 from collections.abc import Coroutine, Sequence
 from typing import Any
 
+import attrs
+
 from currantline.clock import Clock
 from currantline.exceptions import AddressInUseError, PeerError
 from currantline.fleet import (
@@ -171,6 +173,7 @@
         except OSError as error:
             raise AddressInUseError(f"cannot listen: {error}") from error
         self._log.write("started", data_centre=settings.data_centre)
+        self._log_refused_seeds(settings)
         for run in (
             self._reader.run,
             self._reader.run_deferred_removals,
@@ -213,9 +216,19 @@
             self._server.close_idle()
 
     def reload(self, settings: InstanceSettings) -> None:
-        """Apply changed settings; listening addresses do not change."""
+        """Apply changed seeds and a changed grace period.
+
+        The other settings, such as the ports of the fleet, need a restart.
+        """
         self._log.write("reloaded", seeds=list(settings.seed_hosts))
-        self._settings = settings
+        self._log_refused_seeds(settings)
+        self._settings = attrs.evolve(
+            self._settings, seed_hosts=settings.seed_hosts, grace_ms=settings.grace_ms
+        )
+
+    def _log_refused_seeds(self, settings: InstanceSettings) -> None:
+        if settings.refused_seeds:
+            self._log.write("seeds_refused", seeds=list(settings.refused_seeds))
 
     def _build_membership(self, incarnation: int) -> None:
         settings = self._settings
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -10,7 +10,7 @@
 from currantline.placement._passive_health import PassiveHealth
 from currantline.placement._rate_limit import RateLimit
 from currantline.placement._stated_availability import StatedAvailability
-from currantline.validators import check_address, check_at_least, check_finite
+from currantline.validators import check_address, check_not_negative
 
 __all__ = ["PublishedTarget", "Target"]
 
@@ -59,9 +59,7 @@
     data_centre: str
     slots: int
     is_draining: bool = False
-    warmup_ms: float = attrs.field(
-        default=0.0, validator=[check_finite, check_at_least(0.0)]
-    )
+    warmup_ms: float = attrs.field(default=0.0, validator=check_not_negative)
 
 
 @attrs.define(eq=False)
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -6,9 +6,20 @@
 
 import attrs
 
-from currantline.exceptions import InvalidValueError, SettingsError
+from currantline.exceptions import (
+    MALFORMED_DATA_ERRORS,
+    InvalidValueError,
+    SettingsError,
+)
 from currantline.routing import RetryBudgetOptions
-from currantline.validators import check_address
+from currantline.validators import (
+    check_address,
+    check_at_least,
+    check_ip,
+    check_not_negative,
+    check_port,
+    is_address,
+)
 
 __all__ = ["SETTINGS_VARIABLE", "InstanceSettings", "decode_settings", "read_settings"]
 
@@ -43,6 +54,8 @@
         Port for datagrams about limits of targets, the same on all machines.
     seed_hosts : tuple of str
         Hosts to contact while no other instances are known.
+    refused_seeds : tuple of str
+        Seeds that are not ``ip:port`` and are not contacted.
     store_address : str
         Address of the platform's store.
     store_recovery_ms : float
@@ -61,23 +74,24 @@
     """
 
     name: str
-    host: str
+    host: str = attrs.field(validator=check_ip)
     data_centre: str
     data_centres: tuple[str, ...]
     caller_address: str = attrs.field(validator=check_address)
     readiness_address: str = attrs.field(validator=check_address)
     directory_address: str = attrs.field(validator=check_address)
     control_address: str = attrs.field(validator=check_address)
-    peer_port: int
-    permit_port: int
+    peer_port: int = attrs.field(validator=check_port)
+    permit_port: int = attrs.field(validator=check_port)
     seed_hosts: tuple[str, ...]
+    refused_seeds: tuple[str, ...] = ()
     store_address: str = attrs.field(validator=check_address)
-    store_recovery_ms: float
+    store_recovery_ms: float = attrs.field(validator=check_not_negative)
     retry_options: RetryBudgetOptions
-    directory_ttl_s: float
-    grace_ms: float
+    directory_ttl_s: float = attrs.field(validator=check_not_negative)
+    grace_ms: float = attrs.field(validator=check_not_negative)
     max_probes_per_s: int
-    memory_bytes: int
+    memory_bytes: int = attrs.field(validator=check_at_least(1))
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -94,7 +108,7 @@
     except OSError as error:
         reason = error.strerror or str(error)
         raise SettingsError(f"cannot be read: {reason}", source=path) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except MALFORMED_DATA_ERRORS as error:
         raise SettingsError(f"not TOML: {error}", source=path) from error
     return decode_settings(document, source=path)
 
@@ -122,7 +136,7 @@
             control_address=listen["control"],
             peer_port=int(network["internalPortRange"][0]),
             permit_port=int(network["internalPortRange"][0]) + 1,
-            seed_hosts=_extract_hosts(network.get("seeds") or ()),
+            **_decode_seeds(network.get("seeds") or []),
             store_address=document["platform"]["platform"]["address"],
             store_recovery_ms=float(bounds["stableMs"]),
             retry_options=RetryBudgetOptions(
@@ -140,15 +154,15 @@
         raise SettingsError(
             "required key is missing", source=source, path=key
         ) from error
-    except (
-        InvalidValueError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        IndexError,
-    ) as error:
+    except (*MALFORMED_DATA_ERRORS, InvalidValueError) as error:
         raise SettingsError(f"invalid value: {error}", source=source) from error
 
 
-def _extract_hosts(addresses: Any) -> tuple[str, ...]:
-    return tuple(str(address).rpartition(":")[0] for address in addresses)
+def _decode_seeds(seeds: Any) -> dict[str, Any]:
+    if not isinstance(seeds, list):
+        raise InvalidValueError(f"{seeds!r:.80} is not a list", path="seeds")
+    texts = [str(seed) for seed in seeds]
+    return {
+        "seed_hosts": tuple(t.rpartition(":")[0] for t in texts if is_address(t)),
+        "refused_seeds": tuple(t for t in texts if not is_address(t)),
+    }
--- a/src/currantline/platform/tests/test_settings.py
+++ b/src/currantline/platform/tests/test_settings.py
@@ -41,11 +41,72 @@
         with pytest.raises(SettingsError):
             decode_settings(document, source="file")
 
+    @pytest.mark.parametrize(
+        "seed",
+        [
+            "10.1.0.3",
+            "seed.example:8649",
+            "10.1.0.3:99999",
+            "\0:8649",
+            ":8649",
+            5,
+            [],
+            {},
+        ],
+    )
+    def test_odd_seed(self, seed: object) -> None:
+        """Guards against a seed that blocks or ends the exchange with instances.
+
+        A host that the socket does not accept closes it for good, and the resolution of
+        a name blocks the event loop.
+        """
+        document = make_document()
+        document["network"]["seeds"] = [seed, "10.1.0.2:8649"]
+        settings = decode_settings(document, source="file")
+        assert settings.seed_hosts == ("10.1.0.2",)
+        assert settings.refused_seeds == (str(seed),)
+
+    @pytest.mark.parametrize("seeds", ["10.1.0.2:8649", 5, {"a": 1}])
+    def test_odd_seeds(self, seeds: object) -> None:
+        """Guards against seeds of another type that are taken for a list."""
+        document = make_document()
+        document["network"]["seeds"] = seeds
+        with pytest.raises(SettingsError):
+            decode_settings(document, source="file")
+
+    @pytest.mark.parametrize(
+        ("section", "key", "value"),
+        [
+            ("selfNode", "ip", "edge-1"),
+            ("selfNode", "ip", "\0"),
+            ("selfNode", "limits", {"memoryMb": 0}),
+            ("network", "internalPortRange", [float("inf")]),
+            ("network", "internalPortRange", [0]),
+            ("network", "internalPortRange", [65_535]),
+            ("bounds", "graceS", float("nan")),
+            ("bounds", "graceS", -1),
+            ("bounds", "stableMs", float("inf")),
+            ("bounds", "budgetWindowS", -1),
+            ("bounds", "retryBudgetRatio", float("nan")),
+            ("bounds", "ttl_max_s", 10**400),
+            ("bounds", "probesPerS", float("inf")),
+        ],
+    )
+    def test_odd_number(self, section: str, key: str, value: object) -> None:
+        """Guards against values that only fail when they are used."""
+        document = make_document()
+        tables = {**document, "bounds": document["terms"]["bounds"]}
+        tables[section][key] = value
+        with pytest.raises(SettingsError):
+            decode_settings(document, source="file")
+
 
 class TestReadSettings:
     """Reading the settings file."""
 
-    @pytest.mark.parametrize("content", [None, b"a = ", b"\xff"])
+    @pytest.mark.parametrize(
+        "content", [None, b"a = ", b"\xff", b"a = " + 20_000 * b"["]
+    )
     def test_unreadable(self, tmp_path: Path, content: bytes | None) -> None:
         """Guards against a traceback instead of a one-line error."""
         path = tmp_path / "node.toml"
@@ -53,3 +114,8 @@
             path.write_bytes(content)
         with pytest.raises(SettingsError, match=r"node\.toml"):
             read_settings(str(path))
+
+    def test_odd_path(self) -> None:
+        """Guards against a traceback for a path that no file can have."""
+        with pytest.raises(SettingsError):
+            read_settings("a\0b")
--- a/src/currantline/routing/_budget.py
+++ b/src/currantline/routing/_budget.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from currantline.validators import check_not_negative
+
 __all__ = ["RetryBudget", "RetryBudgetOptions"]
 
 # Share of the configured ratio that is used. The windows of the instances are not
@@ -29,9 +31,9 @@
         Length of the sliding window in milliseconds.
     """
 
-    ratio: float = 0.2
-    slack: float = 0.0
-    window_ms: float = 10_000.0
+    ratio: float = attrs.field(default=0.2, validator=check_not_negative)
+    slack: float = attrs.field(default=0.0, validator=check_not_negative)
+    window_ms: float = attrs.field(default=10_000.0, validator=check_not_negative)
 
 
 class RetryBudget:
--- a/src/currantline/validators.py
+++ b/src/currantline/validators.py
@@ -8,7 +8,42 @@
 
 from currantline.exceptions import InvalidValueError
 
-__all__ = ["check_address", "check_at_least", "check_finite", "parse_amount"]
+__all__ = [
+    "check_address",
+    "check_at_least",
+    "check_ip",
+    "check_not_negative",
+    "check_port",
+    "is_address",
+    "is_ip",
+    "parse_amount",
+]
+
+MAX_PORT = 65_535
+
+
+def is_ip(value: str) -> bool:
+    """Return whether a value is an IP address, which no look-up is needed for."""
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return True
+
+
+def is_address(value: str) -> bool:
+    """Return whether a value is ``ip:port``.
+
+    Examples
+    --------
+    >>> [is_address(value) for value in ("127.0.0.1:80", "127.0.0.1:0", "a:80")]
+    [True, False, False]
+    """
+    host, _, port = value.rpartition(":")
+    try:
+        return is_ip(host.strip("[]")) and 0 < int(port) <= MAX_PORT
+    except ValueError:
+        return False
 
 
 def check_address(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
@@ -19,13 +54,7 @@
     InvalidValueError
         If the host is not an IP address or the port is outside 1 to 65,535.
     """
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        is_valid = 0 < int(port) < 65536
-    except ValueError:
-        is_valid = False
-    if not is_valid:
+    if not is_address(value):
         raise InvalidValueError(
             f"{value!r:.80} is not an IP address and a port such as 127.0.0.1:8080",
             path=attribute.name,
@@ -44,18 +73,46 @@
     return check
 
 
-def check_finite(
+def check_not_negative(
     instance: Any, attribute: "attrs.Attribute[float]", value: float
 ) -> None:
-    """Check that a number is finite.
+    """Check that a number is finite and at least 0.
+
+    Raises
+    ------
+    InvalidValueError
+        If it is not.
+    """
+    if not 0.0 <= value < math.inf:
+        raise InvalidValueError(
+            f"{value!r:.80} is not a finite number of at least 0", path=attribute.name
+        )
+
+
+def check_ip(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
+    """Check that a value is an IP address.
+
+    Raises
+    ------
+    InvalidValueError
+        If it is not.
+    """
+    if not is_ip(value):
+        raise InvalidValueError(
+            f"{value!r:.80} is not an IP address", path=attribute.name
+        )
+
+
+def check_port(instance: Any, attribute: "attrs.Attribute[int]", value: int) -> None:
+    """Check that a number is a port.
 
     Raises
     ------
     InvalidValueError
-        If it is infinite or not a number.
+        If it is outside 1 to 65,535.
     """
-    if not math.isfinite(value):
-        raise InvalidValueError(f"{value!r} is not finite", path=attribute.name)
+    if not 0 < value <= MAX_PORT:
+        raise InvalidValueError(f"{value} is not a port", path=attribute.name)
 
 
 def parse_amount(value: str) -> float:
