--- a/src/currantline/soak/__main__.py
+++ b/src/currantline/soak/__main__.py
@@ -6,6 +6,7 @@
 
 from absl import app, flags
 
+from currantline.soak._faults import FAULTS
 from currantline.soak._run import run_soak
 
 FLAGS = flags.FLAGS
@@ -18,6 +19,9 @@
     "instances", 6, "Number of instances.", lower_bound=2, upper_bound=200
 )
 flags.DEFINE_integer("callers", 16, "Number of concurrent callers.", lower_bound=1)
+flags.DEFINE_multi_enum(
+    "faults", [], sorted(FAULTS), "Faults to draw from; all if none is named."
+)
 flags.DEFINE_string(
     "logs", "", "Directory for instance logs; a temporary one if empty."
 )
@@ -38,6 +42,7 @@
                     duration_s=FLAGS.seconds,
                     instances=FLAGS.instances,
                     callers=FLAGS.callers,
+                    faults=FLAGS.faults,
                 )
             )
             for line in violations[:10]:
--- a/src/currantline/soak/_faults.py
+++ b/src/currantline/soak/_faults.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import attrs
@@ -42,10 +42,13 @@
         The processes to inject faults into.
     report : callable
         Called with a line for each fault.
+    names : sequence of str
+        Faults to draw from, as in `FAULTS`.
     """
 
     environment: Environment
     report: Callable[[str], object]
+    names: Sequence[str]
     _running: set["asyncio.Task[None]"] = attrs.field(factory=set)
     _reserved: set[str] = attrs.field(factory=set)
     _outages: int = 0
@@ -55,7 +58,7 @@
         rng, clock = self.environment.rng, self.environment.clock
         started_ms = clock.read()
         while (elapsed_ms := clock.read() - started_ms) < 1000 * duration_s:
-            name = rng.choice(sorted(FAULTS))
+            name = rng.choice(self.names)
             self.report(f"{elapsed_ms / 1000:7.1f} s  {name}")
             task = asyncio.get_running_loop().create_task(FAULTS[name](self))
             self._running.add(task)
--- a/src/currantline/soak/_run.py
+++ b/src/currantline/soak/_run.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from currantline.clock import MonotonicClock
 from currantline.soak._environment import Environment
-from currantline.soak._faults import FaultInjector
+from currantline.soak._faults import FAULTS, FaultInjector
 
 __all__ = ["run_soak"]
 
@@ -28,6 +28,7 @@
     duration_s: float,
     instances: int = 6,
     callers: int = 16,
+    faults: Sequence[str] = (),
     checks_time_bounds: bool = True,
     report: Callable[[str], object] = print,
 ) -> list[str]:
@@ -46,6 +47,8 @@
         Number of instance processes.
     callers : int
         Number of concurrent callers.
+    faults : sequence of str
+        Names of the faults to draw from, by default all.
     checks_time_bounds : bool
         Whether guarantees with a time bound are checked.
     report : callable
@@ -64,7 +67,8 @@
             for _ in range(PIPELINING_CALLERS)
         ]
         load.append(loop.create_task(environment.monitor_stalls(report)))
-        await FaultInjector(environment, report).run(duration_s)
+        names = sorted(faults or FAULTS)
+        await FaultInjector(environment, report, names).run(duration_s)
         await asyncio.sleep(RECOVERY_S)
         since_ms = clock.read()
         await asyncio.sleep(RECOVERED_LOAD_S)
--- a/src/currantline/soak/tests/test_soak.py
+++ b/src/currantline/soak/tests/test_soak.py
@@ -200,7 +200,11 @@
 class TestSoak:
     """A short run with real processes."""
 
-    def test_seed(self, tmp_path: Path) -> None:
+    @pytest.mark.parametrize(
+        ("seed", "faults"),
+        [(7, ()), (1, ("announce leaving", "want silence", "silence store"))],
+    )
+    def test_seed(self, tmp_path: Path, seed: int, faults: tuple[str, ...]) -> None:
         """Guards against external faults that violate a guarantee.
 
         Guarantees with a time bound are not checked, since a busy test machine may
@@ -208,10 +212,11 @@
         """
         lines: list[str] = []
         soak = run_soak(
-            7,
+            seed,
             tmp_path,
             duration_s=6.0,
             instances=4,
+            faults=faults,
             checks_time_bounds=False,
             report=lines.append,
         )
