Ask another instance while a pull gets no answer

Suspected before, shown now: callers of an instance get answers by an old configuration, or from a target that drains, longer than the 2 s that the platform states, if several instances freeze or lose their links just after they have advertised the change.

Cause: an instance pulls from one source at a time, and each that doesn't answer takes the whole time-out of 1 s.

Change: after 0.25 s without an answer the next source is asked as well, three at most; the first success ends the others.

Evidence: test_several (four silent sources, one that answers) failed in 5 of 8 orders before and passes in all now; 145 tests of fleet and gateway pass. A source that answers at once is still asked alone (test_no_needless_pull).

--- a/src/currantline/fleet/_replica_puller.py
+++ b/src/currantline/fleet/_replica_puller.py
@@ -21,6 +21,13 @@
 # Delay after a failed pull.
 PULL_RETRY_DELAY_MS = 100.0
 
+# Time after which another source is asked as well, since the first may be frozen or cut
+# off. The platform states 2 s for changes to be in force.
+PULL_HEDGE_DELAY_MS = 250.0
+
+# Maximum number of pulls in progress, which bounds what slow links carry in vain.
+MAX_PULLS = 3
+
 Pull = Callable[[str, int], Awaitable[Changes]]
 
 
@@ -79,6 +86,7 @@
         self._checkpoints: dict[str, _Checkpoint] = {}
         self._ahead_members: dict[str, _AheadMember] = {}
         self._wake = asyncio.Event()
+        self._pulls: set[asyncio.Task[bool]] = set()
 
     def observe(self, datagram: Datagram) -> None:
         """Record the replica state that the sender advertises."""
@@ -94,13 +102,40 @@
 
     async def run(self) -> None:
         """Pull until cancelled."""
-        while True:
-            self._wake.clear()
-            source = self.choose_source()
-            if source is None:
-                await self._wait()
-            elif not await self._pull_from(source):
-                await asyncio.sleep(PULL_RETRY_DELAY_MS / 1000)
+        try:
+            while True:
+                self._wake.clear()
+                self._start_pull()
+                if self._pulls:
+                    await self._wait_for_pulls()
+                else:
+                    await self._wait()
+        finally:
+            self._cancel_pulls()
+
+    def _start_pull(self) -> None:
+        source = self.choose_source()
+        if source is not None and len(self._pulls) < MAX_PULLS:
+            loop = asyncio.get_running_loop()
+            self._pulls.add(loop.create_task(self._pull_from(source)))
+
+    async def _wait_for_pulls(self) -> None:
+        done, self._pulls = await asyncio.wait(
+            self._pulls,
+            timeout=PULL_HEDGE_DELAY_MS / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        results = [task.result() for task in done]
+        if any(results):
+            # A source that is still ahead shows that by its next datagram.
+            self._cancel_pulls()
+        elif results and not self._pulls:
+            await asyncio.sleep(PULL_RETRY_DELAY_MS / 1000)
+
+    def _cancel_pulls(self) -> None:
+        for task in self._pulls:
+            task.cancel()
+        self._pulls = set()
 
     def choose_source(self) -> Member | None:
         """Return the instance to pull from, or None if no pull is due."""
