Say in shorter words when a wait is unknown

Three comments read oddly to a newcomer: why an infinite wait isn't passed on, what is_ip excludes, and which marks the registry keeps. No change of code.

--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -9,8 +9,7 @@
 __all__ = ["TargetRegistry"]
 
 
-# Maximum number of starts of targets, the current ones aside, for which is kept what
-# they said of their availability.
+# Maximum number of earlier starts of targets whose stated availability is kept.
 MAX_EARLIER_STARTS = 4_096
 
 
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -389,7 +389,7 @@
 
     def _find_known_wait_ms(self, progress: _Progress) -> float:
         wait_ms = self._selector.find_wait_ms(progress.context)
-        # The state that ends the wait for an unavailable service is not known.
+        # It is infinite if no target is published, or all of them leave.
         return max(progress.retry_after_ms, wait_ms if math.isfinite(wait_ms) else 0.0)
 
     def _refuse(
--- a/src/currantline/validators.py
+++ b/src/currantline/validators.py
@@ -23,7 +23,7 @@
 
 
 def is_ip(value: str) -> bool:
-    """Return whether a value is an IP address, which no look-up is needed for."""
+    """Return whether a value is an IP address and not a name."""
     try:
         ipaddress.ip_address(value)
     except ValueError:
