Refuse configurations whose values cannot be used

Cause: numbers were converted, not checked. A timer at a time that is not a number spoils the order of the heap of timers, and no later configuration mends that. A list as a prefix raised TypeError outside the handling of a request.

Change: Route, RoutedService, WeightedService and CallerLimits check their values; the configuration is refused and the version before stays in force.

Evidence: 15 cases of test_odd_value failed before and pass now; the split without weights was added with the change.

--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -69,7 +69,9 @@
             limits=_decode_limits(document.get("limits") or {}),
             unknown_kinds=_find_unknown_kinds(document["routes"]),
         )
-    except MALFORMED_DATA_ERRORS as error:
+    except ConfigurationError:
+        raise
+    except (*MALFORMED_DATA_ERRORS, InvalidValueError) as error:
         raise ConfigurationError(
             f"{type(error).__name__}: {error}", source=CONFIGURATION_KEY
         ) from error
@@ -133,8 +135,12 @@
 
 
 def _decode_route(name: str, route: Mapping[str, Any]) -> Route:
-    _check_types(CONFIGURATION_KEY, kind=(route["kind"], str))
+    _check_types(
+        CONFIGURATION_KEY, kind=(route["kind"], str), prefix=(route["prefix"], str)
+    )
     parts = route.get("trafficSplit") or [{"service": route["service"], "weight": 1}]
+    for part in parts:
+        _check_types(CONFIGURATION_KEY, service=(part["service"], str))
     timeout_ms = float(route["timeoutMs"])
     return Route(
         name=name,
--- a/src/currantline/platform/tests/test_documents.py
+++ b/src/currantline/platform/tests/test_documents.py
@@ -44,6 +44,48 @@
         with pytest.raises(ConfigurationError):
             decode_route_table(text)
 
+    @pytest.mark.parametrize(
+        ("section", "field", "value"),
+        [
+            ("routes", "timeoutMs", "NaN"),
+            ("routes", "timeoutMs", "-1e999"),
+            ("routes", "timeoutMs", "-1"),
+            ("routes", "targetLatencyMs", "1e999"),
+            ("routes", "prefix", "[]"),
+            ("routes", "service", "{}"),
+            ("routes", "service", "NaN"),
+            ("routes", "trafficSplit", '[{"service":"svc","weight":NaN}]'),
+            (
+                "routes",
+                "trafficSplit",
+                '[{"service":"svc","weight":0},{"service":"two","weight":0}]',
+            ),
+            ("services", "healthPath", "7"),
+            ("services", "healthPath", '"/a b"'),
+            ("limits", "headerBytes", "-1"),
+            ("limits", "maxBodyBytes", "-1"),
+            ("limits", "headerTimeoutMs", "NaN"),
+            ("limits", "idleTimeoutMs", "NaN"),
+            ("limits", "idleTimeoutMs", "-1"),
+        ],
+    )
+    def test_odd_value(self, section: str, field: str, value: str) -> None:
+        """Guards against a value that only fails when it is used.
+
+        A time that is not a number spoils the order of the timers of the event loop,
+        which no later configuration mends.
+        """
+        document = make_configuration(1)
+        tables = {
+            "routes": document["routes"]["read"],
+            "services": document["services"]["svc"],
+            "limits": document["limits"],
+        }
+        tables[section][field] = "ODD"
+        text = json.dumps(document).replace('"ODD"', value)
+        with pytest.raises(ConfigurationError):
+            decode_route_table(text)
+
     def test_upload(self) -> None:
         """Guards against uploads that are sent twice or refused as unknown."""
         document = make_configuration(1)
--- a/src/currantline/routing/_model.py
+++ b/src/currantline/routing/_model.py
@@ -1,9 +1,23 @@
 """Data model of the route table."""
 
+import re
+from typing import Any
+
 import attrs
 
+from currantline.exceptions import InvalidValueError
+from currantline.validators import check_at_least, check_not_negative, check_positive
+
 __all__ = ["CallerLimits", "Route", "RoutedService", "WeightedService"]
 
+# Paths are sent in a request line.
+PATH_PATTERN = re.compile(r"/[!-~]*")
+
+
+def _check_path(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
+    if not PATH_PATTERN.fullmatch(value):
+        raise InvalidValueError(f"{value!r:.80} is not a path", path=attribute.name)
+
 
 @attrs.frozen(kw_only=True)
 class WeightedService:
@@ -18,7 +32,16 @@
     """
 
     service: str
-    weight: float
+    weight: float = attrs.field(validator=check_not_negative)
+
+
+def _check_split(
+    instance: Any,
+    attribute: "attrs.Attribute[tuple[WeightedService, ...]]",
+    value: tuple[WeightedService, ...],
+) -> None:
+    if len(value) > 1 and not any(part.weight > 0.0 for part in value):
+        raise InvalidValueError("no service has a weight", path=attribute.name)
 
 
 @attrs.frozen(kw_only=True)
@@ -51,11 +74,11 @@
     host: str
     prefix: str
     is_idempotent: bool
-    timeout_ms: float
-    objective_ms: float
+    timeout_ms: float = attrs.field(validator=check_positive)
+    objective_ms: float = attrs.field(validator=check_positive)
     priority: int
     max_attempts: int
-    weighted_services: tuple[WeightedService, ...]
+    weighted_services: tuple[WeightedService, ...] = attrs.field(validator=_check_split)
 
 
 @attrs.frozen(kw_only=True)
@@ -74,7 +97,7 @@
     """
 
     name: str
-    health_path: str
+    health_path: str = attrs.field(validator=_check_path)
     max_connections: int | None
 
 
@@ -96,7 +119,7 @@
         Maximum idle time between two requests on a connection.
     """
 
-    head_bytes: int = 16_384
-    body_bytes: int = 64 * 1024 * 1024
-    head_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    head_bytes: int = attrs.field(default=16_384, validator=check_at_least(1))
+    body_bytes: int = attrs.field(default=64 * 1024 * 1024, validator=check_at_least(0))
+    head_timeout_ms: float = attrs.field(default=3_000.0, validator=check_positive)
+    idle_timeout_ms: float = attrs.field(default=15_000.0, validator=check_positive)
--- a/src/currantline/validators.py
+++ b/src/currantline/validators.py
@@ -14,6 +14,7 @@
     "check_ip",
     "check_not_negative",
     "check_port",
+    "check_positive",
     "is_address",
     "is_ip",
     "parse_amount",
@@ -89,6 +90,22 @@
         )
 
 
+def check_positive(
+    instance: Any, attribute: "attrs.Attribute[float]", value: float
+) -> None:
+    """Check that a number is finite and above 0.
+
+    Raises
+    ------
+    InvalidValueError
+        If it is not.
+    """
+    if not 0.0 < value < math.inf:
+        raise InvalidValueError(
+            f"{value!r:.80} is not a finite number above 0", path=attribute.name
+        )
+
+
 def check_ip(instance: Any, attribute: "attrs.Attribute[str]", value: str) -> None:
     """Check that a value is an IP address.
 
