Keep pulls of what is newer than the first success

Cause: the first of several pulls that succeeded ended all others, also one from a source that had advertised a newer revision; the instance learned of it again with a later datagram only.

Change: a success ends the pulls whose advertised state is no longer ahead.

Evidence: test_older_source failed before and passes now; 146 tests of fleet and gateway pass.

--- a/src/currantline/fleet/_replica_puller.py
+++ b/src/currantline/fleet/_replica_puller.py
@@ -86,7 +86,8 @@
         self._checkpoints: dict[str, _Checkpoint] = {}
         self._ahead_members: dict[str, _AheadMember] = {}
         self._wake = asyncio.Event()
-        self._pulls: set[asyncio.Task[bool]] = set()
+        # Replica states that the sources of the pulls in progress have advertised.
+        self._pulls: dict[asyncio.Task[bool], tuple[int, int]] = {}
 
     def observe(self, datagram: Datagram) -> None:
         """Record the replica state that the sender advertises."""
@@ -111,31 +112,36 @@
                 else:
                     await self._wait()
         finally:
-            self._cancel_pulls()
+            for task in self._pulls:
+                task.cancel()
 
     def _start_pull(self) -> None:
         source = self.choose_source()
         if source is not None and len(self._pulls) < MAX_PULLS:
-            loop = asyncio.get_running_loop()
-            self._pulls.add(loop.create_task(self._pull_from(source)))
+            # A source that is still ahead afterwards shows that by its next datagram.
+            replica_state = self._ahead_members.pop(source.host).replica_state
+            task = asyncio.get_running_loop().create_task(self._pull_from(source))
+            self._pulls[task] = replica_state
 
     async def _wait_for_pulls(self) -> None:
-        done, self._pulls = await asyncio.wait(
+        done, _ = await asyncio.wait(
             self._pulls,
             timeout=PULL_HEDGE_DELAY_MS / 1000,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        for task in done:
+            del self._pulls[task]
         results = [task.result() for task in done]
         if any(results):
-            # A source that is still ahead shows that by its next datagram.
-            self._cancel_pulls()
+            self._cancel_needless_pulls()
         elif results and not self._pulls:
             await asyncio.sleep(PULL_RETRY_DELAY_MS / 1000)
 
-    def _cancel_pulls(self) -> None:
-        for task in self._pulls:
-            task.cancel()
-        self._pulls = set()
+    def _cancel_needless_pulls(self) -> None:
+        for task, replica_state in list(self._pulls.items()):
+            if not self._is_ahead(replica_state):
+                task.cancel()
+                del self._pulls[task]
 
     def choose_source(self) -> Member | None:
         """Return the instance to pull from, or None if no pull is due."""
@@ -160,8 +166,6 @@
             return
 
     async def _pull_from(self, source: Member) -> bool:
-        # If the source is still ahead after this pull, its next datagram shows that.
-        self._ahead_members.pop(source.host, None)
         previous = self._checkpoints.get(source.host)
         is_same_incarnation = (
             previous is not None and previous.incarnation == source.incarnation
--- a/src/currantline/fleet/tests/test_replica_puller.py
+++ b/src/currantline/fleet/tests/test_replica_puller.py
@@ -36,6 +36,8 @@
         self.pulling = 0
         self.max_pulling = 0
         self.pulled: list[str] = []
+        self.delays_s: dict[str, float] = {}
+        self.replies: dict[str, Changes] = {}
         self.applied = asyncio.Event()
         self.published = Replica()
         record = Record(key="k", revision=9, document="{}")
@@ -57,21 +59,22 @@
         self.pulling += 1
         self.max_pulling = max(self.max_pulling, self.pulling)
         try:
-            await asyncio.sleep(PULL_TIMEOUT_S if host in self.silent else 0.002)
+            delay_s = PULL_TIMEOUT_S if host in self.silent else 0.002
+            await asyncio.sleep(self.delays_s.get(host, delay_s))
         finally:
             self.pulling -= 1
         if host in self.silent:
             raise PeerError(f"{host} did not answer")
-        return self.published.list_changes(after)
+        return self.replies.get(host) or self.published.list_changes(after)
 
     def apply(self, changes: Changes) -> None:
         """Apply a change that was pulled."""
         self.replica.apply_changes(changes)
         self.applied.set()
 
-    def advertise(self) -> None:
-        """Let all of them advertise the change."""
-        for host in self.hosts:
+    def advertise(self, *hosts: str) -> None:
+        """Let some of them advertise the change, by default all."""
+        for host in hosts or self.hosts:
             member = Member(host=host, data_centre="a", incarnation=1)
             self.puller.observe(
                 Datagram(
@@ -104,6 +107,25 @@
 
         run_session(Network(), scenario())
 
+    def test_older_source(self) -> None:
+        """Guards against a newer state that is given up for an older one."""
+
+        async def scenario() -> None:
+            sources = Sources(silent=0, answering=2, seed=1)
+            sources.delays_s = {"10.1.0.1": 0.3, "10.1.0.2": 0.5}
+            older = Changes(position=1, revision=8, records=())
+            sources.replies["10.1.0.1"] = older
+            task = asyncio.create_task(sources.puller.run())
+            sources.advertise("10.1.0.1")
+            await asyncio.sleep(0.1)
+            sources.advertise("10.1.0.2")
+            await asyncio.sleep(1.0)
+            assert sources.replica.revision == 9
+            assert sorted(sources.pulled) == ["10.1.0.1", "10.1.0.2"]
+            task.cancel()
+
+        run_session(Network(), scenario())
+
     def test_no_needless_pull(self) -> None:
         """Guards against several pulls of what one source delivers at once."""
 
