--- a/src/currantline/relay/tests/test_availability.py
+++ b/src/currantline/relay/tests/test_availability.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+import attrs
 import pytest
 
 from currantline.placement import (
@@ -12,7 +13,12 @@
     describe_unavailability,
     find_next_available_ms,
 )
-from currantline.relay.tests.support import RelayHarness, make_route, run_scenario
+from currantline.relay.tests.support import (
+    RelayHarness,
+    make_request,
+    make_route,
+    run_scenario,
+)
 from currantline.standin.worker import StandinWorker
 from currantline.wire import find_header
 
@@ -72,6 +78,23 @@
 
         run_scenario(scenario, NON_IDEMPOTENT)
 
+    def test_early_answer(self) -> None:
+        """Guards against a mark that is missed since the upload was not read."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            answer = (
+                b"HTTP/1.1 403 Forbidden\r\nx-id: a\r\nx-signature: s\r\n"
+                b"leaving: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+            script = await harness.add_scripted_target(answer)
+            upload = attrs.evolve(make_request(), method="POST", body=bytes(300_000))
+            response = await harness.relay.handle(upload, harness.clock.read())
+            assert response.status == 403
+            assert (await harness.send("b")).status == 503
+            assert script.requests == 1
+
+        run_scenario(scenario, NON_IDEMPOTENT)
+
     def test_health_check(self) -> None:
         """Guards against a request to a target whose health check says it leaves."""
 
