Evacuate a data centre while the store holds its key

No code read the key that evacuates a data centre, so its targets went on receiving requests and health checks.

The registry keeps the evacuated data centres, and a target there is unavailable without a known end. Selection, repeats, hedges, waiting requests, permits and health checks follow from that. Idle connections are closed, requests that hold a permit are woken, and requests in flight are completed. A selection is checked again at the send: a non-idempotent request is sent by a task of its own, which starts one step later. A health check is checked again once its connection is open.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -133,7 +133,13 @@
         self.meter = Meter()
         self.replica = Replica()
         self.targets = TargetRegistry()
-        self._published = PublishedState(self.targets, clock=clock, log=log)
+        self._published = PublishedState(
+            self.targets,
+            data_centres=settings.data_centres,
+            on_evacuation=self._handle_evacuation,
+            clock=clock,
+            log=log,
+        )
         self._build_membership(incarnation)
         self._build_relay()
         self._build_services()
@@ -300,7 +306,7 @@
             meter=self.meter,
             log=self._log,
         )
-        selector = TargetSelector(
+        self._selector = TargetSelector(
             self.targets,
             prober=prober,
             latencies=latencies,
@@ -327,7 +333,7 @@
         )
         self._relay = Relay(
             read_table=lambda: self.table,
-            selector=selector,
+            selector=self._selector,
             sender=sender,
             names=HEADERS,
             retry_options=self._settings.retry_options,
@@ -358,6 +364,7 @@
         self._metrics = HttpServer(self._handle_metrics_request)
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
+        self.meter.add_gauge("evacuated_targets", self.targets.count_evacuated)
         self.meter.add_gauge("instances", self._count_live)
         self.meter.add_gauge("configuration_version", lambda: self._published.version)
         self.meter.add_gauge(
@@ -397,7 +404,7 @@
             self._pool.max_idle_per_target = find_max_idle(
                 self._published.max_connections, self._count_live()
             )
-            self._pool.close_stale(self.targets.list_addresses())
+            self._pool.close_stale(self.targets.list_connectable_addresses())
             self._log.flush()
 
     def _refresh_local_member(self) -> bool:
@@ -407,6 +414,10 @@
             can_reach_platform=self._reader.can_reach_platform,
         )
 
+    def _handle_evacuation(self) -> None:
+        self._pool.close_stale(self.targets.list_connectable_addresses())
+        self._selector.notify_evacuation()
+
     def _apply_read_records(self, changed: Sequence[Record]) -> None:
         self._published.apply(changed)
         if changed:
--- a/src/currantline/placement/_availability.py
+++ b/src/currantline/placement/_availability.py
@@ -27,6 +27,8 @@
 class UnavailabilityReason(enum.Enum):
     """Why a target may get no request."""
 
+    # Its data centre is evacuated.
+    EVACUATED = "evacuated"
     # It is published as such.
     DRAINING = "draining"
     # A response of it said so.
@@ -67,6 +69,8 @@
     now : float
         Current time in milliseconds.
     """
+    if target.is_evacuated:
+        return Unavailability(UnavailabilityReason.EVACUATED)
     if target.published.is_draining:
         return Unavailability(UnavailabilityReason.DRAINING)
     if target.stated.is_leaving:
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -20,6 +20,8 @@
         self._targets: dict[str, Target] = {}
         # By name and start time, the earliest first; also of removed targets.
         self._stated: dict[tuple[str, int], StatedAvailability] = {}
+        # An evacuation also applies to targets that register later.
+        self._evacuated: set[str] = set()
 
     def update(self, entry: PublishedTarget, now: float) -> None:
         """Add a target or update its entry.
@@ -36,11 +38,13 @@
         ):
             known.published = entry
             known.warmup_end_ms = now + entry.warmup_ms
+            known.is_evacuated = entry.data_centre in self._evacuated
             return
         self._targets[entry.name] = Target(
             entry,
             warmup_end_ms=now + entry.warmup_ms,
             stated=self._find_stated(entry),
+            is_evacuated=entry.data_centre in self._evacuated,
         )
 
     def remove(self, name: str) -> None:
@@ -50,6 +54,32 @@
         """
         self._targets.pop(name, None)
 
+    def start_evacuation(self, data_centre: str) -> list[Target] | None:
+        """Let the targets of a data centre get nothing more.
+
+        Returns
+        -------
+        list of Target or None
+            The known targets there, None if the data centre is already evacuated.
+        """
+        if data_centre in self._evacuated:
+            return None
+        self._evacuated.add(data_centre)
+        return self._set_evacuated(data_centre, is_evacuated=True)
+
+    def end_evacuation(self, data_centre: str) -> list[Target] | None:
+        """Let the targets of a data centre get requests again.
+
+        Returns
+        -------
+        list of Target or None
+            The known targets there, None if the data centre is not evacuated.
+        """
+        if data_centre not in self._evacuated:
+            return None
+        self._evacuated.remove(data_centre)
+        return self._set_evacuated(data_centre, is_evacuated=False)
+
     def find(self, name: str) -> Target | None:
         """Return a target by name, or None."""
         return self._targets.get(name)
@@ -76,9 +106,13 @@
             and find_unavailability(target, now) is None
         ]
 
-    def list_addresses(self) -> set[str]:
-        """Return the addresses of all targets."""
-        return {target.address for target in self._targets.values()}
+    def list_connectable_addresses(self) -> set[str]:
+        """Return the addresses of all targets that are not evacuated."""
+        return {t.address for t in self._targets.values() if not t.is_evacuated}
+
+    def count_evacuated(self) -> int:
+        """Return the number of targets in evacuated data centres."""
+        return sum(1 for target in self._targets.values() if target.is_evacuated)
 
     def count_rate_limited(self) -> int:
         """Return the number of targets that limit the requests of the fleet."""
@@ -97,6 +131,16 @@
         is_published = self._targets.get(target.name) is target
         return is_published and find_unavailability(target, now) is None
 
+    def _set_evacuated(self, data_centre: str, *, is_evacuated: bool) -> list[Target]:
+        targets = [
+            target
+            for target in self._targets.values()
+            if target.published.data_centre == data_centre
+        ]
+        for target in targets:
+            target.is_evacuated = is_evacuated
+        return targets
+
     def _find_stated(self, entry: PublishedTarget) -> StatedAvailability:
         start = (entry.name, entry.started_unix_ms)
         stated = self._stated.pop(start, None) or StatedAvailability()
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -88,6 +88,8 @@
         Time until which permits for the target are expected to be used up.
     stated : StatedAvailability
         What this start of the target has said of its availability.
+    is_evacuated : bool
+        Whether its data centre is evacuated.
     """
 
     published: PublishedTarget
@@ -100,6 +102,7 @@
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     next_permit_ms: float = 0.0
     stated: StatedAvailability = attrs.field(factory=StatedAvailability)
+    is_evacuated: bool = False
 
     @property
     def name(self) -> str:
--- a/src/currantline/platform/__init__.py
+++ b/src/currantline/platform/__init__.py
@@ -5,7 +5,9 @@
 
 from currantline.platform._documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     TARGET_PREFIX,
+    decode_evacuation,
     decode_route_table,
     decode_target,
 )
@@ -24,12 +26,14 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
     "HEADERS",
     "SETTINGS_VARIABLE",
     "TARGET_PREFIX",
     "InstanceSettings",
     "RecordBatch",
     "StoreClient",
+    "decode_evacuation",
     "decode_route_table",
     "decode_settings",
     "decode_target",
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -24,13 +24,16 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
     "TARGET_PREFIX",
+    "decode_evacuation",
     "decode_route_table",
     "decode_target",
 ]
 
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 # Maximum number of slots of a target. Larger numbers would overflow in predictions.
 MAX_SLOTS = 1_000_000
@@ -77,6 +80,22 @@
         ) from error
 
 
+def decode_evacuation(key: str) -> str:
+    """Return the data centre that a key of the store evacuates.
+
+    The document under the key carries no meaning: any content evacuates.
+
+    Raises
+    ------
+    ConfigurationError
+        If the key names no data centre.
+    """
+    data_centre = key.removeprefix(EVACUATION_PREFIX)
+    if not data_centre:
+        raise ConfigurationError("the key names no data centre", source=key)
+    return data_centre
+
+
 def decode_target(key: str, text: str) -> PublishedTarget:
     """Decode an entry of the store into a target.
 
--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -11,6 +11,7 @@
     "format_settings",
     "make_configuration",
     "make_directory_query",
+    "make_evacuation_key",
     "make_leaving_headers",
     "make_rate_limit_headers",
     "make_settings",
@@ -29,6 +30,11 @@
     return [str(address) for address in json.loads(body)["addresses"]]
 
 
+def make_evacuation_key(data_centre: str) -> str:
+    """Return the key of the store that evacuates a data centre."""
+    return f"op/evacuate/{data_centre}"
+
+
 def make_leaving_headers() -> tuple[tuple[str, str], ...]:
     """Return the headers of responses of a target that leaves."""
     return (("server-leaving", "1"),)
--- a/src/currantline/published_state.py
+++ b/src/currantline/published_state.py
@@ -1,13 +1,15 @@
 """Configuration and targets in force, from the records that the platform publishes."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from currantline.clock import Clock
 from currantline.exceptions import ConfigurationError
 from currantline.placement import TargetRegistry
 from currantline.platform import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     TARGET_PREFIX,
+    decode_evacuation,
     decode_route_table,
     decode_target,
 )
@@ -25,6 +27,10 @@
     ----------
     targets : TargetRegistry
         Known targets, which are updated.
+    data_centres : collection of str
+        Names of the data centres in the settings.
+    on_evacuation : callable
+        Called after the evacuation of a data centre has begun.
     clock : Clock
         Source of time.
     log : EventLog
@@ -36,8 +42,18 @@
         Route table in force, None until a configuration is known.
     """
 
-    def __init__(self, targets: TargetRegistry, *, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        targets: TargetRegistry,
+        *,
+        data_centres: Collection[str],
+        on_evacuation: Callable[[], None],
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
         self._targets = targets
+        self._data_centres = data_centres
+        self._on_evacuation = on_evacuation
         self._clock = clock
         self._log = log
         self.table: RouteTable | None = None
@@ -65,8 +81,11 @@
         return len(self.table.unknown_kinds) if self.table is not None else 0
 
     def apply(self, changed: Iterable[Record]) -> None:
-        """Apply changed records; invalid ones are logged and not used."""
-        for record in changed:
+        """Apply changed records; invalid ones are logged and not used.
+
+        Evacuations come first, so that no target of the same batch is used before.
+        """
+        for record in sorted(changed, key=lambda record: not _is_evacuation(record)):
             try:
                 self._apply_record(record)
             except Exception as error:
@@ -78,6 +97,8 @@
             self._apply_configuration(record)
         elif record.key.startswith(TARGET_PREFIX):
             self._apply_target(record)
+        elif record.key.startswith(EVACUATION_PREFIX):
+            self._apply_evacuation(record)
 
     def _apply_configuration(self, record: Record) -> None:
         if record.document is None:
@@ -101,6 +122,31 @@
             self._log.write("unknown_kinds", routes=dict(table.unknown_kinds))
         self.table = table
 
+    def _apply_evacuation(self, record: Record) -> None:
+        try:
+            data_centre = decode_evacuation(record.key)
+        except ConfigurationError as error:
+            self._log.write("evacuation_refused", key=record.key, reason=str(error))
+            return
+        if record.is_removed:
+            found = self._targets.end_evacuation(data_centre)
+            event = "data_centre_returned"
+        else:
+            found = self._targets.start_evacuation(data_centre)
+            # It would still apply to a target that names this data centre later.
+            is_unknown = not found and data_centre not in self._data_centres
+            event = "evacuation_unknown" if is_unknown else "data_centre_evacuated"
+        if found is None:
+            return
+        self._log.write(
+            event,
+            data_centre=data_centre,
+            revision=record.revision,
+            targets=len(found),
+        )
+        if not record.is_removed:
+            self._on_evacuation()
+
     def _apply_target(self, record: Record) -> None:
         name = record.key.removeprefix(TARGET_PREFIX)
         if record.document is None:
@@ -122,3 +168,7 @@
                 service=entry.service,
                 revision=record.revision,
             )
+
+
+def _is_evacuation(record: Record) -> bool:
+    return record.key.startswith(EVACUATION_PREFIX)
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -12,7 +12,13 @@
     TargetConnectError,
     WireError,
 )
-from currantline.placement import Candidate, LoadReport, Target, parse_load_header
+from currantline.placement import (
+    Candidate,
+    LoadReport,
+    Target,
+    find_unavailability,
+    parse_load_header,
+)
 from currantline.relay._availability_reader import AvailabilityReader
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
@@ -175,6 +181,8 @@
             async with asyncio.timeout(PROBE_TIMEOUT_MS / 1000):
                 lease = await self._pool.acquire(target.address)
                 requested_ms = self._clock.read()
+                if find_unavailability(target, requested_ms) is not None:
+                    return None
                 request = Request(
                     method="GET", target=path, headers=(("host", target.address),)
                 )
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -13,7 +13,7 @@
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import Lease
 from currantline.relay._retry_after import find_retry_after_bounds_ms
-from currantline.relay._selection import RequestContext
+from currantline.relay._selection import RequestContext, Selection
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
 from currantline.routing import (
@@ -124,7 +124,7 @@
         self._log = log
         self._age_estimator = RequestAgeEstimator()
         self._budgets: dict[str, RetryBudget] = {}
-        self._detached: set[asyncio.Task[SendResult]] = set()
+        self._detached: set[asyncio.Task[SendResult | None]] = set()
         self._timeouts: set[asyncio.Timeout] = set()
         self._end_ms = math.inf
 
@@ -268,14 +268,17 @@
         return asyncio.get_running_loop().create_task(attempt)
 
     async def _attempt(self, progress: _Progress) -> SendResult | None:
-        selection = await self._selector.select(
-            progress.context, exclude=progress.tried
-        )
-        if selection.target is None or selection.lease is None:
-            progress.refusal_reason = selection.reason
-            progress.retry_after_ms = selection.wait_ms
-            return None
-        return await self._send(progress, selection.target, selection.lease)
+        while True:
+            selection = await self._selector.select(
+                progress.context, exclude=progress.tried
+            )
+            if selection.target is None or selection.lease is None:
+                progress.refusal_reason = selection.reason
+                progress.retry_after_ms = selection.wait_ms
+                return None
+            result = await self._send(progress, selection.target, selection.lease)
+            if result is not None:
+                return result
 
     async def _hedge(self, progress: _Progress) -> SendResult | None:
         context = progress.context
@@ -289,11 +292,10 @@
 
     async def _send(
         self, progress: _Progress, target: Target, lease: Lease
-    ) -> SendResult:
+    ) -> SendResult | None:
         context = progress.context
         progress.tried.add(target.name)
         progress.sends += 1
-        self._meter.count("sends", service=context.service.name)
         send = self._send_once(progress, target, lease)
         if context.route.is_idempotent:
             return await send
@@ -307,16 +309,23 @@
 
     async def _send_once(
         self, progress: _Progress, target: Target, lease: Lease
-    ) -> SendResult:
+    ) -> SendResult | None:
         context = progress.context
+        # A detached send starts later than its target was selected.
+        if not self._selector.is_current(target):
+            self._selector.release(Selection(target, lease))
+            progress.tried.discard(target.name)
+            progress.sends -= 1
+            return None
+        self._meter.count("sends", service=context.service.name)
         try:
             return await self._sender.send(context, progress.request, target, lease)
         finally:
             self._selector.notify_slot_freed(context, target)
 
     async def _limit_duration(
-        self, send: Coroutine[Any, Any, SendResult], context: RequestContext
-    ) -> SendResult:
+        self, send: Coroutine[Any, Any, SendResult | None], context: RequestContext
+    ) -> SendResult | None:
         left_ms = max(0.0, context.deadline_ms - self._clock.read()) + DETACHED_GRACE_MS
         try:
             async with asyncio.timeout(left_ms / 1000):
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -99,6 +99,8 @@
         self._clock = clock
         self._rng = rng
         self._queues: dict[str, ProbeQueue] = {}
+        # Targets of the requests that wait for their permits to become valid.
+        self._reserved: dict[asyncio.Future[None], Target] = {}
 
     async def select(
         self, context: RequestContext, *, exclude: Collection[str]
@@ -158,6 +160,16 @@
         """Offer the slot of a finished request to the next waiting one."""
         self._find_queue(context).notify_slot_freed(target)
 
+    def notify_evacuation(self) -> None:
+        """Let requests with a permit for an evacuated target search for another."""
+        for woken, target in self._reserved.items():
+            if target.is_evacuated and not woken.done():
+                woken.set_result(None)
+
+    def is_current(self, target: Target) -> bool:
+        """Return whether a selected target may still receive the request."""
+        return self._targets.is_current(target, self._clock.read())
+
     def find_wait_ms(self, context: RequestContext) -> float:
         """Return the time until a target of the service of a request is available.
 
@@ -288,8 +300,15 @@
     async def _connect_later(self, reserved: Selection) -> Selection | None:
         """Connect to a target for which a permit was granted, once it is valid."""
         assert reserved.target is not None
-        await asyncio.sleep(reserved.wait_ms / 1000)
         target = reserved.target
+        woken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._reserved[woken] = target
+        try:
+            await asyncio.wait([woken], timeout=reserved.wait_ms / 1000)
+        finally:
+            del self._reserved[woken]
+        if not self.is_current(target):
+            return None
         lease = await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
         return self._check_current(target, lease, predicted_ms=0.0)
 
@@ -309,7 +328,7 @@
     ) -> Selection | None:
         if lease is None:
             return None
-        if not self._targets.is_current(target, self._clock.read()):
+        if not self.is_current(target):
             self._prober.release(lease)
             return None
         return Selection(target, lease, predicted_ms)
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -133,11 +133,12 @@
     async def add_worker(self, **values: Any) -> StandinWorker:
         """Start and publish a target."""
         number = len(self.workers) + 1
+        data_centre = values.pop("data_centre", "a")
         worker = StandinWorker(name=f"t{number}", header_names=NAMES, **values)
         address = f"10.0.1.{number}:80"
         await run_on_host(f"10.0.1.{number}", HttpServer(worker.handle).start(address))
         self.workers.append(worker)
-        self.publish(worker.name, address, slots=worker.slots)
+        self.publish(worker.name, address, slots=worker.slots, data_centre=data_centre)
         return worker
 
     async def add_scripted_target(
@@ -158,13 +159,9 @@
 
     def publish(self, name: str, address: str, *, slots: int, **values: Any) -> None:
         """Publish a target."""
+        fields = {"data_centre": "a", **values}
         entry = PublishedTarget(
-            name=name,
-            address=address,
-            service="s",
-            data_centre="a",
-            slots=slots,
-            **values,
+            name=name, address=address, service="s", slots=slots, **fields
         )
         self.targets.update(entry, self.clock.read())
 
--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -123,14 +123,17 @@
         await asyncio.gather(*(self.add_instance(host) for host in self.hosts))
         await asyncio.sleep(3.0)
 
-    async def add_worker(self, name: str, host: str, **values: Any) -> StandinWorker:
+    async def add_worker(
+        self, name: str, host: str, *, data_centre: str = "a", **values: Any
+    ) -> StandinWorker:
         """Start a target and register it in the store."""
         worker = StandinWorker(name=name, header_names=HEADERS, **values)
         server = _RecordingServer(worker)
         await run_on_host(host, server.start(f"{host}:80"))
         self.workers[name] = worker
         self.worker_servers[name] = server
-        self.store.put(f"servers/{name}", make_target_entry(f"{host}:80"))
+        entry = make_target_entry(f"{host}:80", data_centre=data_centre)
+        self.store.put(f"servers/{name}", entry)
         return worker
 
     async def add_instance(self, host: str) -> None:
