Accept only final statuses as responses

h11 accepts statuses up to 999 and reads on after an interim response, whatever its headers. A target's status 600 to 999 was passed on to the caller, with the header for a rejection it caused a repeat although the request may have run, and in a health check or from the store it counted as an answer. The body of an interim response that stated one was read as the next response.

The connection raises a protocol error for a final status outside 200 to 599 and for an interim response that states a body. Requests, health checks and calls to the store treat it as a broken response. The change is in the wire package, so it also applies to the stand-alone deployment.

--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -26,6 +26,13 @@
 __all__ = ["HttpConnection", "connect"]
 
 MAX_HEAD_BYTES = 32768
+
+# Statuses of final responses (RFC 9110, section 15). h11 accepts up to 999.
+FINAL_STATUSES = range(200, 600)
+
+# Headers by which a message states that it has a body, see RFC 9112, section 6.
+FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+
 # Maximum time without an acknowledgement of sent bytes or of a keep-alive probe. Hosts
 # behind a network partition do not reset the connection.
 DEAD_PEER_TIMEOUT_MS = 5_000
@@ -255,7 +262,8 @@
         Raises
         ------
         ProtocolError
-            If the bytes are not valid HTTP or end within the response. Also if the
+            If the bytes are not valid HTTP or end within the response, or the status is
+            not that of a final response, or an interim response has a body. Also if the
             body is delimited only by the close of the connection, unless
             `accept_unframed` is set, because a truncated body would go unnoticed.
         BodyTooLargeError
@@ -263,9 +271,13 @@
         """
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
+            if _states_body(decode_headers(event.headers)):
+                raise ProtocolError(f"status {event.status_code} with a body")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ProtocolError("the connection closed before a response")
+        if event.status_code not in FINAL_STATUSES:
+            raise ProtocolError(f"{event.status_code} is not a final status")
         headers = decode_headers(event.headers)
         self._check_head(b"", headers)
         is_framed = self._has_framing(event.status_code, headers)
@@ -295,10 +307,7 @@
     def _has_framing(self, status: int, headers: Headers) -> bool:
         if status in NO_BODY_STATUSES or self._h11.their_state is h11.DONE:
             return True
-        names = {name for name, _ in headers}
-        if names & {"content-length", "transfer-encoding"}:
-            return True
-        return self._is_head_request
+        return _states_body(headers) or self._is_head_request
 
     async def _read_body(self, on_data: Callable[[int], object] | None = None) -> bytes:
         try:
@@ -378,3 +387,7 @@
     )
     connection.set_dead_peer_timeout(DEAD_PEER_TIMEOUT_MS)
     return connection
+
+
+def _states_body(headers: Headers) -> bool:
+    return any(name in FRAMING_HEADERS for name, _ in headers)
