Refuse entries whose start time is not a Unix time

An entry of a target with a start time of 400 digits was used, and the number became part of the target's key in permit datagrams.

The decoding accepts 0 up to the end of the year 9999 and refuses other start times like other malformed fields.

3 of the new cases failed before the change: a negative number, 10**15 and 400 digits; all pass after it.

--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -38,6 +38,9 @@
 # Maximum number of slots of a target. Larger numbers would overflow in predictions.
 MAX_SLOTS = 1_000_000
 
+# Last millisecond of the year 9999, the latest time that the usual formats can express.
+MAX_UNIX_MS = 253_402_300_799_999
+
 IDEMPOTENT = "idempotent"
 ROUTE_KINDS = frozenset({IDEMPOTENT, "non_idempotent", "upload"})
 READY, DRAINING = "ready", "draining"
@@ -115,6 +118,8 @@
         _check_types(key, slots=(slots, int), born=(born, int), address=(address, str))
         if not 0 <= slots <= MAX_SLOTS:
             raise ConfigurationError(f"{slots!r:.80} slots", source=key, path="slots")
+        if not 0 <= born <= MAX_UNIX_MS:
+            raise ConfigurationError(f"born at {born!r:.80}", source=key, path="born")
         _check_types(key, service=(info["service"], str), zone=(info["zone"], str))
         _check_types(key, warmupLeftMs=(warmup_ms, (int, float)))
         return PublishedTarget(
--- a/src/currantline/platform/tests/test_documents.py
+++ b/src/currantline/platform/tests/test_documents.py
@@ -152,6 +152,28 @@
         with pytest.raises(ConfigurationError):
             decode_target("servers/i-1", json.dumps(document))
 
+    @pytest.mark.parametrize(
+        "born",
+        [
+            -1,
+            10**15,
+            pytest.param(int("9" * 400), id="400 digits"),
+            True,
+            5.0,
+            "5",
+            None,
+            [],
+        ],
+    )
+    def test_start_time(self, born: Any) -> None:
+        """Guards against a start time that is none in the keys of permits."""
+        document = make_target_entry()
+        with pytest.raises(ConfigurationError):
+            decode_target("servers/i-1", json.dumps({**document, "born": born}))
+        born = 1_893_456_000_123
+        entry = decode_target("servers/i-1", json.dumps({**document, "born": born}))
+        assert entry.started_unix_ms == born
+
     @pytest.mark.parametrize("text", ["", "7", "{}", '{"info":[],"status":{}}', "\x00"])
     def test_unreadable(self, text: str) -> None:
         """Guards against one unreadable entry stopping the decoding of the others."""
