Judge targets by the failures that exceed those of their service

Cause: while all targets of a service reject 55 in 100 requests at random, an instance accepts none of them: each one has failed recently. Requests wait until they are overdue although slots are free, and connections are opened to targets that merely have not been tried.

Change: predictions and the choice of targets to probe use the part of the failure weight that exceeds the median of the observed targets of the service.

--- a/src/currantline/placement/_choice.py
+++ b/src/currantline/placement/_choice.py
@@ -127,7 +127,7 @@
         slow = min(slow, SLOW_EPISODE_MS * (1.0 - 1.0 / report.slowness))
     ahead = max(0, occupied - report.slots + 1) + report.waiting
     wait = ahead / report.slots * average_ms * max(1.0, report.slowness)
-    penalty = FAILURE_PENALTY * target.passive_health.failure_weight(now)
+    penalty = FAILURE_PENALTY * target.passive_health.excess_failure_weight(now)
     if not report.is_healthy:
         penalty += UNHEALTHY_PENALTY
     return work + slow + wait + penalty * average_ms + report.took_ms
--- a/src/currantline/placement/_passive_health.py
+++ b/src/currantline/placement/_passive_health.py
@@ -6,10 +6,11 @@
 """
 
 import math
+from collections.abc import Collection
 
 import attrs
 
-__all__ = ["PassiveHealth"]
+__all__ = ["CommonFailures", "PassiveHealth"]
 
 # Half-life of observations in milliseconds. Grey failures and flapping last for several
 # seconds.
@@ -23,6 +24,47 @@
 MAX_SLOWNESS = 4.0
 
 
+# Time in milliseconds for which a target counts as observed.
+OBSERVED_MS = 2.0 * HALF_LIFE_MS
+
+# With fewer observed targets it is unknown what they have in common.
+MIN_OBSERVED = 4
+
+
+@attrs.define
+class CommonFailures:
+    """Failures that the targets of one service have in common.
+
+    Handles a service whose targets all fail or reject a part of their requests. Then
+    failures do not tell one target from another. Without this, requests would wait for
+    a better target while all have free slots, move to the few targets that happen to
+    have failed none and fill them, and open new connections on the way.
+
+    Parameters
+    ----------
+    weight : float
+        Failure weight that at least half of the observed targets exceed.
+    """
+
+    weight: float = 0.0
+
+    def update(self, observed: "Collection[PassiveHealth]", now: float) -> None:
+        """Find the weight from the targets of the service.
+
+        Parameters
+        ----------
+        observed : collection of PassiveHealth
+            All targets of the service.
+        now : float
+            Current time in milliseconds.
+        """
+        weights = sorted(
+            health.failure_weight(now) for health in observed if health.is_observed(now)
+        )
+        is_known = len(weights) >= MIN_OBSERVED
+        self.weight = weights[(len(weights) - 1) // 2] if is_known else 0.0
+
+
 @attrs.define
 class PassiveHealth:
     """Recent failures and observed slowness of one target.
@@ -31,11 +73,22 @@
     ----------
     slowness : float
         Response time relative to the average of the route.
+    common : CommonFailures
+        Failures that it has in common with the other targets of the service.
     """
 
     slowness: float = 1.0
+    common: CommonFailures = attrs.field(factory=CommonFailures)
     _failure_weight: float = 0.0
-    _updated_ms: float = 0.0
+    _updated_ms: float = -math.inf
+
+    def is_observed(self, now: float) -> bool:
+        """Return whether a result of a recent request is known."""
+        return now - self._updated_ms < OBSERVED_MS
+
+    def excess_failure_weight(self, now: float) -> float:
+        """Return by how much its failures exceed those in common."""
+        return max(0.0, self.failure_weight(now) - self.common.weight)
 
     def failure_weight(self, now: float) -> float:
         """Return the decayed weight of recent failures; a failure starts with 1."""
--- a/src/currantline/placement/_probe_targets.py
+++ b/src/currantline/placement/_probe_targets.py
@@ -60,4 +60,4 @@
 
 
 def _is_failing(target: Target, now: float) -> bool:
-    return target.passive_health.failure_weight(now) > FAILURE_THRESHOLD
+    return target.passive_health.excess_failure_weight(now) > FAILURE_THRESHOLD
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -3,6 +3,7 @@
 import math
 
 from currantline.placement._availability import find_unavailability
+from currantline.placement._passive_health import CommonFailures, PassiveHealth
 from currantline.placement._stated_availability import StatedAvailability
 from currantline.placement._target import PublishedTarget, Target
 
@@ -22,6 +23,7 @@
         self._stated: dict[tuple[str, int], StatedAvailability] = {}
         # An evacuation also applies to targets that register later.
         self._evacuated: set[str] = set()
+        self._common_failures: dict[str, CommonFailures] = {}
 
     def update(self, entry: PublishedTarget, now: float) -> None:
         """Add a target or update its entry.
@@ -43,6 +45,7 @@
         self._targets[entry.name] = Target(
             entry,
             warmup_end_ms=now + entry.warmup_ms,
+            passive_health=PassiveHealth(common=self._find_common(entry.service)),
             stated=self._find_stated(entry),
             is_evacuated=entry.data_centre in self._evacuated,
         )
@@ -80,6 +83,11 @@
         self._evacuated.remove(data_centre)
         return self._set_evacuated(data_centre, is_evacuated=False)
 
+    def update_common_failures(self, service: str, now: float) -> None:
+        """Find the failures that the targets of a service have in common."""
+        observed = [target.passive_health for target in self.list_published(service)]
+        self._find_common(service).update(observed, now)
+
     def find(self, name: str) -> Target | None:
         """Return a target by name, or None."""
         return self._targets.get(name)
@@ -131,6 +139,9 @@
         is_published = self._targets.get(target.name) is target
         return is_published and find_unavailability(target, now) is None
 
+    def _find_common(self, service: str) -> CommonFailures:
+        return self._common_failures.setdefault(service, CommonFailures())
+
     def _set_evacuated(self, data_centre: str, *, is_evacuated: bool) -> list[Target]:
         targets = [
             target
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -211,6 +211,7 @@
         )
         if refusal_reason:
             return Selection(reason=refusal_reason)
+        self._targets.update_common_failures(context.service.name, self._clock.read())
         known = self._list_usable(context, exclude)
         if not known:
             return self._refuse(context)
