--- a/src/currantline/fleet/_membership_list.py
+++ b/src/currantline/fleet/_membership_list.py
@@ -144,6 +144,15 @@
             if entry.member.is_dead
         ]
 
+    def list_known(self) -> list[str]:
+        """Return the hosts of all known instances, with this one and dead ones."""
+        return [self._local.host, *self._entries]
+
+    def is_alive(self, host: str) -> bool:
+        """Return whether another instance is known and not suspect or dead."""
+        entry = self._entries.get(host)
+        return entry is not None and entry.member.health is Health.ALIVE
+
     def list_ready(self) -> list[Member]:
         """Return the other instances that accept callers."""
         return [
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -34,6 +34,7 @@
 from currantline.published_state import PublishedState
 from currantline.relay import (
     AvailabilityReader,
+    ColdTargetSelector,
     ConnectionPool,
     LimitedTargetSelector,
     LoadProber,
@@ -42,6 +43,7 @@
     RelayServer,
     Sender,
     TargetSelector,
+    WarmupReader,
     find_max_bytes_held,
     find_max_idle,
 )
@@ -133,7 +135,9 @@
         self.meter = Meter()
         self.replica = Replica()
         self.targets = TargetRegistry()
-        self._published = PublishedState(self.targets, clock=clock, log=log)
+        self._published = PublishedState(
+            self.targets, warmup_terms=settings.warmup_terms, clock=clock, log=log
+        )
         self._build_membership(incarnation)
         self._build_relay()
         self._build_services()
@@ -281,6 +285,8 @@
             port=self._settings.permit_port,
             list_issuers=self._list_permit_issuers,
             list_instances=lambda: [m.host for m in self._membership.list_live()],
+            list_known=self._membership.list_known,
+            is_alive=self._membership.is_alive,
             clock=self._clock,
             meter=self.meter,
             log=self._log,
@@ -296,6 +302,9 @@
             names=HEADERS,
             limit_reader=limit_reader,
             availability_reader=availability_reader,
+            warmup_reader=WarmupReader(
+                names=HEADERS, observe=self._permits.observe_warmup, log=self._log
+            ),
             clock=self._clock,
             meter=self.meter,
             log=self._log,
@@ -311,6 +320,14 @@
                 clock=self._clock,
                 rng=self._rng,
             ),
+            cold_targets=ColdTargetSelector(
+                self.targets,
+                permits=self._permits,
+                prober=prober,
+                latencies=latencies,
+                clock=self._clock,
+                rng=self._rng,
+            ),
             count_instances=lambda: len(self._membership.list_live()) + 1,
             data_centre=self._settings.data_centre,
             clock=self._clock,
@@ -323,6 +340,7 @@
             availability_reader=availability_reader,
             latencies=latencies,
             clock=self._clock,
+            meter=self.meter,
             log=self._log,
         )
         self._relay = Relay(
@@ -358,6 +376,7 @@
         self._metrics = HttpServer(self._handle_metrics_request)
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
+        self.meter.add_gauge("cold_targets", self._count_cold)
         self.meter.add_gauge("instances", self._count_live)
         self.meter.add_gauge("configuration_version", lambda: self._published.version)
         self.meter.add_gauge(
@@ -398,6 +417,8 @@
                 self._published.max_connections, self._count_live()
             )
             self._pool.close_stale(self.targets.list_addresses())
+            for target in self.targets.take_warmed(self._clock.read()):
+                self._log.write("target_warm", target=target.name)
             self._log.flush()
 
     def _refresh_local_member(self) -> bool:
@@ -459,5 +480,8 @@
         content_type = ("content-type", "text/plain; version=0.0.4")
         return Response(status=200, headers=(content_type,), body=self.meter.render())
 
+    def _count_cold(self) -> int:
+        return self.targets.count_cold(self._clock.read())
+
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
--- a/src/currantline/permits/_codec.py
+++ b/src/currantline/permits/_codec.py
@@ -12,6 +12,7 @@
     PermitResponse,
     Report,
     WaitBounds,
+    WarmupPermitRequest,
 )
 from currantline.placement import RateLimit
 
@@ -38,12 +39,16 @@
         wait_bounds = message.wait_bounds
         waits = [round(wait_bounds.in_time_ms, 1), round(wait_bounds.max_ms, 1)]
         fields += ["request", message.number, *waits]
+    elif isinstance(message, WarmupPermitRequest):
+        fields += ["warmup-request", message.number, message.rank]
     elif isinstance(message, PermitResponse):
         permit = message.permit
         wait = round(permit.wait_ms, 1)
         fields += ["response", message.number, permit.is_granted, wait]
     else:
-        fields += ["report"]
+        # Instances of earlier releases ignore the further field.
+        left_ms = message.warmup_left_ms
+        fields += ["report", round(left_ms, 1)] if left_ms else ["report"]
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -64,7 +69,13 @@
             -math.inf if age_ms is None else now - _check_number(age_ms),
         )
         if kind == "report":
-            return Report(key=key, limit=limit)
+            left_ms = _check_number(rest[0]) if rest else 0.0
+            return Report(key=key, limit=limit, warmup_left_ms=left_ms)
+        if kind == "warmup-request":
+            number, rank = rest
+            return WarmupPermitRequest(
+                number=int(number), key=key, limit=limit, rank=int(rank)
+            )
         if kind == "request":
             number, in_time_ms, max_ms = rest
             wait_bounds = WaitBounds(
--- a/src/currantline/permits/_messages.py
+++ b/src/currantline/permits/_messages.py
@@ -1,5 +1,7 @@
 """Messages about limits of targets, and permits."""
 
+import math
+
 import attrs
 
 from currantline.placement import RateLimit
@@ -11,6 +13,7 @@
     "PermitResponse",
     "Report",
     "WaitBounds",
+    "WarmupPermitRequest",
 ]
 
 
@@ -42,10 +45,13 @@
     wait_ms : float
         Time until it may be sent, or, if it may not, until another request may get a
         permit, in milliseconds.
+    end_ms : float
+        Time after which it is void, by the clock of this instance, in milliseconds.
     """
 
     is_granted: bool
     wait_ms: float = 0.0
+    end_ms: float = math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -70,9 +76,31 @@
     wait_bounds: WaitBounds
 
 
+@attrs.frozen(kw_only=True)
+class WarmupPermitRequest:
+    """Asks the issuer of a target that warms up for a permit that is valid at once.
+
+    Parameters
+    ----------
+    number : int
+        Number that the response repeats.
+    key : str
+        Key of the target.
+    limit : RateLimit
+        Limit as known to the sender, with the time of its own clock.
+    rank : int
+        Rank of the request, lowest first.
+    """
+
+    number: int
+    key: str
+    limit: RateLimit
+    rank: int
+
+
 @attrs.frozen(kw_only=True)
 class PermitResponse:
-    """Response to a `PermitRequest`.
+    """Response to a `PermitRequest` or a `WarmupPermitRequest`.
 
     Parameters
     ----------
@@ -94,7 +122,7 @@
 
 @attrs.frozen(kw_only=True)
 class Report:
-    """Reports the limit of a target, to its issuer or from it to all instances.
+    """Reports a limit or a warm-up, to the issuer or from it to all instances.
 
     Parameters
     ----------
@@ -102,10 +130,14 @@
         Key of the target.
     limit : RateLimit
         The limit.
+    warmup_left_ms : float
+        Time for which the target stays cold, in milliseconds; 0 if the report is about
+        its limit.
     """
 
     key: str
     limit: RateLimit
+    warmup_left_ms: float = 0.0
 
 
-Message = PermitRequest | PermitResponse | Report
+Message = PermitRequest | WarmupPermitRequest | PermitResponse | Report
--- a/src/currantline/permits/_protocol.py
+++ b/src/currantline/permits/_protocol.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, cast
 
+import attrs
+
 from currantline.clock import Clock
 from currantline.exceptions import PeerError
 from currantline.permits._choice import choose_issuer, format_key, parse_name
@@ -17,7 +19,9 @@
     PermitResponse,
     Report,
     WaitBounds,
+    WarmupPermitRequest,
 )
+from currantline.permits._warmup_issuer import PERMIT_VALIDITY_MS, WarmupIssuer
 from currantline.placement import RateLimit, Target, TargetRegistry
 from currantline.telemetry import EventLog, Meter
 
@@ -33,7 +37,7 @@
 
 
 class PermitProtocol(asyncio.DatagramProtocol):
-    """Asks for permits, issues them and spreads the limits that targets name.
+    """Asks for permits, issues them and spreads limits and warm-ups of targets.
 
     Owns the UDP socket.
 
@@ -46,9 +50,15 @@
     port : int
         UDP port of all instances.
     list_issuers : callable
-        Returns the hosts of the instances that issue permits.
+        Returns the hosts of the instances that issue permits of limited targets.
     list_instances : callable
         Returns the hosts of all other live instances.
+    list_known : callable
+        Returns the hosts of all known instances, which issue permits of cold targets.
+        Dead ones are included: while a fleet is split, both parts choose the same
+        issuer.
+    is_alive : callable
+        Returns whether another instance is known to respond.
     clock : Clock
         Source of time.
     meter : Meter
@@ -65,6 +75,8 @@
         port: int,
         list_issuers: Callable[[], Iterable[str]],
         list_instances: Callable[[], Iterable[str]],
+        list_known: Callable[[], Iterable[str]],
+        is_alive: Callable[[str], bool],
         clock: Clock,
         meter: Meter,
         log: EventLog,
@@ -74,10 +86,15 @@
         self._port = port
         self._list_issuers = list_issuers
         self._list_instances = list_instances
+        self._list_known = list_known
+        self._is_alive = is_alive
         self._clock = clock
         self._meter = meter
         self._log = log
         self._issuer = PermitIssuer()
+        self._warmup_issuer = WarmupIssuer()
+        # Time until which an issuer that did not respond is not asked, by host.
+        self._silent_until_ms: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Permit]] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -123,10 +140,43 @@
         wait_bounds : WaitBounds
             Time for which the request can wait.
         """
-        permit = await self._ask(target, wait_bounds)
-        result = "granted" if permit.is_granted else "denied"
-        self._meter.count("permits", result=result)
-        return permit
+        return self._count(await self._ask(target, wait_bounds))
+
+    async def acquire_cold(self, target: Target, rank: int) -> Permit:
+        """Return a permit for one request to a target that warms up.
+
+        It is valid at once, and void after its end.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+        rank : int
+            Rank of the request, lowest first.
+        """
+        # The validity counts from here, which is not after the time of the grant.
+        end_ms = self._clock.read() + PERMIT_VALIDITY_MS
+        permit = self._count(await self._ask_cold(target, rank))
+        return attrs.evolve(permit, end_ms=end_ms)
+
+    def observe_warmup(
+        self, target: Target, left_ms: float | None, requested_ms: float
+    ) -> None:
+        """Record the remaining warm-up time that a health response names, None if none.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+        left_ms : float or None
+            Remaining time in milliseconds.
+        requested_ms : float
+            Time at which the health check was sent, in milliseconds.
+        """
+        now = self._clock.read()
+        if target.learn_from_check(left_ms, requested_ms, now):
+            self._note_cold(target, "health check", now)
+            self._spread_warmup(target, now)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open socket."""
@@ -144,6 +194,12 @@
         if isinstance(message, PermitRequest):
             self._respond(message, addr[0])
             return
+        if isinstance(message, WarmupPermitRequest):
+            self._respond_cold(message, addr[0])
+            return
+        if isinstance(message, Report) and message.warmup_left_ms:
+            self._adopt_warmup(message)
+            return
         self._adopt(message.key, message.limit)
         if isinstance(message, Report):
             if self._is_issuer(message.key):
@@ -165,21 +221,58 @@
             return self._issuer.issue(key, wait_bounds, now)
         if issuer is None:
             return Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
-        number = next(self._numbers)
-        response: asyncio.Future[Permit] = asyncio.get_running_loop().create_future()
-        self._pending[number] = response
         request = PermitRequest(
-            number=number, key=key, limit=target.rate_limit, wait_bounds=wait_bounds
+            number=next(self._numbers),
+            key=key,
+            limit=target.rate_limit,
+            wait_bounds=wait_bounds,
         )
+        permit = await self._exchange(issuer, request)
+        return permit or self._time_out(target, issuer)
+
+    async def _ask_cold(self, target: Target, rank: int) -> Permit:
+        key = format_key(target.published)
+        issuer = choose_issuer(key, self._list_known())
+        if issuer == self._host:
+            return self._issue_cold(key, target.rate_limit, rank, self._host)
+        now = self._clock.read()
+        silent_ms = self._silent_until_ms.get(issuer or "", 0.0) - now
+        if issuer is None or not self._is_alive(issuer) or silent_ms > 0.0:
+            wait_ms = silent_ms if silent_ms > 0.0 else NO_ISSUER_PAUSE_MS
+            return Permit(is_granted=False, wait_ms=wait_ms)
+        request = WarmupPermitRequest(
+            number=next(self._numbers), key=key, limit=target.rate_limit, rank=rank
+        )
+        permit = await self._exchange(issuer, request)
+        if permit is None:
+            silent_until_ms = self._clock.read() + NO_ISSUER_PAUSE_MS
+            self._silent_until_ms[issuer] = silent_until_ms
+            return self._time_out(target, issuer)
+        return permit
+
+    async def _exchange(
+        self, issuer: str, request: PermitRequest | WarmupPermitRequest
+    ) -> Permit | None:
+        """Return the issuer's permit, or None if it does not respond in time."""
+        response: asyncio.Future[Permit] = asyncio.get_running_loop().create_future()
+        self._pending[request.number] = response
         try:
             self._send(issuer, request)
             async with asyncio.timeout(RESPONSE_TIMEOUT_MS / 1000):
                 return await response
         except TimeoutError:
-            self._log.write("permit_timeout", target=target.name, peer=issuer)
-            return Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
+            return None
         finally:
-            del self._pending[number]
+            del self._pending[request.number]
+
+    def _time_out(self, target: Target, issuer: str) -> Permit:
+        self._log.write("permit_timeout", target=target.name, peer=issuer)
+        return Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
+
+    def _count(self, permit: Permit) -> Permit:
+        result = "granted" if permit.is_granted else "denied"
+        self._meter.count("permits", result=result)
+        return permit
 
     def _respond(self, request: PermitRequest, host: str) -> None:
         # While two instances disagree on the issuer, neither may grant the other's.
@@ -196,6 +289,71 @@
         )
         self._send(host, response)
 
+    def _respond_cold(self, request: WarmupPermitRequest, host: str) -> None:
+        permit = Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
+        if choose_issuer(request.key, self._list_known()) == self._host:
+            permit = self._issue_cold(request.key, request.limit, request.rank, host)
+        response = PermitResponse(
+            number=request.number, key=request.key, permit=permit, limit=request.limit
+        )
+        self._send(host, response)
+
+    def _issue_cold(self, key: str, limit: RateLimit, rank: int, host: str) -> Permit:
+        now = self._clock.read()
+        target = self._find(key)
+        if target is None or target.warmup_bound is None:
+            return Permit(is_granted=False, wait_ms=NO_ISSUER_PAUSE_MS)
+        latest = limit if limit.replaces(target.rate_limit) else target.rate_limit
+        # Without knowledge of the warm-up, the time of the first request counts.
+        known_since_ms = target.stated.cold_since_ms if target.is_cold(now) else None
+        if known_since_ms is not None:
+            known_since_ms = max(known_since_ms, target.added_ms)
+        return self._warmup_issuer.issue(
+            key,
+            host=host,
+            rank=rank,
+            max_permits=target.warmup_bound.permits_per_issuer,
+            per_s=latest.per_s,
+            known_since_ms=known_since_ms,
+            now=now,
+        )
+
+    def _spread_warmup(self, target: Target, now: float) -> None:
+        """Tell the issuer of a cold target, or as the issuer all instances."""
+        key = format_key(target.published)
+        issuer = choose_issuer(key, self._list_known())
+        report = Report(
+            key=key,
+            limit=target.rate_limit,
+            warmup_left_ms=target.cold_until_ms - now,
+        )
+        receivers = self._list_instances() if issuer == self._host else [issuer]
+        for host in receivers:
+            if host is not None:
+                self._send(host, report)
+
+    def _adopt_warmup(self, report: Report) -> None:
+        now = self._clock.read()
+        target = self._find(report.key)
+        if target is None or not target.learn_from_peer(report.warmup_left_ms, now):
+            return
+        self._note_cold(target, "instance", now)
+        if choose_issuer(report.key, self._list_known()) == self._host:
+            self._spread_warmup(target, now)
+
+    def _note_cold(self, target: Target, source: str, now: float) -> None:
+        target.is_noted_cold = True
+        left_ms = round(target.cold_until_ms - now)
+        self._log.write(
+            "target_cold", target=target.name, left_ms=left_ms, source=source
+        )
+
+    def _find(self, key: str) -> Target | None:
+        target = self._targets.find(parse_name(key))
+        if target is None or format_key(target.published) != key:
+            return None
+        return target
+
     def _observe_as_issuer(self, key: str, limit: RateLimit) -> None:
         has_changed = self._issuer.observe(key, limit, self._clock.read())
         latest = self._issuer.find_limit(key)
@@ -205,10 +363,8 @@
                 self._send(host, Report(key=key, limit=latest))
 
     def _adopt(self, key: str, limit: RateLimit) -> None:
-        target = self._targets.find(parse_name(key))
-        if target is None or format_key(target.published) != key:
-            return
-        if limit.replaces(target.rate_limit):
+        target = self._find(key)
+        if target is not None and limit.replaces(target.rate_limit):
             self._update(target, limit)
 
     def _update(self, target: Target, limit: RateLimit) -> None:
--- a/src/currantline/permits/tests/test_codec.py
+++ b/src/currantline/permits/tests/test_codec.py
@@ -15,6 +15,7 @@
     PermitResponse,
     Report,
     WaitBounds,
+    WarmupPermitRequest,
     decode_message,
     encode_message,
 )
@@ -37,6 +38,8 @@
             PermitRequest(number=1, key="t@5@a", limit=limit, wait_bounds=wait_bounds),
             PermitResponse(number=1, key="t@5@a", permit=permit, limit=limit),
             Report(key="t@5@a", limit=limit),
+            Report(key="t@5@a", limit=limit, warmup_left_ms=2_500.0),
+            WarmupPermitRequest(number=1, key="t@5@a", limit=limit, rank=3),
         ):
             data = encode_message(message, now=1_000.0)
             assert decode_message(data, now=1_000.0) == message
@@ -54,6 +57,11 @@
         fields[position] = value
         with contextlib.suppress(PeerError):
             decode_message(json.dumps(fields).encode(), now=1_000.0)
+        for further in (["report", 900.0], ["warmup-request", 1, 2]):
+            cold = [1, "t@5@a", None, None, *further]
+            cold[min(position, len(cold) - 1)] = value
+            with contextlib.suppress(PeerError):
+                decode_message(json.dumps(cold).encode(), now=1_000.0)
 
     @pytest.mark.parametrize("data", [b"", b"\xff", b"{}", b"[1]", b"7", b"[" * 9_999])
     def test_no_message(self, data: bytes) -> None:
--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -2,7 +2,9 @@
 
 from currantline.placement._admission import (
     RequestTiming,
+    find_cold_rank,
     find_in_time_wait_ms,
+    find_max_cold_wait_ms,
     find_max_wait_ms,
     find_refusal_reason,
     has_good_candidate,
@@ -32,6 +34,7 @@
 from currantline.placement._rate_limit import RateLimit, parse_rate_limit
 from currantline.placement._registry import TargetRegistry
 from currantline.placement._target import PublishedTarget, Target
+from currantline.placement._warmup import WarmupBound, WarmupTerms, parse_warmup
 
 __all__ = [
     "Candidate",
@@ -46,11 +49,15 @@
     "TargetRegistry",
     "Unavailability",
     "UnavailabilityReason",
+    "WarmupBound",
+    "WarmupTerms",
     "choose_candidate",
     "choose_probe_targets",
     "describe_unavailability",
     "estimate_response_ms",
+    "find_cold_rank",
     "find_in_time_wait_ms",
+    "find_max_cold_wait_ms",
     "find_max_wait_ms",
     "find_next_available_ms",
     "find_optimal_concurrency",
@@ -61,6 +68,7 @@
     "is_overdue",
     "parse_load_header",
     "parse_rate_limit",
+    "parse_warmup",
     "select_candidate",
     "select_hedge_candidate",
 ]
--- a/src/currantline/placement/_admission.py
+++ b/src/currantline/placement/_admission.py
@@ -10,11 +10,17 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from currantline.placement._choice import Candidate, choose_candidate
+from currantline.placement._choice import (
+    WARMUP_SLOWNESS,
+    Candidate,
+    choose_candidate,
+)
 
 __all__ = [
     "RequestTiming",
+    "find_cold_rank",
     "find_in_time_wait_ms",
+    "find_max_cold_wait_ms",
     "find_max_wait_ms",
     "find_refusal_reason",
     "has_good_candidate",
@@ -128,6 +134,36 @@
     return max(0.0, request.objective_deadline_ms - OVERDUE_RATIO * average_ms - now)
 
 
+def find_max_cold_wait_ms(
+    request: RequestTiming, average_ms: float, now: float
+) -> float:
+    """Return `find_max_wait_ms` of a request that only cold targets can serve."""
+    return find_max_wait_ms(request, WARMUP_SLOWNESS * average_ms, now)
+
+
+def find_cold_rank(
+    request: RequestTiming, priority: int, average_ms: float, now: float
+) -> int:
+    """Return the rank of a request for a permit of a cold target, lowest first.
+
+    Requests are ordered by priority, and among equals by whether a cold target can
+    still meet the latency objective.
+
+    Parameters
+    ----------
+    request : Timed
+        The request.
+    priority : int
+        Priority of its route; 0 is the highest.
+    average_ms : float
+        Average response time of the route in milliseconds.
+    now : float
+        Current time in milliseconds.
+    """
+    left_ms = request.objective_deadline_ms - now
+    return 2 * priority + (left_ms < WARMUP_SLOWNESS * average_ms)
+
+
 def has_good_candidate(
     candidates: Iterable[Candidate], average_ms: float, now: float, rng: random.Random
 ) -> bool:
--- a/src/currantline/placement/_choice.py
+++ b/src/currantline/placement/_choice.py
@@ -14,6 +14,7 @@
 from currantline.placement._target import Target
 
 __all__ = [
+    "WARMUP_SLOWNESS",
     "Candidate",
     "choose_candidate",
     "estimate_response_ms",
@@ -118,7 +119,7 @@
     target, report = candidate.target, candidate.report
     occupied = report.running + target.count_in_flight(report.requested_ms)
     work = average_ms * max(1.0, target.passive_health.decayed_slowness(now))
-    if now < target.warmup_end_ms:
+    if now < target.cold_until_ms:
         work *= WARMUP_SLOWNESS
     if (occupied + 1) / report.slots > KNEE_UTILISATION:
         work *= KNEE_SLOWNESS
--- a/src/currantline/placement/_registry.py
+++ b/src/currantline/placement/_registry.py
@@ -1,10 +1,12 @@
 """Registry of the targets that an instance knows."""
 
 import math
+from collections.abc import Mapping
 
 from currantline.placement._availability import find_unavailability
 from currantline.placement._stated_availability import StatedAvailability
 from currantline.placement._target import PublishedTarget, Target
+from currantline.placement._warmup import WarmupBound
 
 __all__ = ["TargetRegistry"]
 
@@ -20,6 +22,13 @@
         self._targets: dict[str, Target] = {}
         # By name and start time, the earliest first; also of removed targets.
         self._stated: dict[tuple[str, int], StatedAvailability] = {}
+        self._warmup_bounds: Mapping[str, WarmupBound] = {}
+
+    def set_warmup_bounds(self, bounds: Mapping[str, WarmupBound], now: float) -> None:
+        """Set the bounds on the requests to cold targets, by service."""
+        self._warmup_bounds = dict(bounds)
+        for target in self._targets.values():
+            target.apply_warmup_bound(bounds.get(target.published.service), now)
 
     def update(self, entry: PublishedTarget, now: float) -> None:
         """Add a target or update its entry.
@@ -34,14 +43,16 @@
             known.published.started_unix_ms,
             known.published.service,
         ):
-            known.published = entry
-            known.warmup_end_ms = now + entry.warmup_ms
+            known.apply_entry(entry, now)
             return
-        self._targets[entry.name] = Target(
+        target = Target(
             entry,
             warmup_end_ms=now + entry.warmup_ms,
             stated=self._find_stated(entry),
+            added_ms=now,
         )
+        target.apply_warmup_bound(self._warmup_bounds.get(entry.service), now)
+        self._targets[entry.name] = target
 
     def remove(self, name: str) -> None:
         """Remove a target that is no longer published.
@@ -84,6 +95,21 @@
         """Return the number of targets that limit the requests of the fleet."""
         return sum(1 for target in self._targets.values() if target.is_rate_limited)
 
+    def count_cold(self, now: float) -> int:
+        """Return the number of targets whose requests need permits while cold."""
+        return sum(1 for target in self._targets.values() if target.is_cold(now))
+
+    def take_warmed(self, now: float) -> list[Target]:
+        """Return the targets noted as cold that are warm now, and reset the note."""
+        warmed = [
+            target
+            for target in self._targets.values()
+            if target.is_noted_cold and not target.is_cold(now)
+        ]
+        for target in warmed:
+            target.is_noted_cold = False
+        return warmed
+
     def is_current(self, target: Target, now: float) -> bool:
         """Return whether a target is still published and may receive new requests.
 
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -1,5 +1,6 @@
 """A target as published on the platform, and its state in an instance."""
 
+import math
 import re
 from typing import Any
 
@@ -10,10 +11,15 @@
 from currantline.placement._passive_health import PassiveHealth
 from currantline.placement._rate_limit import RateLimit
 from currantline.placement._stated_availability import StatedAvailability
+from currantline.placement._warmup import WarmupBound
 from currantline.validators import check_address, check_not_negative
 
 __all__ = ["PublishedTarget", "Target"]
 
+# An end of a warm-up that is later by less than this is no news, in milliseconds. Two
+# statements of the same end differ by the time that the messages took.
+WARMUP_TOLERANCE_MS = 200.0
+
 # Names are sent in a header.
 NAME_PATTERN = re.compile(r"[!-~]{1,200}")
 
@@ -71,7 +77,7 @@
     published : PublishedTarget
         Entry on the platform.
     warmup_end_ms : float
-        Time at which the warm-up ends, in milliseconds.
+        Time at which the warm-up that the entry names ends, in milliseconds.
     passive_health : PassiveHealth
         Failures and slowness that this instance has observed.
     send_times_ms : list of float
@@ -86,8 +92,19 @@
         Limit of requests that the target names.
     next_permit_ms : float
         Time until which permits for the target are expected to be used up.
+    denied_rank : int
+        Rank of the request for which a permit of the cold target was denied last.
     stated : StatedAvailability
         What this start of the target has said of its availability.
+    warmup_bound : WarmupBound or None
+        Bound on the requests while it warms up, None if the service has none.
+    added_ms : float
+        Time at which this instance learned of this start of the target, in
+        milliseconds.
+    checked_ms : float
+        Time of the latest health check that it responded to, in milliseconds.
+    is_noted_cold : bool
+        Whether the log says that it is cold.
     """
 
     published: PublishedTarget
@@ -99,7 +116,12 @@
     last_report: LoadReport | None = None
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     next_permit_ms: float = 0.0
+    denied_rank: int = 0
     stated: StatedAvailability = attrs.field(factory=StatedAvailability)
+    warmup_bound: WarmupBound | None = None
+    added_ms: float = -math.inf
+    checked_ms: float = -math.inf
+    is_noted_cold: bool = False
 
     @property
     def name(self) -> str:
@@ -116,6 +138,96 @@
         """Whether the target limits the requests of the fleet."""
         return self.rate_limit.per_s is not None
 
+    @property
+    def cold_until_ms(self) -> float:
+        """Time at which the warm-up ends, in milliseconds."""
+        return max(self.warmup_end_ms, self.stated.warmup_end_ms)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether each request needs a permit because the target warms up."""
+        return self.warmup_bound is not None and now < self.cold_until_ms
+
+    def is_cold_by_entry(self, now: float) -> bool:
+        """Return whether it is cold by its entry, and no health check has shown it yet.
+
+        An entry may be old when it is read.
+        """
+        is_checked = self.checked_ms > self.stated.warmup_learned_ms
+        is_stated = now < self.stated.warmup_end_ms
+        return self.is_cold(now) and not (is_checked or is_stated)
+
+    def apply_warmup_bound(self, bound: WarmupBound | None, now: float) -> None:
+        """Set the bound on the requests while the target warms up, None for none."""
+        was_cold = self.is_cold(now)
+        self.warmup_bound = bound
+        if bound is not None:
+            self.warmup_end_ms = min(self.warmup_end_ms, now + bound.warmup_ms)
+        if self.is_cold(now) and not was_cold:
+            self.stated.cold_since_ms = self.stated.warmup_learned_ms = now
+
+    def apply_entry(self, entry: PublishedTarget, now: float) -> None:
+        """Replace the entry. With a bound it only extends a known warm-up."""
+        self.published = entry
+        if self.warmup_bound is None:
+            self.warmup_end_ms = now + entry.warmup_ms
+        elif entry.warmup_ms > 0.0:
+            if not self.is_cold(now):
+                self.stated.cold_since_ms = now
+            self.stated.warmup_learned_ms = now
+            left_ms = min(entry.warmup_ms, self.warmup_bound.warmup_ms)
+            self.warmup_end_ms = max(self.warmup_end_ms, now + left_ms)
+
+    def learn_from_peer(self, left_ms: float, now: float) -> bool:
+        """Record a warm-up that another instance reports; return whether it is news.
+
+        Parameters
+        ----------
+        left_ms : float
+            Remaining time in milliseconds.
+        now : float
+            Current time in milliseconds.
+        """
+        return self._extend_warmup(left_ms, now, self.cold_until_ms)
+
+    def learn_from_check(
+        self, left_ms: float | None, requested_ms: float, now: float
+    ) -> bool:
+        """Record what a health response says; return whether it names news.
+
+        A check that was sent after everything known was learned is the latest state,
+        and may also shorten a warm-up: an entry may be old when it is read. A response
+        that names no time ends only what an entry named.
+
+        Parameters
+        ----------
+        left_ms : float or None
+            Remaining warm-up time in milliseconds, None if the response names none.
+        requested_ms : float
+            Time at which the check was sent, in milliseconds.
+        now : float
+            Current time in milliseconds.
+        """
+        self.checked_ms = max(self.checked_ms, requested_ms)
+        previous_end_ms = self.cold_until_ms
+        is_latest = requested_ms > self.stated.warmup_learned_ms
+        if is_latest and (left_ms is not None or now >= self.stated.warmup_end_ms):
+            self.warmup_end_ms = min(self.warmup_end_ms, now)
+            self.stated.warmup_end_ms = min(self.stated.warmup_end_ms, now)
+        return self._extend_warmup(left_ms or 0.0, now, previous_end_ms)
+
+    def _extend_warmup(
+        self, left_ms: float, now: float, previous_end_ms: float
+    ) -> bool:
+        if self.warmup_bound is None or left_ms <= 0.0:
+            return False
+        end_ms = now + min(left_ms, self.warmup_bound.warmup_ms)
+        if previous_end_ms <= now:
+            self.stated.cold_since_ms = now
+        self.stated.warmup_learned_ms = now
+        self.stated.warmup_end_ms = max(self.stated.warmup_end_ms, end_ms)
+        is_later = end_ms > previous_end_ms + WARMUP_TOLERANCE_MS
+        return previous_end_ms <= now or is_later
+
     def count_in_flight(self, since_ms: float) -> int:
         """Return the number of own requests in flight sent at or after a time."""
         return sum(1 for sent in self.send_times_ms if sent >= since_ms)
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -63,6 +63,7 @@
                     name=name,
                     health_path=service.get("healthPath") or "/health",
                     max_connections=int(service.get("maxConnections") or 0) or None,
+                    **_decode_warmup(service),
                 )
                 for name, service in document["services"].items()
             },
@@ -158,6 +159,14 @@
     )
 
 
+def _decode_warmup(service: Mapping[str, Any]) -> dict[str, Any]:
+    per_s = service.get("warmupPerS")
+    if per_s is None:
+        return {}
+    warmup_ms = 1000.0 * float(service.get("warmupS") or 0)
+    return {"warmup_ms": warmup_ms, "warmup_per_s": float(per_s)}
+
+
 def _find_unknown_kinds(routes: Mapping[str, Any]) -> Mapping[str, str]:
     kinds = {name: route["kind"] for name, route in routes.items()}
     return {name: kind for name, kind in kinds.items() if kind not in ROUTE_KINDS}
--- a/src/currantline/platform/_headers.py
+++ b/src/currantline/platform/_headers.py
@@ -23,6 +23,8 @@
     # Requests per second that the target takes from all instances together, while its
     # responses state it. The page that introduces it leaves out the common prefix.
     rate_limit=("x-currantline-server-limit", "server-limit"),
+    # Remaining time in milliseconds for which the target warms up, in health responses.
+    warmup="x-currantline-warmup-ms",
     # "1" in all responses of a target that leaves.
     leaving=("x-currantline-server-leaving", "server-leaving"),
 )
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -11,6 +11,7 @@
     InvalidValueError,
     SettingsError,
 )
+from currantline.placement import WarmupTerms
 from currantline.routing import RetryBudgetOptions
 from currantline.validators import (
     check_address,
@@ -69,6 +70,8 @@
         Time in milliseconds between SIGTERM and SIGKILL.
     max_probes_per_s : int
         Maximum number of health checks of one target per second, from all instances.
+    warmup_terms : WarmupTerms or None
+        Terms of the bound on the requests to targets that warm up, None for no bound.
     memory_bytes : int
         Memory of the machine. A process that exceeds it is killed.
     """
@@ -91,6 +94,7 @@
     directory_ttl_s: float = attrs.field(validator=check_not_negative)
     grace_ms: float = attrs.field(validator=check_not_negative)
     max_probes_per_s: int
+    warmup_terms: WarmupTerms | None = None
     memory_bytes: int = attrs.field(validator=check_at_least(1))
 
 
@@ -147,6 +151,7 @@
             directory_ttl_s=float(bounds["ttl_max_s"]),
             grace_ms=1000.0 * float(bounds["graceS"]),
             max_probes_per_s=max(1, int(bounds["probesPerS"])),
+            warmup_terms=_decode_warmup_terms(bounds),
             memory_bytes=int(node["limits"]["memoryMb"]) * 1_000_000,
         )
     except KeyError as error:
@@ -158,6 +163,13 @@
         raise SettingsError(f"invalid value: {error}", source=source) from error
 
 
+def _decode_warmup_terms(bounds: Mapping[str, Any]) -> WarmupTerms | None:
+    overrun, slack = bounds.get("warmupOverrun"), bounds.get("warmupSlack")
+    if overrun is None or slack is None:
+        return None
+    return WarmupTerms(overrun=float(overrun), slack=float(slack))
+
+
 def _decode_seeds(seeds: Any) -> dict[str, Any]:
     if not isinstance(seeds, list):
         raise InvalidValueError(f"{seeds!r:.80} is not a list", path="seeds")
--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -15,6 +15,7 @@
     "make_rate_limit_headers",
     "make_settings",
     "make_target_entry",
+    "make_warmup_bounds",
     "read_addresses",
 ]
 
@@ -39,8 +40,15 @@
     return (("x-currantline-server-limit", str(per_s)),)
 
 
-def make_configuration(version: int, service: str = "svc") -> dict[str, Any]:
-    """Return a configuration with an idempotent and a non-idempotent route."""
+def make_configuration(
+    version: int, service: str = "svc", *, warmup: tuple[float, float] | None = None
+) -> dict[str, Any]:
+    """Return a configuration with an idempotent and a non-idempotent route.
+
+    The warm-up of the targets is given in seconds, with the requests per second that
+    they tolerate meanwhile.
+    """
+    warmup_fields = dict(zip(("warmupS", "warmupPerS"), warmup or (), strict=False))
     common = {"host": "shop.example", "maxAttempts": 2, "service": service}
     read = {"prefix": "/read/", "kind": "idempotent", "timeoutMs": 1500}
     orders = {"prefix": "/orders/", "kind": "non_idempotent", "timeoutMs": 2000}
@@ -51,7 +59,12 @@
             "orders": {**common, **orders, "targetLatencyMs": 500, "priority": 1},
         },
         "services": {
-            name: {"healthPath": "/health", "maxConnections": 260, "protocol": "h1"}
+            name: {
+                "healthPath": "/health",
+                "maxConnections": 260,
+                "protocol": "h1",
+                **warmup_fields,
+            }
             for name in ("svc", "two")
         },
         "limits": {
@@ -69,16 +82,22 @@
     service: str = "svc",
     data_centre: str = "a",
     state: str = "ready",
+    warmup_ms: float = 0,
 ) -> dict[str, Any]:
     """Return the store entry of a target."""
     return {
         "address": address,
         "born": 5,
         "info": {"service": service, "version": "v1", "zone": data_centre, "slots": 2},
-        "status": {"state": state, "sequence": 4, "warmupLeftMs": 0},
+        "status": {"state": state, "sequence": 4, "warmupLeftMs": warmup_ms},
     }
 
 
+def make_warmup_bounds(overrun: float, slack: float) -> dict[str, float]:
+    """Return the bounds of the settings that concern warm-ups."""
+    return {"warmupOverrun": overrun, "warmupSlack": slack}
+
+
 def make_settings(
     host: str,
     data_centre: str,
--- a/src/currantline/platform/tests/test_documents.py
+++ b/src/currantline/platform/tests/test_documents.py
@@ -25,6 +25,17 @@
         assert table.limits.head_bytes == 16384
         assert table.services["svc"].health_path == "/health"
 
+    def test_warmup(self) -> None:
+        """Guards against a bound on cold targets the configuration lacks."""
+        document = make_configuration(1, warmup=(3.0, 2.0))
+        service = decode_route_table(json.dumps(document)).services["svc"]
+        assert (service.warmup_ms, service.warmup_per_s) == (3_000.0, 2.0)
+        service = decode_route_table(json.dumps(make_configuration(1))).services["svc"]
+        assert (service.warmup_ms, service.warmup_per_s) == (0.0, None)
+        document["services"]["svc"]["warmupPerS"] = -1
+        with pytest.raises(ConfigurationError):
+            decode_route_table(json.dumps(document))
+
     def test_split(self) -> None:
         """Guards against a traffic split that keeps only one of its parts."""
         document = make_configuration(1)
--- a/src/currantline/platform/tests/test_settings.py
+++ b/src/currantline/platform/tests/test_settings.py
@@ -6,8 +6,9 @@
 import pytest
 
 from currantline.exceptions import SettingsError
+from currantline.placement import WarmupTerms
 from currantline.platform import decode_settings, read_settings
-from currantline.platform.samples import make_settings
+from currantline.platform.samples import make_settings, make_warmup_bounds
 
 
 def make_document() -> dict[str, Any]:
@@ -27,6 +28,16 @@
         assert settings.grace_ms == 6000.0
         assert settings.retry_options.window_ms == 10_000.0
 
+    def test_warmup(self) -> None:
+        """Guards against a bound on cold targets from a part of the settings."""
+        document = make_document()
+        bounds = document["terms"]["bounds"]
+        bounds["warmupSlack"] = 8
+        assert decode_settings(document, source="file").warmup_terms is None
+        bounds |= make_warmup_bounds(1.5, 8)
+        terms = decode_settings(document, source="file").warmup_terms
+        assert terms == WarmupTerms(overrun=1.5, slack=8.0)
+
     def test_missing(self) -> None:
         """Guards against an error that does not name the missing key."""
         document = make_document()
@@ -90,6 +101,8 @@
             ("bounds", "retryBudgetRatio", float("nan")),
             ("bounds", "ttl_max_s", 10**400),
             ("bounds", "probesPerS", float("inf")),
+            ("bounds", "warmupSlack", -1),
+            ("bounds", "warmupOverrun", "much"),
         ],
     )
     def test_odd_number(self, section: str, key: str, value: object) -> None:
@@ -97,6 +110,8 @@
         document = make_document()
         tables = {**document, "bounds": document["terms"]["bounds"]}
         tables[section][key] = value
+        if key.startswith("warmup"):
+            tables["bounds"] |= {**make_warmup_bounds(1.5, 8), key: value}
         with pytest.raises(SettingsError):
             decode_settings(document, source="file")
 
--- a/src/currantline/published_state.py
+++ b/src/currantline/published_state.py
@@ -4,7 +4,7 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import ConfigurationError
-from currantline.placement import TargetRegistry
+from currantline.placement import TargetRegistry, WarmupBound, WarmupTerms
 from currantline.platform import (
     CONFIGURATION_KEY,
     TARGET_PREFIX,
@@ -25,6 +25,8 @@
     ----------
     targets : TargetRegistry
         Known targets, which are updated.
+    warmup_terms : WarmupTerms or None
+        Terms of the bound on the requests to cold targets, None for no bound.
     clock : Clock
         Source of time.
     log : EventLog
@@ -36,8 +38,16 @@
         Route table in force, None until a configuration is known.
     """
 
-    def __init__(self, targets: TargetRegistry, *, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        targets: TargetRegistry,
+        *,
+        warmup_terms: WarmupTerms | None = None,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
         self._targets = targets
+        self._warmup_terms = warmup_terms
         self._clock = clock
         self._log = log
         self.table: RouteTable | None = None
@@ -100,6 +110,18 @@
         if table.unknown_kinds:
             self._log.write("unknown_kinds", routes=dict(table.unknown_kinds))
         self.table = table
+        bounds = self._find_warmup_bounds(table)
+        self._targets.set_warmup_bounds(bounds, self._clock.read())
+
+    def _find_warmup_bounds(self, table: RouteTable) -> dict[str, WarmupBound]:
+        terms = self._warmup_terms
+        if terms is None:
+            return {}
+        return {
+            service.name: terms.make_bound(service.warmup_ms, service.warmup_per_s)
+            for service in table.services.values()
+            if service.warmup_per_s is not None and service.warmup_ms > 0.0
+        }
 
     def _apply_target(self, record: Record) -> None:
         name = record.key.removeprefix(TARGET_PREFIX)
@@ -114,7 +136,10 @@
             self._targets.remove(name)
             return
         current = self._targets.find(name)
-        self._targets.update(entry, self._clock.read())
+        now = self._clock.read()
+        was_cold = current is not None and current.is_cold(now)
+        self._targets.update(entry, now)
+        self._note_cold(name, was_cold=was_cold)
         if current is None or current.published.is_draining != entry.is_draining:
             self._log.write(
                 "target_draining" if entry.is_draining else "target_ready",
@@ -122,3 +147,11 @@
                 service=entry.service,
                 revision=record.revision,
             )
+
+    def _note_cold(self, name: str, *, was_cold: bool) -> None:
+        target, now = self._targets.find(name), self._clock.read()
+        if target is None or was_cold or not target.is_cold(now):
+            return
+        target.is_noted_cold = True
+        left_ms = round(target.cold_until_ms - now)
+        self._log.write("target_cold", target=name, left_ms=left_ms, source="entry")
--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from currantline.relay._availability_reader import AvailabilityReader
 from currantline.relay._body_budget import find_max_bytes_held
+from currantline.relay._cold_targets import ColdTargetSelector
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._names import HeaderNames
@@ -11,9 +12,11 @@
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Sender
 from currantline.relay._server import RelayServer
+from currantline.relay._warmup_reader import WarmupReader
 
 __all__ = [
     "AvailabilityReader",
+    "ColdTargetSelector",
     "ConnectionPool",
     "HeaderNames",
     "LimitedTargetSelector",
@@ -23,6 +26,7 @@
     "RelayServer",
     "Sender",
     "TargetSelector",
+    "WarmupReader",
     "find_max_bytes_held",
     "find_max_idle",
 ]
--- a/src/currantline/relay/_limited_targets.py
+++ b/src/currantline/relay/_limited_targets.py
@@ -31,11 +31,16 @@
         """Return a permit for one request that can wait for some time."""
         ...
 
+    async def acquire_cold(self, target: Target, rank: int) -> Permit:
+        """Return a permit for one request to a cold target, lowest rank first."""
+        ...
+
 
 class LimitedTargetSelector:
     """Selects a target that limits its requests, and acquires a permit for it.
 
-    These targets get no health checks: the limit itself keeps their load low.
+    These targets get no health checks, since the limit itself keeps their load low,
+    unless their service bounds warm-ups: only a check shows that a target is cold.
 
     Parameters
     ----------
--- a/src/currantline/relay/_names.py
+++ b/src/currantline/relay/_names.py
@@ -28,6 +28,8 @@
     rate_limit : tuple of str
         Requests per second that the target takes from the whole fleet; any of the names
         may be used.
+    warmup : str
+        Remaining warm-up time of the target in milliseconds, in health responses.
     leaving : tuple of str
         "1" if the target leaves; any of the names may be used.
     """
@@ -40,4 +42,5 @@
     target: str
     load: str
     rate_limit: tuple[str, ...]
+    warmup: str
     leaving: tuple[str, ...]
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -17,6 +17,7 @@
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
+from currantline.relay._warmup_reader import WarmupReader
 from currantline.telemetry import EventLog, Meter
 from currantline.wire import Request, Response, find_header
 
@@ -68,6 +69,8 @@
         Reads the limits that targets name.
     availability_reader : AvailabilityReader
         Reads what targets say of their availability.
+    warmup_reader : WarmupReader
+        Reads for how long targets warm up.
     clock : Clock
         Source of time.
     meter : Meter
@@ -83,6 +86,7 @@
         names: HeaderNames,
         limit_reader: RateLimitReader,
         availability_reader: AvailabilityReader,
+        warmup_reader: WarmupReader,
         clock: Clock,
         meter: Meter,
         log: EventLog,
@@ -91,6 +95,7 @@
         self._names = names
         self._limit_reader = limit_reader
         self._availability_reader = availability_reader
+        self._warmup_reader = warmup_reader
         self._clock = clock
         self._meter = meter
         self._log = log
@@ -235,6 +240,7 @@
         if name is None and self._is_repeated(response, lease):
             raise ProtocolError("received a late response to an earlier request")
         self._limit_reader.read(target, response, is_success=False)
+        self._warmup_reader.read(target, response, requested_ms)
         took_ms = self._clock.read() - requested_ms
         is_healthy = response.status == 200
         load = find_header(response.headers, self._names.load)
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -9,11 +9,9 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.placement import Target
 from currantline.relay._names import HeaderNames
-from currantline.relay._pool import Lease
 from currantline.relay._retry_after import find_retry_after_bounds_ms
-from currantline.relay._selection import RequestContext
+from currantline.relay._selection import RequestContext, Selection
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
 from currantline.routing import (
@@ -268,14 +266,17 @@
         return asyncio.get_running_loop().create_task(attempt)
 
     async def _attempt(self, progress: _Progress) -> SendResult | None:
-        selection = await self._selector.select(
-            progress.context, exclude=progress.tried
-        )
-        if selection.target is None or selection.lease is None:
-            progress.refusal_reason = selection.reason
-            progress.retry_after_ms = selection.wait_ms
-            return None
-        return await self._send(progress, selection.target, selection.lease)
+        while True:
+            selection = await self._selector.select(
+                progress.context, exclude=progress.tried
+            )
+            if selection.target is None or selection.lease is None:
+                progress.refusal_reason = selection.reason
+                progress.retry_after_ms = selection.wait_ms
+                return None
+            result = await self._send(progress, selection)
+            if result is not None:
+                return result
 
     async def _hedge(self, progress: _Progress) -> SendResult | None:
         context = progress.context
@@ -285,32 +286,47 @@
         if not self._acquire_retry(progress, is_hedge=True):
             self._selector.release(selection)
             return None
-        return await self._send(progress, selection.target, selection.lease)
+        return await self._send(progress, selection)
 
     async def _send(
-        self, progress: _Progress, target: Target, lease: Lease
-    ) -> SendResult:
-        context = progress.context
+        self, progress: _Progress, selection: Selection
+    ) -> SendResult | None:
+        """Send a request, and return None if nothing was written after all."""
+        target, context = selection.target, progress.context
+        assert target is not None
         progress.tried.add(target.name)
         progress.sends += 1
         self._meter.count("sends", service=context.service.name)
-        send = self._send_once(progress, target, lease)
+        send = self._send_once(progress, selection)
         if context.route.is_idempotent:
-            return await send
+            return self._check_sent(progress, await send)
         # Never cancelled once sent, since the target may be executing it.
         task = asyncio.get_running_loop().create_task(
             self._limit_duration(send, context)
         )
         self._detached.add(task)
         task.add_done_callback(self._detached.discard)
-        return await asyncio.shield(task)
-
-    async def _send_once(
-        self, progress: _Progress, target: Target, lease: Lease
-    ) -> SendResult:
-        context = progress.context
+        return self._check_sent(progress, await asyncio.shield(task))
+
+    def _check_sent(self, progress: _Progress, result: SendResult) -> SendResult | None:
+        if result.outcome is not Outcome.NOT_SENT:
+            return result
+        progress.tried.discard(result.target)
+        progress.sends -= 1
+        return None
+
+    async def _send_once(self, progress: _Progress, selection: Selection) -> SendResult:
+        target, lease, context = selection.target, selection.lease, progress.context
+        assert target is not None
+        assert lease is not None
         try:
-            return await self._sender.send(context, progress.request, target, lease)
+            return await self._sender.send(
+                context,
+                progress.request,
+                target,
+                lease,
+                permit_end_ms=selection.permit_end_ms,
+            )
         finally:
             self._selector.notify_slot_freed(context, target)
 
--- a/src/currantline/relay/_selection.py
+++ b/src/currantline/relay/_selection.py
@@ -58,6 +58,9 @@
         With a target, but no connection yet: time until the request may be sent. With a
         reason: time after which the caller may be served, 0 if unknown. In
         milliseconds.
+    permit_end_ms : float or None
+        Time after which the permit for a cold target is void, in milliseconds, None
+        without such a permit.
     """
 
     target: Target | None = None
@@ -65,6 +68,7 @@
     predicted_ms: float = 0.0
     reason: str = ""
     wait_ms: float = 0.0
+    permit_end_ms: float | None = None
 
 
 def presume_idle(context: RequestContext, target: Target) -> Candidate:
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -21,6 +21,7 @@
     select_candidate,
     select_hedge_candidate,
 )
+from currantline.relay._cold_targets import ColdTargetSelector
 from currantline.relay._limited_targets import LimitedTargetSelector
 from currantline.relay._pool import Lease
 from currantline.relay._probe_queue import ProbeQueue, Urgency
@@ -50,6 +51,10 @@
 # The same while the limit of health checks is reached, in milliseconds.
 MAX_LIMITED_REPORT_AGE_MS = 1_000.0
 
+# Time after which a target that may turn cold without notice gets a health check before
+# a request that needs none otherwise, in milliseconds.
+MAX_UNCHECKED_MS = 1_000.0
+
 
 class TargetSelector:
     """Probes targets and selects one of them.
@@ -66,6 +71,8 @@
         Limit of health checks.
     limited_targets : LimitedTargetSelector
         Selects among the targets that limit their requests.
+    cold_targets : ColdTargetSelector
+        Selects among the targets that warm up.
     count_instances : callable
         Returns the number of instances that share the limit.
     data_centre : str
@@ -84,6 +91,7 @@
         latencies: LatencyAverages,
         probe_limit: ProbeLimit,
         limited_targets: LimitedTargetSelector,
+        cold_targets: ColdTargetSelector,
         count_instances: Callable[[], int],
         data_centre: str,
         clock: Clock,
@@ -94,11 +102,14 @@
         self._latencies = latencies
         self._probe_limit = probe_limit
         self._limited_targets = limited_targets
+        self._cold_targets = cold_targets
         self._count_instances = count_instances
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
         self._queues: dict[str, ProbeQueue] = {}
+        # Services whose targets all warmed up when they were searched last.
+        self._cold_services: set[str] = set()
 
     async def select(
         self, context: RequestContext, *, exclude: Collection[str]
@@ -115,14 +126,18 @@
         queue = self._find_queue(context)
         searches = 0
         while True:
-            freed = await queue.wait_for_turn(lambda: self._get_urgency(context))
+            try:
+                freed = await self._wait_for_turn(context, queue)
+            except TimeoutError:
+                cold = self._list_usable(context, exclude)
+                return self._cold_targets.refuse(cold)
             selection: Selection | None = None
             try:
                 selection = await self._search(context, exclude, searches, freed)
             finally:
                 queue.end_turn(found=selection is not None)
             if selection is not None and selection.target and not selection.lease:
-                selection = await self._connect_later(selection)
+                selection = await self._connect_later(context, selection)
             if selection is not None:
                 return selection
             searches += 1
@@ -144,7 +159,8 @@
             Names of targets that have already received the request.
         """
         usable = self._list_usable(context, exclude)
-        usable = [target for target in usable if not target.is_rate_limited]
+        now = self._clock.read()
+        usable = [t for t in usable if not (t.is_rate_limited or t.is_cold(now))]
         if len(self._find_queue(context)) or not usable:
             return None
         probed = await self._probe(context, usable, searches=1)
@@ -173,10 +189,23 @@
         if selection.lease is not None:
             self._prober.release(selection.lease)
 
+    async def _wait_for_turn(
+        self, context: RequestContext, queue: ProbeQueue
+    ) -> Target | None:
+        # While all targets are cold, requests of low priority may get no turn at all.
+        is_limited = context.service.name in self._cold_services
+        max_wait_ms = self._cold_targets.find_max_wait_ms(context)
+        async with asyncio.timeout(max_wait_ms / 1000 if is_limited else None):
+            return await queue.wait_for_turn(lambda: self._get_urgency(context))
+
     def _find_queue(self, context: RequestContext) -> ProbeQueue:
         return self._queues.setdefault(context.service.name, ProbeQueue(self._clock))
 
     def _get_urgency(self, context: RequestContext) -> Urgency:
+        if context.service.name in self._cold_services:
+            # Their few permits go by priority first.
+            rank = self._cold_targets.find_rank(context)
+            return Urgency(False, rank, context.arrived_ms)
         return Urgency(
             self._is_overdue(context), context.route.priority, context.arrived_ms
         )
@@ -197,11 +226,49 @@
         refusal_reason = find_refusal_reason(
             context, self._read_average(context), self._clock.read()
         )
-        if refusal_reason:
-            return Selection(reason=refusal_reason)
         known = self._list_usable(context, exclude)
+        now = self._clock.read()
+        cold = [target for target in known if target.is_cold(now)]
+        is_all_cold = 0 < len(cold) == len(known)
+        if refusal_reason:
+            wait_ms = self._cold_targets.find_wait_ms(cold) if is_all_cold else 0.0
+            return Selection(reason=refusal_reason, wait_ms=wait_ms)
         if not known:
             return self._refuse(context)
+        if is_all_cold:
+            if not exclude:
+                self._cold_services.add(context.service.name)
+            return await self._cold_targets.select_alone(
+                context, cold, self._probe_eligible
+            )
+        self._cold_services.discard(context.service.name)
+        if not cold:
+            return await self._search_warm(context, known, searches, freed)
+        warm = [target for target in known if not target.is_cold(now)]
+        is_first = searches == 0 and freed is None
+        if is_first and self._cold_targets.draw_first_choice(cold, len(known)):
+            selection = await self._select_cold(context, cold)
+            if selection is not None:
+                return selection
+        selection = await self._search_warm(context, warm, searches, freed)
+        if selection is None or selection.target is None:
+            return await self._select_cold(context, cold) or selection
+        return selection
+
+    async def _select_cold(
+        self, context: RequestContext, cold: list[Target]
+    ) -> Selection | None:
+        return await self._cold_targets.select_besides(
+            context, cold, self._probe_eligible
+        )
+
+    async def _search_warm(
+        self,
+        context: RequestContext,
+        known: list[Target],
+        searches: int,
+        freed: Target | None,
+    ) -> Selection | None:
         limited = [target for target in known if target.is_rate_limited]
         usable = [target for target in known if not target.is_rate_limited]
         if not usable:
@@ -253,6 +320,7 @@
             for target in usable
             if (is_freed or target.published.data_centre == self._data_centre)
             and self._prober.is_verified(target, max_idle_ms=MAX_REPORT_AGE_MS)
+            and not self._needs_check(target)
         ]
         candidates = self._list_reported(eligible, MAX_REPORT_AGE_MS)
         average_ms, now = self._read_average(context), self._clock.read()
@@ -283,23 +351,43 @@
         self, context: RequestContext, limited: list[Target]
     ) -> Selection | None:
         best = await self._limited_targets.select_now(context, limited)
-        return await self._connect(best, is_permitted=True) if best else None
-
-    async def _connect_later(self, reserved: Selection) -> Selection | None:
+        if best is None:
+            return None
+        target, predicted_ms = best[0].target, best[1]
+        lease = await self._open_limited(context, target)
+        return self._check_current(target, lease, predicted_ms=predicted_ms)
+
+    def _needs_check(self, target: Target) -> bool:
+        """Return whether only a health check shows that a target is not cold."""
+        age_ms = self._clock.read() - target.checked_ms
+        return target.warmup_bound is not None and age_ms > MAX_UNCHECKED_MS
+
+    async def _open_limited(
+        self, context: RequestContext, target: Target
+    ) -> Lease | None:
+        """Connect to a target for which a permit was granted."""
+        if self._needs_check(target) and self._count_probes_left(context):
+            self._probe_limit.record(context.service.name, 1)
+            path = context.service.health_path
+            probed = await self._prober.probe([target], path)
+            return probed[0].lease if probed else None
+        return await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
+
+    async def _connect_later(
+        self, context: RequestContext, reserved: Selection
+    ) -> Selection | None:
         """Connect to a target for which a permit was granted, once it is valid."""
         assert reserved.target is not None
         await asyncio.sleep(reserved.wait_ms / 1000)
         target = reserved.target
-        lease = await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
+        lease = await self._open_limited(context, target)
         return self._check_current(target, lease, predicted_ms=0.0)
 
-    async def _connect(
-        self, chosen: tuple[Candidate, float], *, is_permitted: bool = False
-    ) -> Selection | None:
+    async def _connect(self, chosen: tuple[Candidate, float]) -> Selection | None:
         # No health check would show that a connection has gone silent.
         target = chosen[0].target
         lease = await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
-        if lease is not None and target.is_rate_limited and not is_permitted:
+        if lease is not None and target.is_rate_limited:
             self._prober.release(lease)
             return None
         return self._check_current(target, lease, predicted_ms=chosen[1])
@@ -309,7 +397,8 @@
     ) -> Selection | None:
         if lease is None:
             return None
-        if not self._targets.is_current(target, self._clock.read()):
+        now = self._clock.read()
+        if target.is_cold(now) or not self._targets.is_current(target, now):
             self._prober.release(lease)
             return None
         return Selection(target, lease, predicted_ms)
@@ -378,6 +467,12 @@
     ) -> list[ProbeResult]:
         now = self._clock.read()
         eligible = [t for t in targets if find_pause(t, now) is None]
+        return await self._probe_eligible(context, eligible, limit)
+
+    async def _probe_eligible(
+        self, context: RequestContext, eligible: list[Target], limit: int
+    ) -> list[ProbeResult]:
+        now = self._clock.read()
         limit = min(limit, self._count_probes_left(context))
         if not eligible or limit == 0:
             return []
@@ -398,13 +493,15 @@
         return probed
 
     def _list_current(self, probed: list[ProbeResult]) -> list[Candidate]:
-        # A target may have started draining, or named a limit, while it was probed.
+        # A target may have started draining, or named a limit, or said that it is cold,
+        # while it was probed.
         now = self._clock.read()
         candidates = [result.candidate for result in probed]
         return [
             c
             for c in candidates
-            if self._targets.is_current(c.target, now) and not c.target.is_rate_limited
+            if self._targets.is_current(c.target, now)
+            and not (c.target.is_rate_limited or c.target.is_cold(now))
         ]
 
     def _claim(
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -18,7 +18,7 @@
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.relay._selection import RequestContext
-from currantline.telemetry import EventLog
+from currantline.telemetry import EventLog, Meter
 from currantline.wire import Request, Response, find_header, strip_hop_by_hop
 
 __all__ = ["Outcome", "SendResult", "Sender"]
@@ -41,6 +41,7 @@
     FAILURE = "failure"
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
+    NOT_SENT = "not-sent"
 
 
 @attrs.frozen(eq=False, kw_only=True)
@@ -51,7 +52,8 @@
     ----------
     outcome : Outcome
         ``SUCCESS`` and ``FAILURE`` mean a complete response of the target. After
-        ``UNKNOWN`` the request may have been executed.
+        ``UNKNOWN`` the request may have been executed. After ``NOT_SENT`` nothing was
+        written, and another target may be selected.
     response : Response or None
         Response of the target.
     target : str
@@ -86,6 +88,8 @@
         Average response times of routes, updated by each success.
     clock : Clock
         Source of time.
+    meter : Meter
+        Counts permits that are not used.
     log : EventLog
         Log of events.
     """
@@ -99,6 +103,7 @@
         availability_reader: AvailabilityReader,
         latencies: LatencyAverages,
         clock: Clock,
+        meter: Meter,
         log: EventLog,
     ) -> None:
         self._pool = pool
@@ -107,16 +112,46 @@
         self._availability_reader = availability_reader
         self._latencies = latencies
         self._clock = clock
+        self._meter = meter
         self._log = log
 
     async def send(
-        self, context: RequestContext, request: Request, target: Target, lease: Lease
+        self,
+        context: RequestContext,
+        request: Request,
+        target: Target,
+        lease: Lease,
+        *,
+        permit_end_ms: float | None = None,
     ) -> SendResult:
         """Send a request and return the result.
 
-        The request is written before this coroutine suspends for the first time.
+        The request is written before this coroutine suspends for the first time. It is
+        not written if the target is cold and the permit for it is void by now.
+
+        Parameters
+        ----------
+        context : RequestContext
+            The request.
+        request : Request
+            The request as the caller sent it.
+        target : Target
+            The target.
+        lease : Lease
+            Connection to the target.
+        permit_end_ms : float or None
+            Time after which the permit for a cold target is void, in milliseconds, None
+            without such a permit.
         """
         sent_ms = self._clock.read()
+        if target.is_cold(sent_ms) and (
+            permit_end_ms is None or sent_ms > permit_end_ms
+        ):
+            self._pool.release(lease)
+            self._meter.count("permits", result="void")
+            return SendResult(
+                outcome=Outcome.NOT_SENT, target=target.name, reason="permit void"
+            )
         target.send_times_ms.append(sent_ms)
         response: Response | None = None
         reason = "cancelled"
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -8,7 +8,13 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.permits import Permit, PermitIssuer, WaitBounds
+from currantline.permits import (
+    PERMIT_VALIDITY_MS,
+    Permit,
+    PermitIssuer,
+    WaitBounds,
+    WarmupIssuer,
+)
 from currantline.placement import (
     LatencyAverages,
     ProbeLimit,
@@ -19,6 +25,7 @@
 )
 from currantline.relay import (
     AvailabilityReader,
+    ColdTargetSelector,
     ConnectionPool,
     HeaderNames,
     LimitedTargetSelector,
@@ -28,6 +35,7 @@
     RelayServer,
     Sender,
     TargetSelector,
+    WarmupReader,
 )
 from currantline.routing import (
     CallerLimits,
@@ -53,6 +61,7 @@
     target="x-target",
     load="x-load",
     rate_limit=("x-limit", "limit"),
+    warmup="x-warmup",
     leaving=("x-leaving", "leaving"),
 )
 HOST = "10.0.0.1"
@@ -88,6 +97,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._issuer = PermitIssuer()
+        self._warmup_issuer = WarmupIssuer()
 
     async def acquire(self, target: Target, wait_bounds: WaitBounds) -> Permit:
         """Return a permit for one request."""
@@ -95,6 +105,21 @@
         self._issuer.observe(target.name, target.rate_limit, now)
         return self._issuer.issue(target.name, wait_bounds, now)
 
+    async def acquire_cold(self, target: Target, rank: int) -> Permit:
+        """Return a permit for one request to a cold target."""
+        assert target.warmup_bound is not None
+        now = self._clock.read()
+        permit = self._warmup_issuer.issue(
+            target.name,
+            host=HOST,
+            rank=rank,
+            max_permits=target.warmup_bound.permits_per_issuer,
+            per_s=target.rate_limit.per_s,
+            known_since_ms=target.stated.cold_since_ms,
+            now=now,
+        )
+        return attrs.evolve(permit, end_ms=now + PERMIT_VALIDITY_MS)
+
 
 class RelayHarness:
     """A relay, its server and its targets."""
@@ -180,6 +205,11 @@
     def _observe(self, target: Target, per_s: float | None) -> None:
         target.rate_limit = RateLimit(per_s, self.clock.read())
 
+    def _observe_warmup(
+        self, target: Target, left_ms: float | None, requested_ms: float
+    ) -> None:
+        target.learn_from_check(left_ms, requested_ms, self.clock.read())
+
     def _build(self) -> None:
         rng = random.Random(5)
         latencies = LatencyAverages()
@@ -195,6 +225,9 @@
             names=NAMES,
             limit_reader=limit_reader,
             availability_reader=availability_reader,
+            warmup_reader=WarmupReader(
+                names=NAMES, observe=self._observe_warmup, log=log
+            ),
             clock=self.clock,
             meter=self.meter,
             log=log,
@@ -207,6 +240,14 @@
             limited_targets=LimitedTargetSelector(
                 permits=self.permits, latencies=latencies, clock=self.clock, rng=rng
             ),
+            cold_targets=ColdTargetSelector(
+                self.targets,
+                permits=self.permits,
+                prober=prober,
+                latencies=latencies,
+                clock=self.clock,
+                rng=rng,
+            ),
             count_instances=lambda: 1,
             data_centre="a",
             clock=self.clock,
@@ -222,6 +263,7 @@
                 availability_reader=availability_reader,
                 latencies=latencies,
                 clock=self.clock,
+                meter=self.meter,
                 log=log,
             ),
             names=NAMES,
--- a/src/currantline/routing/_model.py
+++ b/src/currantline/routing/_model.py
@@ -94,11 +94,19 @@
     max_connections : int or None
         Maximum number of connections to one target from all instances together, None
         without a limit.
+    warmup_ms : float
+        Maximum duration of the warm-up of a target in milliseconds, 0 for none.
+    warmup_per_s : float or None
+        Requests per second that a target tolerates while it warms up, None if any.
     """
 
     name: str
     health_path: str = attrs.field(validator=_check_path)
     max_connections: int | None
+    warmup_ms: float = attrs.field(default=0.0, validator=check_not_negative)
+    warmup_per_s: float | None = attrs.field(
+        default=None, validator=attrs.validators.optional(check_not_negative)
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/currantline/standin/worker.py
+++ b/src/currantline/standin/worker.py
@@ -12,6 +12,9 @@
 
 HEALTH_PATH = "/health"
 
+# A target that warms up is slower by this factor.
+COLD_FACTOR = 2.0
+
 
 @attrs.define(eq=False, kw_only=True)
 class StandinWorker:
@@ -35,6 +38,8 @@
         Whether it executes requests but never responds.
     is_failing : bool
         Whether it responds to every request with status 500.
+    cold_until_ms : float
+        Time of the loop until which it warms up and is 2 times slower, in milliseconds.
     extra_headers : tuple
         Further headers of all its responses, none by default.
     received : int
@@ -59,6 +64,7 @@
     is_rejecting: bool = False
     is_losing: bool = False
     is_failing: bool = False
+    cold_until_ms: float = 0.0
     extra_headers: tuple[tuple[str, str], ...] = ()
     running: int = 0
     health_checks: int = 0
@@ -76,6 +82,9 @@
         if request.target == HEALTH_PATH:
             self.health_checks += 1
             headers = (*self._list_own_headers(), self._report_load())
+            if self.cold_until_ms:
+                left_ms = str(int(self.find_warmup_left_ms()))
+                headers = (*headers, (names.warmup, left_ms))
             return Response(status=200, headers=headers)
         request_id = find_header(request.headers, names.request_id) or ""
         expected = find_header(request.headers, names.expected_target)
@@ -94,6 +103,15 @@
         status = 500 if self.is_failing else 200
         return Response(status=status, headers=headers, body=request.target.encode())
 
+    def warm_up(self, duration_ms: float) -> None:
+        """Turn cold without notice."""
+        self.cold_until_ms = asyncio.get_running_loop().time() * 1000 + duration_ms
+
+    def find_warmup_left_ms(self) -> float:
+        """Return the remaining warm-up time in milliseconds."""
+        now = asyncio.get_running_loop().time() * 1000
+        return max(0.0, self.cold_until_ms - now)
+
     def _list_own_headers(self) -> tuple[tuple[str, str], ...]:
         return ((self.header_names.target, self.name), *self.extra_headers)
 
@@ -108,7 +126,8 @@
         self.time_left_ms.append(float(left or "nan"))
         self.running += 1
         try:
-            await asyncio.sleep(self.work_ms / 1000)
+            factor = COLD_FACTOR if self.find_warmup_left_ms() else 1.0
+            await asyncio.sleep(factor * self.work_ms / 1000)
             if self.is_losing:
                 await asyncio.get_running_loop().create_future()
         except asyncio.CancelledError:
