--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -16,6 +16,7 @@
     make_directory_query,
     make_settings,
     make_target_entry,
+    make_warmup_bounds,
 )
 from currantline.standin.network import LoopClock, Network, run_on_host, run_session
 from currantline.standin.store import StandinStore
@@ -103,21 +104,32 @@
         Network of the hosts.
     hosts : mapping of str to str
         Hosts of the instances, with their data centres.
+    warmup : tuple of float or None
+        Duration of warm-ups in seconds and requests per second that a cold target
+        tolerates, None without a bound.
     """
 
-    def __init__(self, network: Network, hosts: Mapping[str, str] = HOSTS) -> None:
+    def __init__(
+        self,
+        network: Network,
+        hosts: Mapping[str, str] = HOSTS,
+        *,
+        warmup: tuple[float, float] | None = None,
+    ) -> None:
         self.network = network
+        self.warmup = warmup
         self.hosts = hosts
         self.store = StandinStore()
         self.gateways: dict[str, Gateway] = {}
         self.workers: dict[str, StandinWorker] = {}
         self.worker_servers: dict[str, _RecordingServer] = {}
         self.starts = 0
+        self._processes: dict[str, str] = {}
 
     async def start(self) -> None:
         """Start all parts and wait until all instances are ready."""
         await run_on_host(STORE, HttpServer(self.store.handle).start(f"{STORE}:8642"))
-        self.store.put("op/config", make_configuration(1))
+        self.store.put("op/config", make_configuration(1, warmup=self.warmup))
         for number in (1, 2):
             await self.add_worker(f"i-{number}", f"10.9.0.{number}")
         await asyncio.gather(*(self.add_instance(host) for host in self.hosts))
@@ -140,6 +152,8 @@
         document = make_settings(
             host, self.hosts[host], seeds=seeds, data_centres=DATA_CENTRES
         )
+        if self.warmup is not None:
+            document["terms"]["bounds"] |= make_warmup_bounds(1.5, 8)
         clock = LoopClock(asyncio.get_running_loop())
         gateway = Gateway(
             decode_settings(document, source=host),
@@ -149,11 +163,15 @@
             log=EventLog(host, clock=clock, write=len),
         )
         self.gateways[host] = gateway
-        await run_on_host(host, gateway.start())
+        # A killed process never runs again; its host may.
+        is_killed = host in self.network.frozen
+        process = f"{host} start {self.starts}" if is_killed else host
+        self._processes[host] = process
+        await run_on_host(host, gateway.start(), process=process)
 
     async def kill(self, host: str) -> None:
         """Kill an instance."""
-        self.network.kill(host)
+        self.network.kill(self._processes[host])
         del self.gateways[host]
 
     async def call(
@@ -281,13 +299,16 @@
 
 
 def run(
-    scenario: Callable[[Deployment], Awaitable[None]], hosts: Mapping[str, str] = HOSTS
+    scenario: Callable[[Deployment], Awaitable[None]],
+    hosts: Mapping[str, str] = HOSTS,
+    *,
+    warmup: tuple[float, float] | None = None,
 ) -> None:
     """Run a scenario on a deployment that is ready."""
     network = Network(latency_ms=0.5)
 
     async def session() -> None:
-        deployment = Deployment(network, hosts)
+        deployment = Deployment(network, hosts, warmup=warmup)
         await deployment.start()
         await scenario(deployment)
 
