--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -9,9 +9,7 @@
 import attrs
 
 from currantline.clock import Clock
-from currantline.placement import Target
 from currantline.relay._names import HeaderNames
-from currantline.relay._pool import Lease
 from currantline.relay._retry_after import find_retry_after_bounds_ms
 from currantline.relay._selection import RequestContext, Selection
 from currantline.relay._selector import TargetSelector
@@ -124,7 +122,7 @@
         self._log = log
         self._age_estimator = RequestAgeEstimator()
         self._budgets: dict[str, RetryBudget] = {}
-        self._detached: set[asyncio.Task[SendResult | None]] = set()
+        self._detached: set[asyncio.Task[SendResult]] = set()
         self._timeouts: set[asyncio.Timeout] = set()
         self._end_ms = math.inf
 
@@ -276,7 +274,7 @@
                 progress.refusal_reason = selection.reason
                 progress.retry_after_ms = selection.wait_ms
                 return None
-            result = await self._send(progress, selection.target, selection.lease)
+            result = await self._send(progress, selection)
             if result is not None:
                 return result
 
@@ -288,44 +286,57 @@
         if not self._acquire_retry(progress, is_hedge=True):
             self._selector.release(selection)
             return None
-        return await self._send(progress, selection.target, selection.lease)
+        return await self._send(progress, selection)
 
     async def _send(
-        self, progress: _Progress, target: Target, lease: Lease
+        self, progress: _Progress, selection: Selection
     ) -> SendResult | None:
-        context = progress.context
+        """Send a request, and return None if nothing was written after all."""
+        target, context = selection.target, progress.context
+        assert target is not None
         progress.tried.add(target.name)
         progress.sends += 1
-        send = self._send_once(progress, target, lease)
+        send = self._send_once(progress, selection)
         if context.route.is_idempotent:
-            return await send
+            return self._check_sent(progress, await send)
         # Never cancelled once sent, since the target may be executing it.
         task = asyncio.get_running_loop().create_task(
             self._limit_duration(send, context)
         )
         self._detached.add(task)
         task.add_done_callback(self._detached.discard)
-        return await asyncio.shield(task)
-
-    async def _send_once(
-        self, progress: _Progress, target: Target, lease: Lease
-    ) -> SendResult | None:
-        context = progress.context
+        return self._check_sent(progress, await asyncio.shield(task))
+
+    def _check_sent(self, progress: _Progress, result: SendResult) -> SendResult | None:
+        if result.outcome is not Outcome.NOT_SENT:
+            return result
+        progress.tried.discard(result.target)
+        progress.sends -= 1
+        return None
+
+    async def _send_once(self, progress: _Progress, selection: Selection) -> SendResult:
+        target, lease, context = selection.target, selection.lease, progress.context
+        assert target is not None
+        assert lease is not None
         # A detached send starts later than its target was selected.
         if not self._selector.is_current(target):
-            self._selector.release(Selection(target, lease))
-            progress.tried.discard(target.name)
-            progress.sends -= 1
-            return None
+            self._selector.release(selection)
+            return SendResult(outcome=Outcome.NOT_SENT, target=target.name)
         self._meter.count("sends", service=context.service.name)
         try:
-            return await self._sender.send(context, progress.request, target, lease)
+            return await self._sender.send(
+                context,
+                progress.request,
+                target,
+                lease,
+                permit_end_ms=selection.permit_end_ms,
+            )
         finally:
             self._selector.notify_slot_freed(context, target)
 
     async def _limit_duration(
-        self, send: Coroutine[Any, Any, SendResult | None], context: RequestContext
-    ) -> SendResult | None:
+        self, send: Coroutine[Any, Any, SendResult], context: RequestContext
+    ) -> SendResult:
         left_ms = max(0.0, context.deadline_ms - self._clock.read()) + DETACHED_GRACE_MS
         try:
             async with asyncio.timeout(left_ms / 1000):
