Count only answers as failures that targets have in common

Cause: after the loss of a data centre most observations of a small instance are of targets that do not answer, so their failures became the level of the service and they were tried again.

Result: the test with a lost data centre fails with the median of all failures and passes now.

--- a/src/currantline/placement/_passive_health.py
+++ b/src/currantline/placement/_passive_health.py
@@ -24,7 +24,11 @@
 MAX_SLOWNESS = 4.0
 
 
-# Time in milliseconds for which a target counts as observed.
+# Maximum weight of failures, and the factor by which a success lowers it.
+MAX_WEIGHT = 4.0
+SUCCESS_FACTOR = 0.6
+
+# Time in milliseconds for which a target that answered a request counts as observed.
 OBSERVED_MS = 2.0 * HALF_LIFE_MS
 
 # With fewer observed targets it is unknown what they have in common.
@@ -33,17 +37,18 @@
 
 @attrs.define
 class CommonFailures:
-    """Failures that the targets of one service have in common.
+    """Rejections that the targets of one service have in common.
 
-    Handles a service whose targets all fail or reject a part of their requests. Then
-    failures do not tell one target from another. Without this, requests would wait for
-    a better target while all have free slots, move to the few targets that happen to
-    have failed none and fill them, and open new connections on the way.
+    Handles a service whose targets all reject a part of their requests. Then rejections
+    do not tell one target from another. Without this, requests would wait for a better
+    target while all have free slots, move to the few targets that happen to have
+    rejected none and fill them, and open new connections on the way. Targets that do
+    not answer are no part of it: after the loss of a data centre they are many.
 
     Parameters
     ----------
     weight : float
-        Failure weight that at least half of the observed targets exceed.
+        Median of the rejection weights of the targets that answer.
     """
 
     weight: float = 0.0
@@ -59,7 +64,9 @@
             Current time in milliseconds.
         """
         weights = sorted(
-            health.failure_weight(now) for health in observed if health.is_observed(now)
+            health.rejection_weight(now)
+            for health in observed
+            if health.is_observed(now)
         )
         is_known = len(weights) >= MIN_OBSERVED
         self.weight = weights[(len(weights) - 1) // 2] if is_known else 0.0
@@ -80,25 +87,38 @@
     slowness: float = 1.0
     common: CommonFailures = attrs.field(factory=CommonFailures)
     _failure_weight: float = 0.0
-    _updated_ms: float = -math.inf
+    _updated_ms: float = 0.0
+    _rejection_weight: float = 0.0
+    _answered_ms: float = -math.inf
 
     def is_observed(self, now: float) -> bool:
-        """Return whether a result of a recent request is known."""
-        return now - self._updated_ms < OBSERVED_MS
+        """Return whether the target has answered a request recently."""
+        return now - self._answered_ms < OBSERVED_MS
 
     def excess_failure_weight(self, now: float) -> float:
-        """Return by how much its failures exceed those in common."""
+        """Return by how much its failures exceed the rejections in common."""
         return max(0.0, self.failure_weight(now) - self.common.weight)
 
+    def rejection_weight(self, now: float) -> float:
+        """Return the decayed weight of recent rejections; one starts with 1."""
+        decay = math.exp2((self._answered_ms - now) / HALF_LIFE_MS)
+        return self._rejection_weight * decay
+
     def failure_weight(self, now: float) -> float:
         """Return the decayed weight of recent failures; a failure starts with 1."""
         return self._failure_weight * self._decay(now)
 
     def record_failure(self, now: float, weight: float = 1.0) -> None:
         """Record a request that the target failed or rejected."""
-        self._failure_weight = min(4.0, self.failure_weight(now) + weight)
+        self._failure_weight = min(MAX_WEIGHT, self.failure_weight(now) + weight)
         self._updated_ms = now
 
+    def record_rejection(self, now: float) -> None:
+        """Record a request that the target answered with a rejection or an error."""
+        self.record_failure(now)
+        self._rejection_weight = min(MAX_WEIGHT, self.rejection_weight(now) + 1.0)
+        self._answered_ms = now
+
     def record_success(self, now: float, ratio: float) -> None:
         """Record a successful response.
 
@@ -109,8 +129,10 @@
         ratio : float
             Response time relative to the average of the route.
         """
-        self._failure_weight = self.failure_weight(now) * 0.6
+        self._failure_weight = self.failure_weight(now) * SUCCESS_FACTOR
         self._updated_ms = now
+        self._rejection_weight = self.rejection_weight(now) * SUCCESS_FACTOR
+        self._answered_ms = now
         bounded = min(MAX_SLOWNESS, max(0.5, ratio))
         self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
 
--- a/src/currantline/placement/tests/test_common_failures.py
+++ b/src/currantline/placement/tests/test_common_failures.py
@@ -28,7 +28,7 @@
     for number, target in enumerate(targets):
         target.passive_health.record_success(0.0, 1.0)
         for _ in range(2 if number < failures else 0):
-            target.passive_health.record_failure(0.0)
+            target.passive_health.record_rejection(0.0)
     registry.update_common_failures("s", 0.0)
     return registry, targets
 
@@ -71,8 +71,8 @@
         for target in targets:
             for _ in range(8):
                 target.passive_health.record_success(100.0, 1.0)
-        targets[0].passive_health.record_failure(100.0)
-        targets[0].passive_health.record_failure(100.0)
+        targets[0].passive_health.record_rejection(100.0)
+        targets[0].passive_health.record_rejection(100.0)
         registry.update_common_failures("s", 100.0)
         assert count_accepted(targets) == TARGETS - 1
 
@@ -85,11 +85,20 @@
         _, targets = make_service(failures=TARGETS // 3)
         assert count_accepted(targets) == TARGETS - TARGETS // 3
 
+    def test_lost_data_centre(self) -> None:
+        """Guards against lost targets that count as usual ones since they are many."""
+        registry, targets = make_service(failures=0)
+        for target in targets[:15]:
+            for _ in range(3):
+                target.passive_health.record_failure(0.0)
+        registry.update_common_failures("s", 0.0)
+        assert count_accepted(targets) == 5
+
     def test_few_observations(self) -> None:
         """Guards against a level that follows from one or two targets."""
         registry, targets = make_service(failures=0)
         for target in targets[:2]:
             for _ in range(2):
-                target.passive_health.record_failure(20_000.0)
+                target.passive_health.record_rejection(20_000.0)
         registry.update_common_failures("s", 20_000.0)
         assert targets[0].passive_health.excess_failure_weight(20_000.0) > 1.0
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -285,7 +285,10 @@
             and result.response.status == MISDIRECTED_REQUEST
         ):
             target.is_address_reused = True
-        target.passive_health.record_failure(now)
+        if result.response is not None:
+            target.passive_health.record_rejection(now)
+        else:
+            target.passive_health.record_failure(now)
 
     def _read_limit(self, result: SendResult, target: Target) -> None:
         response = result.response
