Direct callers to instances in proportion to their capacity

Cause: with equal shares, the links of small machines are used for more than a half at the peak, and every request there waits behind bodies of 60 KB, while the links of the large ones are mostly idle.

Change: an instance derives a weight from its processor time and its link; the weight travels with its member state. Directory responses sample the instances of a data centre by weight, and an instance of several times the smallest weight lets as many requests search at once. Where all weights are equal nothing changes.

--- a/src/currantline/fleet/__init__.py
+++ b/src/currantline/fleet/__init__.py
@@ -13,6 +13,7 @@
 from currantline.fleet._probes import ProbeTracker, TimedOutProbe
 from currantline.fleet._protocol import MembershipProtocol
 from currantline.fleet._replica_puller import ReplicaPuller
+from currantline.fleet._weight import find_weight
 
 __all__ = [
     "Datagram",
@@ -28,4 +29,5 @@
     "choose_hosts",
     "decode_datagram",
     "encode_datagram",
+    "find_weight",
 ]
--- a/src/currantline/fleet/_codec.py
+++ b/src/currantline/fleet/_codec.py
@@ -12,6 +12,7 @@
     Member,
     MemberStatus,
 )
+from currantline.fleet._weight import DEFAULT_WEIGHT, MAX_WEIGHT
 from currantline.validators import is_ip
 
 __all__ = ["decode_datagram", "encode_datagram"]
@@ -37,16 +38,7 @@
         Names of all data centres, in the same order on all instances.
     """
     members = (datagram.sender, *datagram.members)
-    rows = [
-        [
-            member.host,
-            data_centres.index(member.data_centre),
-            member.incarnation,
-            member.version,
-            member.status | member.can_reach_platform << 2 | member.health << 3,
-        ]
-        for member in members
-    ]
+    rows = [_encode_member(member, data_centres) for member in members]
     document = [
         FORMAT_VERSION,
         datagram.kind,
@@ -96,8 +88,22 @@
         raise PeerError(f"malformed datagram: {error}") from error
 
 
+def _encode_member(member: Member, data_centres: Sequence[str]) -> list[int | str]:
+    row: list[int | str] = [
+        member.host,
+        data_centres.index(member.data_centre),
+        member.incarnation,
+        member.version,
+        member.status | member.can_reach_platform << 2 | member.health << 3,
+    ]
+    # Most instances have the default weight, and a datagram must fit into one packet.
+    return row if member.weight == DEFAULT_WEIGHT else [*row, member.weight]
+
+
 def _decode_member(row: list[int | str], data_centres: Sequence[str]) -> Member:
-    host, data_centre_index, incarnation, version, flags = row
+    host, data_centre_index, incarnation, version, flags, *weight = row
+    if len(weight) > 1:
+        raise PeerError(f"a member with {len(row)} fields")
     return Member(
         host=_check_host(str(host)),
         data_centre=data_centres[int(data_centre_index)],
@@ -106,9 +112,16 @@
         status=MEMBER_STATUSES[int(flags) & 3],
         can_reach_platform=bool(int(flags) & 4),
         health=HEALTH_STATES[int(flags) >> 3],
+        weight=_check_weight(int(weight[0])) if weight else DEFAULT_WEIGHT,
     )
 
 
+def _check_weight(weight: int) -> int:
+    if not DEFAULT_WEIGHT <= weight <= MAX_WEIGHT:
+        raise PeerError(f"weight {weight!r:.20} is out of range")
+    return weight
+
+
 @functools.lru_cache(maxsize=MAX_KNOWN_HOSTS)
 def _check_host(host: str) -> str:
     # The socket looks names up, which blocks the event loop, and is closed for good by
--- a/src/currantline/fleet/_member.py
+++ b/src/currantline/fleet/_member.py
@@ -47,6 +47,8 @@
         Whether the platform answers the instance.
     health : Health
         Whether the instance answers other instances.
+    weight : int
+        Share of the callers that the instance should get, relative to others.
     """
 
     host: str
@@ -56,6 +58,7 @@
     status: MemberStatus = MemberStatus.STARTING
     can_reach_platform: bool = True
     health: Health = Health.ALIVE
+    weight: int = 1
 
     @property
     def is_dead(self) -> bool:
--- a/src/currantline/fleet/tests/test_codec.py
+++ b/src/currantline/fleet/tests/test_codec.py
@@ -19,7 +19,7 @@
 DATA_CENTRES = ("a", "b")
 
 
-def make_member(number: int, data_centre: str = "a") -> Member:
+def make_member(number: int, data_centre: str = "a", *, weight: int = 1) -> Member:
     """Return a member with long values in all fields."""
     return Member(
         host=f"255.255.255.{number}",
@@ -29,6 +29,7 @@
         status=MemberStatus.LEAVING,
         can_reach_platform=False,
         health=Health.SUSPECT,
+        weight=weight,
     )
 
 
@@ -51,7 +52,7 @@
 
     def test_round_trip(self) -> None:
         """Guards against fields that are lost in encoding or decoding."""
-        datagram = make_datagram(make_member(2, "b"))
+        datagram = make_datagram(make_member(2, "b", weight=5))
         data = encode_datagram(datagram, DATA_CENTRES)
         assert decode_datagram(data, DATA_CENTRES) == datagram
 
@@ -74,6 +75,9 @@
             b"\xff",
             b'[2,0,1,"",1e999,1,1,[["10.1.0.1",0,1,1,1]]]',
             b"[" * 100_000,
+            b'[2,0,1,"",1,1,1,[["10.1.0.1",0,1,1,1,0]]]',
+            b'[2,0,1,"",1,1,1,[["10.1.0.1",0,1,1,1,1000000]]]',
+            b'[2,0,1,"",1,1,1,[["10.1.0.1",0,1,1,1,1,1]]]',
         ],
     )
     def test_malformed(self, data: bytes) -> None:
@@ -102,3 +106,42 @@
         """Guards against responses whose size grows with the fleet."""
         members = [make_member(n) for n in range(1, 100)]
         assert len(set(choose_hosts(members, "a", random.Random(1)))) == 64
+
+
+UNEQUAL_MEMBERS = [make_member(n, weight=5 if n < 3 else 1) for n in range(1, 16)]
+
+
+class TestWeights:
+    """Callers of a data centre with instances of different weights."""
+
+    def draw_shares(self, members: list[Member]) -> dict[str, float]:
+        """Return the share of the callers that each instance gets."""
+        rng, responses = random.Random(1), 4_000
+        shares = {member.host: 0.0 for member in members}
+        for _ in range(responses):
+            hosts = choose_hosts(members, "a", rng)
+            assert len(set(hosts)) == len(hosts) >= 4
+            for host in hosts:
+                shares[host] += 1.0 / len(hosts) / responses
+        return shares
+
+    def test_shares(self) -> None:
+        """Guards against thin links of small instances that fill at peak load.
+
+        Callers use all hosts of a response alike, so the responses have to differ.
+        """
+        shares = self.draw_shares(UNEQUAL_MEMBERS)
+        total = sum(member.weight for member in UNEQUAL_MEMBERS)
+        for member in UNEQUAL_MEMBERS:
+            expected = member.weight / total
+            assert 0.8 * expected <= shares[member.host] <= 1.2 * expected
+
+    def test_large_instances_lost(self) -> None:
+        """Guards against responses without a host once the large instances are gone."""
+        shares = self.draw_shares(UNEQUAL_MEMBERS[2:])
+        assert min(shares.values()) > 0.0
+
+    def test_few_instances(self) -> None:
+        """Guards against hosts named twice where one instance outweighs the others."""
+        members = [make_member(1, weight=8), *(make_member(n) for n in range(2, 6))]
+        assert set(self.draw_shares(members)) == {member.host for member in members}
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -17,6 +17,7 @@
     MemberStatus,
     ReplicaPuller,
     choose_hosts,
+    find_weight,
 )
 from currantline.permits import PermitProtocol
 from currantline.placement import (
@@ -245,6 +246,7 @@
             host=settings.host,
             data_centre=settings.data_centre,
             incarnation=incarnation,
+            weight=find_weight(settings.cores, settings.link_bytes_per_s),
         )
         self._membership = MembershipList(local_member, now=self._clock.read())
         self._store = StoreClient(HttpClient(settings.store_address))
@@ -335,6 +337,7 @@
             ),
             count_instances=lambda: len(self._membership.list_live()) + 1,
             data_centre=self._settings.data_centre,
+            get_weight=self._find_relative_weight,
             clock=self._clock,
             rng=self._rng,
         )
@@ -493,5 +496,10 @@
     def _count_cold(self) -> int:
         return self.targets.count_cold(self._clock.read())
 
+    def _find_relative_weight(self) -> int:
+        weights = [member.weight for member in self._membership.list_live()]
+        local = self._membership.local_member.weight
+        return local // min([*weights, local])
+
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -19,6 +19,7 @@
     check_ip,
     check_not_negative,
     check_port,
+    check_positive,
     is_address,
 )
 
@@ -26,6 +27,9 @@
 
 SETTINGS_VARIABLE = "CURRANTLINE_BOOT"
 
+BYTES_PER_S_PER_MBPS = 125_000.0
+DEFAULT_LINK_MBPS = 1_000.0
+
 
 @attrs.frozen(kw_only=True)
 class InstanceSettings:
@@ -74,6 +78,10 @@
         Terms of the bound on the requests to targets that warm up, None for no bound.
     memory_bytes : int
         Memory of the machine. A process that exceeds it is killed.
+    cores : float
+        Processor time per second that the instance may use.
+    link_bytes_per_s : float
+        Bytes per second that the link of the machine carries in each direction.
     """
 
     name: str
@@ -96,6 +104,8 @@
     max_probes_per_s: int
     warmup_terms: WarmupTerms | None = None
     memory_bytes: int = attrs.field(validator=check_at_least(1))
+    cores: float = attrs.field(validator=check_positive)
+    link_bytes_per_s: float = attrs.field(validator=check_positive)
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -153,6 +163,8 @@
             max_probes_per_s=max(1, int(bounds["probesPerS"])),
             warmup_terms=_decode_warmup_terms(bounds),
             memory_bytes=int(node["limits"]["memoryMb"]) * 1_000_000,
+            cores=_decode_cores(node["limits"]),
+            link_bytes_per_s=_decode_link(node["limits"]),
         )
     except KeyError as error:
         key = str(error.args[0])
@@ -170,6 +182,14 @@
     return WarmupTerms(overrun=float(overrun), slack=float(slack))
 
 
+def _decode_cores(limits: Mapping[str, Any]) -> float:
+    return float(limits.get("cpuShare", 1.0)) * float(limits.get("cpuCores", 1.0))
+
+
+def _decode_link(limits: Mapping[str, Any]) -> float:
+    return float(limits.get("linkMbps", DEFAULT_LINK_MBPS)) * BYTES_PER_S_PER_MBPS
+
+
 def _decode_seeds(seeds: Any) -> dict[str, Any]:
     if not isinstance(seeds, list):
         raise InvalidValueError(f"{seeds!r:.80} is not a list", path="seeds")
--- a/src/currantline/platform/tests/test_settings.py
+++ b/src/currantline/platform/tests/test_settings.py
@@ -38,6 +38,14 @@
         terms = decode_settings(document, source="file").warmup_terms
         assert terms == WarmupTerms(overrun=1.5, slack=8.0)
 
+    def test_speeds(self) -> None:
+        """Guards against a machine whose size is taken for that of another."""
+        document = make_document()
+        limits = {"memoryMb": 200, "cpuShare": 0.5, "cpuCores": 3, "linkMbps": 5.0}
+        document["selfNode"]["limits"] = limits
+        settings = decode_settings(document, source="file")
+        assert (settings.cores, settings.link_bytes_per_s) == (1.5, 625_000.0)
+
     def test_missing(self) -> None:
         """Guards against an error that does not name the missing key."""
         document = make_document()
@@ -91,6 +99,8 @@
             ("selfNode", "ip", "edge-1"),
             ("selfNode", "ip", "\0"),
             ("selfNode", "limits", {"memoryMb": 0}),
+            ("selfNode", "limits", {"memoryMb": 300, "cpuShare": 0}),
+            ("selfNode", "limits", {"memoryMb": 300, "linkMbps": "fast"}),
             ("network", "internalPortRange", [float("inf")]),
             ("network", "internalPortRange", [0]),
             ("network", "internalPortRange", [65_535]),
--- a/src/currantline/relay/_probe_queue.py
+++ b/src/currantline/relay/_probe_queue.py
@@ -17,7 +17,8 @@
 __all__ = ["ProbeQueue", "Urgency"]
 
 # Pause after a search that found no target, in milliseconds. A full service frees a
-# slot every few milliseconds, and an instance gets one in twenty of them.
+# slot every few milliseconds, and an instance of the default weight gets one in twenty
+# of them.
 PROBE_PAUSE_MS = 30.0
 
 
@@ -47,18 +48,22 @@
 
 
 class ProbeQueue:
-    """Lets one request search for a target at a time.
+    """Lets one request search for a target at a time, or a few in a large instance.
 
     Parameters
     ----------
     clock : Clock
         Source of time.
+    get_weight : callable, optional
+        Returns how many times as many callers as the smallest instances this one gets.
+        It may search as often as that many of them.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, get_weight: Callable[[], int] = lambda: 1) -> None:
         self._clock = clock
+        self._get_weight = get_weight
         self._waiters: list[_Waiter] = []
-        self._is_turn_taken = False
+        self._turns = 0
         self._paused_until_ms = 0.0
         self._freed: list[Target] = []
         self._timer: asyncio.TimerHandle | None = None
@@ -95,9 +100,10 @@
 
     def end_turn(self, *, found: bool) -> None:
         """Let the next request search, after a pause if no target was found."""
-        self._is_turn_taken = False
+        self._turns -= 1
         if not found and self._timer is None:
-            self._paused_until_ms = self._clock.read() + PROBE_PAUSE_MS
+            pause_ms = PROBE_PAUSE_MS / self._get_weight()
+            self._paused_until_ms = self._clock.read() + pause_ms
         self._grant()
 
     def notify_slot_freed(self, target: Target) -> None:
@@ -110,12 +116,11 @@
         waiters = [waiter for waiter in self._waiters if not waiter.turn.done()]
         if not waiters:
             self._freed.clear()
-        if self._is_turn_taken or not waiters:
+        if self._turns >= self._get_weight() or not waiters:
             return
         first = min(waiters, key=lambda waiter: waiter.get_urgency())
         if self._freed:
-            self._is_turn_taken = True
-            first.turn.set_result(self._freed.pop())
+            self._grant_turn(first, self._freed.pop())
             return
         if self._timer is not None:
             return
@@ -124,8 +129,13 @@
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(pause_ms / 1000, self._end_pause)
             return
-        self._is_turn_taken = True
-        first.turn.set_result(None)
+        self._grant_turn(first, None)
+
+    def _grant_turn(self, waiter: _Waiter, freed: Target | None) -> None:
+        self._turns += 1
+        waiter.turn.set_result(freed)
+        if self._turns < self._get_weight():
+            self._grant()
 
     def _end_pause(self) -> None:
         self._timer = None
--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -77,6 +77,8 @@
         Returns the number of instances that share the limit.
     data_centre : str
         Data centre of this instance.
+    get_weight : callable
+        Returns how many times as many callers as the smallest instances this one gets.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -94,6 +96,7 @@
         cold_targets: ColdTargetSelector,
         count_instances: Callable[[], int],
         data_centre: str,
+        get_weight: Callable[[], int],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -105,6 +108,7 @@
         self._cold_targets = cold_targets
         self._count_instances = count_instances
         self._data_centre = data_centre
+        self._get_weight = get_weight
         self._clock = clock
         self._rng = rng
         self._queues: dict[str, ProbeQueue] = {}
@@ -211,7 +215,9 @@
             return await queue.wait_for_turn(lambda: self._get_urgency(context))
 
     def _find_queue(self, context: RequestContext) -> ProbeQueue:
-        return self._queues.setdefault(context.service.name, ProbeQueue(self._clock))
+        return self._queues.setdefault(
+            context.service.name, ProbeQueue(self._clock, self._get_weight)
+        )
 
     def _get_urgency(self, context: RequestContext) -> Urgency:
         if context.service.name in self._cold_services:
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -247,6 +247,7 @@
             ),
             count_instances=lambda: 1,
             data_centre="a",
+            get_weight=lambda: 1,
             clock=self.clock,
             rng=rng,
         )
