Hedge within the operators' limit in the relay

CURRANTLINE_HEDGE_LIMIT sets the share of hedges; an invalid value ends the start with exit code 2. With a limit, the delay is a quantile of the response times since the first send, and cold targets, busy services and requests with a body are left out. Without one, the fixed delay and the choice of the target are as before.

The new tests pass, and the existing tests of the relay pass unchanged. Eleven changed forms of the code were tried: each but one fails a new test. The one is the check for idempotent routes in the hedger, behind which the limits of repeats check again.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -18,6 +18,7 @@
     ReplicaPuller,
     choose_hosts,
 )
+from currantline.hedging import HedgePolicy
 from currantline.permits import PermitProtocol
 from currantline.placement import (
     LatencyAverages,
@@ -35,11 +36,13 @@
 from currantline.relay import (
     AvailabilityReader,
     ConnectionPool,
+    Hedger,
     LimitedTargetSelector,
     LoadProber,
     RateLimitReader,
     Relay,
     RelayServer,
+    RepeatLimiter,
     Sender,
     TargetSelector,
     find_max_bytes_held,
@@ -112,6 +115,8 @@
         Wall-clock time of the start in milliseconds since the epoch.
     log : EventLog
         Log of events.
+    hedge_limit : float or None
+        Hedges per request of a service that the operators allow, None without a limit.
     """
 
     def __init__(
@@ -122,6 +127,7 @@
         rng: random.Random,
         incarnation: int,
         log: EventLog,
+        hedge_limit: float | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -141,7 +147,7 @@
             log=log,
         )
         self._build_membership(incarnation)
-        self._build_relay()
+        self._build_relay(hedge_limit)
         self._build_services()
 
     @property
@@ -278,7 +284,7 @@
             log=self._log,
         )
 
-    def _build_relay(self) -> None:
+    def _build_relay(self, hedge_limit: float | None) -> None:
         latencies = LatencyAverages()
         self._pool = ConnectionPool(clock=self._clock, meter=self.meter)
         self._permits = PermitProtocol(
@@ -331,13 +337,31 @@
             clock=self._clock,
             log=self._log,
         )
+        retry_options = self._settings.retry_options
+        repeats = RepeatLimiter(
+            retry_options,
+            count_instances=lambda: self._membership.peak_size,
+            clock=self._clock,
+            meter=self.meter,
+        )
+        policy: HedgePolicy | None = None
+        if hedge_limit is not None:
+            policy = HedgePolicy(hedge_limit, retry_options.window_ms)
+        hedger = Hedger(
+            policy,
+            targets=self.targets,
+            selector=self._selector,
+            repeats=repeats,
+            clock=self._clock,
+            meter=self.meter,
+        )
         self._relay = Relay(
             read_table=lambda: self.table,
             selector=self._selector,
             sender=sender,
+            repeats=repeats,
+            hedger=hedger,
             names=HEADERS,
-            retry_options=self._settings.retry_options,
-            count_instances=lambda: self._membership.peak_size,
             clock=self._clock,
             rng=self._rng,
             meter=self.meter,
--- a/src/currantline/gatewayd.py
+++ b/src/currantline/gatewayd.py
@@ -10,6 +10,7 @@
 from currantline.clock import MonotonicClock
 from currantline.exceptions import CurrantlineError, SettingsError
 from currantline.gateway import Gateway
+from currantline.hedging import HEDGE_LIMIT_VARIABLE, parse_hedge_limit
 from currantline.memory import return_large_blocks
 from currantline.platform import SETTINGS_VARIABLE, InstanceSettings, read_settings
 from currantline.telemetry import EventLog, open_standard_output
@@ -30,14 +31,17 @@
     mtime_ns = read_mtime_ns(path)
     try:
         settings = read_settings(path)
+        hedge_limit = parse_hedge_limit(os.environ.get(HEDGE_LIMIT_VARIABLE))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     return_large_blocks()
-    return asyncio.run(_serve(settings, path, mtime_ns))
+    return asyncio.run(_serve(settings, path, mtime_ns, hedge_limit))
 
 
-async def _serve(settings: InstanceSettings, path: str, mtime_ns: int) -> int:
+async def _serve(
+    settings: InstanceSettings, path: str, mtime_ns: int, hedge_limit: float | None
+) -> int:
     clock = MonotonicClock()
     log = EventLog(
         settings.name,
@@ -52,6 +56,7 @@
         rng=random.Random(seed),
         incarnation=time.time_ns() // 1_000_000,
         log=log,
+        hedge_limit=hedge_limit,
     )
     stop, reload = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -10,16 +10,21 @@
 
 from currantline.clock import Clock
 from currantline.placement import Target
+from currantline.relay._hedger import Hedger
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import Lease
-from currantline.relay._retry_after import find_retry_after_bounds_ms
+from currantline.relay._progress import Progress
+from currantline.relay._repeats import MIN_REMAINING_MS, RepeatLimiter
+from currantline.relay._responses import build_text_response, strip_platform_headers
+from currantline.relay._retry_after import (
+    UNREADY_RETRY_AFTER_MS,
+    find_retry_after_bounds_ms,
+)
 from currantline.relay._selection import RequestContext, Selection
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
 from currantline.routing import (
     RequestAgeEstimator,
-    RetryBudget,
-    RetryBudgetOptions,
     Route,
     RouteTable,
     choose_service,
@@ -29,10 +34,6 @@
 
 __all__ = ["Relay"]
 
-# Share of the latency objective after which an idempotent request is hedged, that is
-# also sent to a second target, if the first one has not responded.
-HEDGE_SHARE = 0.45
-
 # Additional time to wait for a response after the deadline, in milliseconds: a target
 # that stops at the deadline reports it.
 RESPONSE_GRACE_MS = 15.0
@@ -45,32 +46,9 @@
 # milliseconds. The more distant of the current callers are 8 ms away.
 TRANSIT_MS = 20.0
 
-# Requests with less remaining time are refused, in milliseconds: a round trip to a
-# target takes this long.
-MIN_REMAINING_MS = 5.0
-
-# Range of Retry-After while the instance has no configuration yet, in milliseconds. An
-# instance gets it within some tens of milliseconds.
-UNREADY_RETRY_AFTER_MS = (500.0, 1_500.0)
-
 NOT_FOUND, UNAVAILABLE, BAD_GATEWAY, GATEWAY_TIMEOUT = 404, 503, 502, 504
 
 
-@attrs.define(eq=False)
-class _Progress:
-    """State of a request in progress."""
-
-    context: RequestContext
-    request: Request
-    tried: set[str] = attrs.field(factory=set)
-    sends: int = 0
-    results: list[SendResult] = attrs.field(factory=list)
-    refusal_reason: str = ""
-    # Time after which a refused caller may be served, 0 if unknown, in milliseconds.
-    retry_after_ms: float = 0.0
-    may_have_run: bool = False
-
-
 class Relay:
     """Forwards requests to targets, with retries and hedging.
 
@@ -82,12 +60,12 @@
         Selects targets.
     sender : Sender
         Sends requests.
+    repeats : RepeatLimiter
+        Limits retries and hedges.
+    hedger : Hedger
+        Decides about hedges.
     names : HeaderNames
         Header names.
-    retry_options : RetryBudgetOptions
-        Retry budget of the fleet.
-    count_instances : callable
-        Returns the number of instances that share the budget.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -104,9 +82,9 @@
         read_table: Callable[[], RouteTable | None],
         selector: TargetSelector,
         sender: Sender,
+        repeats: RepeatLimiter,
+        hedger: Hedger,
         names: HeaderNames,
-        retry_options: RetryBudgetOptions,
-        count_instances: Callable[[], int],
         clock: Clock,
         rng: random.Random,
         meter: Meter,
@@ -115,15 +93,14 @@
         self._read_table = read_table
         self._selector = selector
         self._sender = sender
+        self._repeats = repeats
+        self._hedger = hedger
         self._names = names
-        self._retry_options = retry_options
-        self._count_instances = count_instances
         self._clock = clock
         self._rng = rng
         self._meter = meter
         self._log = log
         self._age_estimator = RequestAgeEstimator()
-        self._budgets: dict[str, RetryBudget] = {}
         self._detached: set[asyncio.Task[SendResult | None]] = set()
         self._timeouts: set[asyncio.Timeout] = set()
         self._end_ms = math.inf
@@ -177,7 +154,7 @@
         route = _find_route(table, request)
         if route is None:
             self._log_unrouted(request, NOT_FOUND, "no route", version=table.version)
-            return _build_text_response(NOT_FOUND, "no route fits")
+            return build_text_response(NOT_FOUND, "no route fits")
         service = table.services.get(choose_service(route, self._rng))
         if service is None:
             return self._refuse(request, "unknown service", UNREADY_RETRY_AFTER_MS)
@@ -195,7 +172,7 @@
             ),
             caller_deadline_ms=arrived_ms + remaining_ms - TRANSIT_MS,
         )
-        progress = _Progress(context, request)
+        progress = Progress(context, request)
         response = await self._process(progress)
         self._log_request(progress, response, table.version)
         return response
@@ -208,12 +185,12 @@
             return route.timeout_ms
         return remaining_ms if math.isfinite(remaining_ms) else route.timeout_ms
 
-    async def _process(self, progress: _Progress) -> Response:
+    async def _process(self, progress: Progress) -> Response:
         context = progress.context
-        self._find_budget(context).record_request(context.arrived_ms)
+        self._repeats.record_request(context)
         if context.deadline_ms - context.arrived_ms < MIN_REMAINING_MS:
             return self._refuse_routed(progress, "too little time left")
-        pending = {self._start(progress)}
+        pending = {asyncio.create_task(self._attempt(progress))}
         try:
             async with asyncio.timeout(None) as timeout:
                 self._timeouts.add(timeout)
@@ -226,12 +203,14 @@
             self._timeouts.discard(timeout)
             for task in pending:
                 task.cancel()
+            self._hedger.record_end(progress)
 
     async def _await_response(
-        self, progress: _Progress, pending: set["asyncio.Task[SendResult | None]"]
+        self, progress: Progress, pending: set["asyncio.Task[SendResult | None]"]
     ) -> Response:
         context = progress.context
-        hedge_ms = context.arrived_ms + HEDGE_SHARE * context.route.objective_ms
+        hedge: asyncio.Task[SendResult | None] | None = None
+        hedge_ms = self._hedger.find_time_ms(progress)
         while pending:
             now = self._clock.read()
             end_ms = context.deadline_ms + (
@@ -239,8 +218,11 @@
             )
             if now >= end_ms:
                 return self._build_timeout(progress)
-            is_early = now < hedge_ms and context.route.is_idempotent
-            until_ms = min(end_ms, hedge_ms) if is_early else end_ms
+            is_early = hedge_ms is not None and now < hedge_ms
+            if hedge_ms is None or not is_early:
+                until_ms = end_ms
+            else:
+                until_ms = min(end_ms, hedge_ms)
             done, _ = await asyncio.wait(
                 pending,
                 timeout=max(0.0, until_ms - now) / 1000,
@@ -254,20 +236,20 @@
                 progress.results.append(result)
                 if result.outcome is Outcome.SUCCESS:
                     assert result.response is not None
-                    return self._strip_headers(result.response)
-            if not pending and self._acquire_retry(progress):
-                pending.add(self._start(progress))
-            elif not done and is_early and self._can_retry(progress):
-                pending.add(self._start(progress, is_hedge=True))
+                    self._hedger.record_success(
+                        progress, result, is_hedge=task is hedge
+                    )
+                    return strip_platform_headers(result.response, self._names)
+            if not pending and self._repeats.try_acquire(progress):
+                pending.add(asyncio.create_task(self._attempt(progress)))
+            elif not done and is_early:
+                hedge_ms = self._hedger.find_next_time_ms(progress)
+                if hedge_ms is None and self._repeats.can_repeat(progress):
+                    hedge = asyncio.create_task(self._hedge(progress))
+                    pending.add(hedge)
         return self._build_final(progress)
 
-    def _start(
-        self, progress: _Progress, *, is_hedge: bool = False
-    ) -> "asyncio.Task[SendResult | None]":
-        attempt = self._hedge(progress) if is_hedge else self._attempt(progress)
-        return asyncio.get_running_loop().create_task(attempt)
-
-    async def _attempt(self, progress: _Progress) -> SendResult | None:
+    async def _attempt(self, progress: Progress) -> SendResult | None:
         while True:
             selection = await self._selector.select(
                 progress.context, exclude=progress.tried
@@ -280,18 +262,14 @@
             if result is not None:
                 return result
 
-    async def _hedge(self, progress: _Progress) -> SendResult | None:
-        context = progress.context
-        selection = await self._selector.select_hedge(context, exclude=progress.tried)
+    async def _hedge(self, progress: Progress) -> SendResult | None:
+        selection = await self._hedger.select(progress)
         if selection is None or selection.target is None or selection.lease is None:
             return None
-        if not self._acquire_retry(progress, is_hedge=True):
-            self._selector.release(selection)
-            return None
         return await self._send(progress, selection.target, selection.lease)
 
     async def _send(
-        self, progress: _Progress, target: Target, lease: Lease
+        self, progress: Progress, target: Target, lease: Lease
     ) -> SendResult | None:
         context = progress.context
         progress.tried.add(target.name)
@@ -300,15 +278,13 @@
         if context.route.is_idempotent:
             return await send
         # Never cancelled once sent, since the target may be executing it.
-        task = asyncio.get_running_loop().create_task(
-            self._limit_duration(send, context)
-        )
+        task = asyncio.create_task(self._limit_duration(send, context))
         self._detached.add(task)
         task.add_done_callback(self._detached.discard)
         return await asyncio.shield(task)
 
     async def _send_once(
-        self, progress: _Progress, target: Target, lease: Lease
+        self, progress: Progress, target: Target, lease: Lease
     ) -> SendResult | None:
         context = progress.context
         # A detached send starts later than its target was selected.
@@ -318,6 +294,8 @@
             progress.sends -= 1
             return None
         self._meter.count("sends", service=context.service.name)
+        if progress.sends == 1:
+            self._hedger.record_first_send(progress)
         try:
             return await self._sender.send(context, progress.request, target, lease)
         finally:
@@ -333,60 +311,22 @@
         except TimeoutError:
             return SendResult(outcome=Outcome.UNKNOWN, target="", reason="no answer")
 
-    def _can_retry(self, progress: _Progress) -> bool:
-        context = progress.context
-        if not progress.sends or progress.sends >= context.route.max_attempts:
-            return False
-        is_clean = all(r.outcome is Outcome.NOT_RUN for r in progress.results)
-        return context.route.is_idempotent or (
-            is_clean and len(progress.results) == progress.sends
-        )
-
-    def _acquire_retry(self, progress: _Progress, *, is_hedge: bool = False) -> bool:
-        if progress.refusal_reason or not self._can_retry(progress):
-            return False
-        now = self._clock.read()
-        if progress.context.deadline_ms - now < MIN_REMAINING_MS:
-            return False
-        instances = self._count_instances()
-        is_allowed = self._find_budget(progress.context).try_acquire(now, instances)
-        kind = "hedges" if is_hedge else "retries"
-        label = kind if is_allowed else f"{kind}_over_budget"
-        self._meter.count("repeats", kind=label)
-        return is_allowed
-
-    def _find_budget(self, context: RequestContext) -> RetryBudget:
-        name = context.service.name
-        if name not in self._budgets:
-            self._budgets[name] = RetryBudget(self._retry_options)
-        return self._budgets[name]
-
-    def _build_timeout(self, progress: _Progress) -> Response:
+    def _build_timeout(self, progress: Progress) -> Response:
         if progress.sends == 0:
             return self._refuse_routed(progress, "no target in time")
-        return _build_text_response(
-            GATEWAY_TIMEOUT, "the target did not answer in time"
-        )
+        return build_text_response(GATEWAY_TIMEOUT, "the target did not answer in time")
 
-    def _build_final(self, progress: _Progress) -> Response:
+    def _build_final(self, progress: Progress) -> Response:
         failures = [r for r in progress.results if r.outcome is Outcome.FAILURE]
         if failures and failures[-1].response is not None:
-            return self._strip_headers(failures[-1].response)
+            return strip_platform_headers(failures[-1].response, self._names)
         if any(r.outcome is Outcome.UNKNOWN for r in progress.results):
-            return _build_text_response(BAD_GATEWAY, "the target gave no whole answer")
+            return build_text_response(BAD_GATEWAY, "the target gave no whole answer")
         return self._refuse_routed(
             progress, progress.refusal_reason or "targets rejected it"
         )
 
-    def _strip_headers(self, response: Response) -> Response:
-        names = self._names
-        dropped = {names.load, names.target, *names.rate_limit, *names.leaving}
-        dropped |= {"connection", "keep-alive"}
-        dropped |= {"transfer-encoding", "content-length"}
-        headers = tuple(h for h in response.headers if h[0] not in dropped)
-        return attrs.evolve(response, headers=headers)
-
-    def _refuse_routed(self, progress: _Progress, reason: str) -> Response:
+    def _refuse_routed(self, progress: Progress, reason: str) -> Response:
         progress.refusal_reason = reason
         context = progress.context
         bounds_ms = find_retry_after_bounds_ms(
@@ -396,7 +336,7 @@
         )
         return self._build_refusal(reason, bounds_ms)
 
-    def _find_known_wait_ms(self, progress: _Progress) -> float:
+    def _find_known_wait_ms(self, progress: Progress) -> float:
         wait_ms = self._selector.find_wait_ms(progress.context)
         # It is infinite if no target is published, or all of them leave.
         return max(progress.retry_after_ms, wait_ms if math.isfinite(wait_ms) else 0.0)
@@ -409,7 +349,7 @@
 
     def _build_refusal(self, reason: str, bounds_ms: tuple[float, float]) -> Response:
         after_s = self._rng.uniform(*bounds_ms) / 1000
-        response = _build_text_response(UNAVAILABLE, reason)
+        response = build_text_response(UNAVAILABLE, reason)
         header = ("retry-after", f"{after_s:.3f}")
         return attrs.evolve(response, headers=(*response.headers, header))
 
@@ -427,7 +367,7 @@
         )
 
     def _log_request(
-        self, progress: _Progress, response: Response, version: int
+        self, progress: Progress, response: Response, version: int
     ) -> None:
         context = progress.context
         took_ms = self._clock.read() - context.arrived_ms
@@ -454,11 +394,3 @@
 def _find_route(table: RouteTable, request: Request) -> Route | None:
     host = find_header(request.headers, "host") or ""
     return table.find(host, request.target.partition("?")[0])
-
-
-def _build_text_response(status: int, text: str) -> Response:
-    return Response(
-        status=status,
-        headers=(("content-type", "text/plain"),),
-        body=text.encode(),
-    )
--- a/src/currantline/relay/_retry_after.py
+++ b/src/currantline/relay/_retry_after.py
@@ -4,7 +4,11 @@
 not return together, nor before they can be served.
 """
 
-__all__ = ["find_retry_after_bounds_ms"]
+__all__ = ["UNREADY_RETRY_AFTER_MS", "find_retry_after_bounds_ms"]
+
+# Range of Retry-After while the instance has no configuration yet, in milliseconds. An
+# instance gets it within some tens of milliseconds.
+UNREADY_RETRY_AFTER_MS = (500.0, 1_500.0)
 
 # Range of Retry-After for refused requests, as shares of the caller's remaining time.
 # The value is random so that refused callers do not retry together. Callers honour up
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -8,6 +8,7 @@
 import attrs
 
 from currantline.clock import Clock
+from currantline.hedging import HedgePolicy
 from currantline.permits import Permit, PermitIssuer, WaitBounds
 from currantline.placement import (
     LatencyAverages,
@@ -21,11 +22,13 @@
     AvailabilityReader,
     ConnectionPool,
     HeaderNames,
+    Hedger,
     LimitedTargetSelector,
     LoadProber,
     RateLimitReader,
     Relay,
     RelayServer,
+    RepeatLimiter,
     Sender,
     TargetSelector,
 )
@@ -76,10 +79,12 @@
     return Route(**{**fields, **values})
 
 
-def make_request(request_id: str = "a", *, remaining_ms: float = 3_000.0) -> Request:
+def make_request(
+    request_id: str = "a", *, remaining_ms: float = 3_000.0, body: bytes = b""
+) -> Request:
     """Return a caller request."""
     headers = (("host", "h"), ("x-id", request_id), ("x-left", str(remaining_ms)))
-    return Request(method="GET", target=f"/{request_id}", headers=headers)
+    return Request(method="GET", target=f"/{request_id}", headers=headers, body=body)
 
 
 class LocalPermits:
@@ -100,8 +105,16 @@
     """A relay, its server and its targets."""
 
     def __init__(
-        self, network: Network, route: Route, *, probes_per_s: int = 60
+        self,
+        network: Network,
+        route: Route,
+        *,
+        probes_per_s: int = 60,
+        hedge_limit: float | None = None,
     ) -> None:
+        self.policy: HedgePolicy | None = None
+        if hedge_limit is not None:
+            self.policy = HedgePolicy(hedge_limit, 10_000.0)
         self._probes_per_s = probes_per_s
         self.network = network
         self.clock = LoopClock(asyncio.get_running_loop())
@@ -209,6 +222,20 @@
             clock=self.clock,
             rng=rng,
         )
+        self.repeats = RepeatLimiter(
+            RetryBudgetOptions(slack=40.0),
+            count_instances=lambda: 1,
+            clock=self.clock,
+            meter=self.meter,
+        )
+        hedger = Hedger(
+            self.policy,
+            targets=self.targets,
+            selector=self.selector,
+            repeats=self.repeats,
+            clock=self.clock,
+            meter=self.meter,
+        )
         self.relay = Relay(
             read_table=lambda: self.table,
             selector=self.selector,
@@ -221,9 +248,9 @@
                 clock=self.clock,
                 log=log,
             ),
+            repeats=self.repeats,
+            hedger=hedger,
             names=NAMES,
-            retry_options=RetryBudgetOptions(slack=40.0),
-            count_instances=lambda: 1,
             clock=self.clock,
             rng=rng,
             meter=self.meter,
@@ -331,6 +358,7 @@
     route: Route | None = None,
     *,
     probes_per_s: int = 60,
+    hedge_limit: float | None = None,
 ) -> None:
     """Run a scenario on the host of the relay in virtual time."""
     network = Network(latency_ms=0.1)
@@ -338,7 +366,10 @@
     async def session() -> None:
         async def prepare() -> None:
             harness = RelayHarness(
-                network, route or make_route(), probes_per_s=probes_per_s
+                network,
+                route or make_route(),
+                probes_per_s=probes_per_s,
+                hedge_limit=hedge_limit,
             )
             await scenario(harness)
 
--- a/src/currantline/tests/test_gatewayd.py
+++ b/src/currantline/tests/test_gatewayd.py
@@ -5,13 +5,17 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import cast
+from typing import Any, cast
+
+import pytest
 
 import currantline
+from currantline import gatewayd
 from currantline.clock import MonotonicClock
 from currantline.gateway import Gateway
 from currantline.gatewayd import read_mtime_ns, watch_settings
-from currantline.platform import InstanceSettings
+from currantline.hedging import HEDGE_LIMIT_VARIABLE
+from currantline.platform import SETTINGS_VARIABLE, InstanceSettings
 from currantline.platform.samples import format_settings, make_settings
 from currantline.standin.network import Network, run_session
 from currantline.telemetry import EventLog
@@ -73,6 +77,35 @@
         assert not loaded & {"site", "pathlib", "prometheus_client"}
         assert not loaded & {"eliot", "grpclib", "google.protobuf", "yaml", "_ssl"}
 
+    @pytest.mark.parametrize(
+        ("text", "code", "limits"),
+        [(None, 0, [None]), ("0.02", 0, [0.02]), ("2%", 2, [])],
+    )
+    def test_hedge_limit(
+        self,
+        text: str | None,
+        code: int,
+        limits: list[float | None],
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Guards against a limit of hedges that is not read, or an invalid one."""
+        path = tmp_path / "node.toml"
+        path.write_text(format_seeds("10.1.0.1"))
+        served: list[float | None] = []
+
+        async def serve(*arguments: Any) -> int:
+            served.append(arguments[-1])
+            return 0
+
+        monkeypatch.setattr(gatewayd, "_serve", serve)
+        monkeypatch.setattr(gatewayd, "return_large_blocks", lambda: None)
+        monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+        monkeypatch.delenv(HEDGE_LIMIT_VARIABLE, raising=False)
+        if text is not None:
+            monkeypatch.setenv(HEDGE_LIMIT_VARIABLE, text)
+        assert (gatewayd.run(), served) == (code, limits)
+
     def test_reload_signal(self) -> None:
         """Guards against a SIGHUP that ends a process that is still starting."""
         send_at_each_import = (
