--- a/src/currantline/relay/_hedger.py
+++ b/src/currantline/relay/_hedger.py
@@ -17,6 +17,10 @@
 # operators set no limit of hedges.
 HEDGE_SHARE = 0.45
 
+# A hedge that is due sooner is sent at once, in milliseconds. A timer may wake a
+# rounding error before its time, and would then be set again without end.
+MIN_WAIT_MS = 1.0
+
 # Age up to which load reports count in the load of a service, in milliseconds. Slow
 # episodes of hosts are shorter, but the mean of many targets changes less.
 MAX_REPORT_AGE_MS = 1_000.0
@@ -79,7 +83,9 @@
         if self._policy is None:
             return None
         time_ms = self.find_time_ms(progress)
-        return time_ms if time_ms is not None and time_ms > self._clock.read() else None
+        if time_ms is None or time_ms - self._clock.read() < MIN_WAIT_MS:
+            return None
+        return time_ms
 
     async def select(self, progress: Progress) -> Selection | None:
         """Return the target of a hedge, which is then counted, or None."""
--- a/src/currantline/relay/tests/support.py
+++ b/src/currantline/relay/tests/support.py
@@ -228,7 +228,7 @@
             clock=self.clock,
             meter=self.meter,
         )
-        hedger = Hedger(
+        self.hedger = Hedger(
             self.policy,
             targets=self.targets,
             selector=self.selector,
@@ -249,7 +249,7 @@
                 log=log,
             ),
             repeats=self.repeats,
-            hedger=hedger,
+            hedger=self.hedger,
             names=NAMES,
             clock=self.clock,
             rng=rng,
--- a/src/currantline/relay/tests/test_hedging.py
+++ b/src/currantline/relay/tests/test_hedging.py
@@ -7,6 +7,8 @@
 import pytest
 
 from currantline.placement import RateLimit
+from currantline.relay._progress import Progress
+from currantline.relay._selection import RequestContext
 from currantline.relay.tests.support import (
     RelayHarness,
     make_request,
@@ -110,6 +112,26 @@
 
         run_scenario(scenario, hedge_limit=1.0)
 
+    @pytest.mark.parametrize(("late_ms", "is_due"), [(1e-9, True), (2.0, False)])
+    def test_early_timer(self, late_ms: float, is_due: bool) -> None:
+        """Guards against a timer that is set again and again for no time at all."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await asyncio.sleep(0.7)
+            assert harness.table is not None
+            (route,), service = harness.table.routes, harness.table.services["s"]
+            times = dict.fromkeys(
+                ("objective_deadline_ms", "deadline_ms", "caller_deadline_ms"), 2_000.0
+            )
+            context = RequestContext(
+                request_id="a", route=route, service=service, arrived_ms=0.0, **times
+            )
+            progress = Progress(context, make_request())
+            progress.first_sent_ms = harness.clock.read() - HEDGE_MS + late_ms
+            assert (harness.hedger.find_next_time_ms(progress) is None) == is_due
+
+        run_scenario(scenario, hedge_limit=1.0)
+
 
 class TestRefused:
     """Requests that are not hedged."""
--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -113,6 +113,8 @@
         self.workers: dict[str, StandinWorker] = {}
         self.worker_servers: dict[str, _RecordingServer] = {}
         self.starts = 0
+        # Limit of hedges of the instances that start from now on.
+        self.hedge_limit: float | None = None
 
     async def start(self) -> None:
         """Start all parts and wait until all instances are ready."""
@@ -150,6 +152,7 @@
             rng=random.Random(host),
             incarnation=self.starts,
             log=EventLog(host, clock=clock, write=len),
+            hedge_limit=self.hedge_limit,
         )
         self.gateways[host] = gateway
         await run_on_host(host, gateway.start())
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -63,6 +63,25 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("limit", "copies"), [(None, 2), (0.0, 1), (1.0, 2)])
+    def test_hedge_limit(self, limit: float | None, copies: int) -> None:
+        """Guards against instances that do not keep to the limit of hedges."""
+
+        async def scenario(deployment: Deployment) -> None:
+            await deployment.kill("10.1.0.3")
+            deployment.network.thaw_all()
+            deployment.hedge_limit = limit
+            await deployment.add_instance("10.1.0.3")
+            await asyncio.sleep(3.0)
+            for worker in deployment.workers.values():
+                worker.work_ms = 600.0
+            await deployment.call("10.1.0.3")
+            assert (
+                sum(len(w.started_ids) for w in deployment.workers.values()) == copies
+            )
+
+        run(scenario)
+
     def test_idle_connections(self) -> None:
         """Guards against idle connections of the fleet that use up those of a target.
 
