--- a/src/currantline/hedging/_response_times.py
+++ b/src/currantline/hedging/_response_times.py
@@ -6,7 +6,7 @@
 __all__ = ["ResponseTimes"]
 
 # Number of response times that are kept. An instance of a large fleet gets about one
-# request a second, so these are some minutes. They take 6.4 KB for each route.
+# request a second, so these are some minutes. They take 9.5 KB for each route.
 MAX_SAMPLES = 200
 
 # Number from which quantiles are used: two samples lie above the 0.95 quantile of 50.
