--- a/src/currantline/tests/support.py
+++ b/src/currantline/tests/support.py
@@ -125,6 +125,8 @@
         self.worker_servers: dict[str, _RecordingServer] = {}
         self.starts = 0
         self._processes: dict[str, str] = {}
+        # Limit of hedges of the instances that start from now on.
+        self.hedge_limit: float | None = None
 
     async def start(self) -> None:
         """Start all parts and wait until all instances are ready."""
@@ -164,6 +166,7 @@
             rng=random.Random(host),
             incarnation=self.starts,
             log=EventLog(host, clock=clock, write=len),
+            hedge_limit=self.hedge_limit,
         )
         self.gateways[host] = gateway
         # A killed process never runs again; its host may.
