Order what the store publishes by era and number

Cause: a store that returns from an older copy assigns its revision numbers again.

Change: the adapter composes one integer of era and number, which replicas, datagrams, pulls and digests carry. The answer of a later era leads to a full read, that of an earlier one is a failure. Removals are deferred after a return as after an outage. Of the same start of a target, an entry of a later era is used only with a higher sequence.

--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -23,6 +23,7 @@
     "RecordError",
     "RequestRefusedError",
     "SettingsError",
+    "StoreReturnedError",
     "TargetConnectError",
     "TargetError",
     "TargetTimeoutError",
@@ -187,6 +188,21 @@
     """The platform no longer holds the changes that a watch requested."""
 
 
+@attrs.define(auto_exc=True)
+class StoreReturnedError(PlatformError):
+    """The store was restored from a copy, so its answer is no continuation.
+
+    Parameters
+    ----------
+    message : str
+        Human-readable, on one line.
+    revision : int
+        Lowest revision of the era that the store states.
+    """
+
+    revision: int = 0
+
+
 class InstanceFailedError(CurrantlineError):
     """A component failed, so that the instance left the fleet."""
 
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -26,8 +26,12 @@
 )
 from currantline.platform import (
     HEADERS,
+    REVISION_PATTERN,
     InstanceSettings,
     StoreClient,
+    find_era,
+    find_era_start,
+    find_number,
     make_directory_handler,
     make_readiness_handler,
 )
@@ -131,7 +135,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._has_failed = asyncio.Event()
         self.meter = Meter()
-        self.replica = Replica()
+        self.replica = Replica(find_era_start=find_era_start)
         self.targets = TargetRegistry()
         self._published = PublishedState(self.targets, clock=clock, log=log)
         self._build_membership(incarnation)
@@ -363,7 +367,10 @@
         self.meter.add_gauge(
             "routes_of_unknown_kind", lambda: self._published.unknown_kinds
         )
-        self.meter.add_gauge("replica_revision", lambda: self.replica.revision)
+        self.meter.add_gauge(
+            "replica_revision", lambda: find_number(self.replica.revision)
+        )
+        self.meter.add_gauge("store_era", lambda: find_era(self.replica.revision))
         self.meter.add_gauge("platform_calls", lambda: self._store.calls)
         self.meter.add_gauge("caller_connections", lambda: self._server.connections)
         self.meter.add_gauge("held_body_bytes", lambda: self._server.held_body_bytes)
@@ -413,6 +420,7 @@
             self._membership_protocol.notify_replica_change(is_from_platform=True)
 
     def _apply_pulled_changes(self, changes: Changes) -> None:
+        self._reader.observe_revision(changes.revision)
         changed = self.replica.apply_changes(
             changes, defer_removals_until=self._reader.find_grace_deadline()
         )
@@ -440,7 +448,7 @@
         if response.status != 200:
             raise PeerError(f"{host} answered with status {response.status}")
         history = find_header(response.headers, HISTORY_HEADER) or "0"
-        if not POSITION_PATTERN.fullmatch(history):
+        if not REVISION_PATTERN.fullmatch(history):
             raise PeerError(f"{host} answered with history {history!r}")
         return decode_changes(response.body, after=after, history_revision=int(history))
 
--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -31,6 +31,7 @@
 from currantline.placement._probe_targets import choose_probe_targets
 from currantline.placement._rate_limit import RateLimit, parse_rate_limit
 from currantline.placement._registry import TargetRegistry
+from currantline.placement._start_history import StartHistory
 from currantline.placement._target import PublishedTarget, Target
 
 __all__ = [
@@ -42,6 +43,7 @@
     "PublishedTarget",
     "RateLimit",
     "RequestTiming",
+    "StartHistory",
     "Target",
     "TargetRegistry",
     "Unavailability",
--- a/src/currantline/placement/_target.py
+++ b/src/currantline/placement/_target.py
@@ -45,6 +45,8 @@
         Whether the target accepts no new requests.
     warmup_ms : float
         Remaining warm-up time in milliseconds.
+    sequence : int or None
+        Number of the entry among those of the same start; None if not published.
 
     Raises
     ------
@@ -60,6 +62,7 @@
     slots: int
     is_draining: bool = False
     warmup_ms: float = attrs.field(default=0.0, validator=check_not_negative)
+    sequence: int | None = None
 
 
 @attrs.define(eq=False)
--- a/src/currantline/platform/__init__.py
+++ b/src/currantline/platform/__init__.py
@@ -14,6 +14,13 @@
     make_readiness_handler,
 )
 from currantline.platform._headers import HEADERS
+from currantline.platform._revisions import (
+    REVISION_PATTERN,
+    describe_revision,
+    find_era,
+    find_era_start,
+    find_number,
+)
 from currantline.platform._settings import (
     SETTINGS_VARIABLE,
     InstanceSettings,
@@ -25,6 +32,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "HEADERS",
+    "REVISION_PATTERN",
     "SETTINGS_VARIABLE",
     "TARGET_PREFIX",
     "InstanceSettings",
@@ -33,6 +41,10 @@
     "decode_route_table",
     "decode_settings",
     "decode_target",
+    "describe_revision",
+    "find_era",
+    "find_era_start",
+    "find_number",
     "make_directory_handler",
     "make_readiness_handler",
     "read_settings",
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -107,6 +107,7 @@
             slots=slots,
             is_draining=state == DRAINING,
             warmup_ms=float(warmup_ms),
+            sequence=_read_sequence(status),
         )
     except ConfigurationError:
         raise
@@ -116,6 +117,14 @@
         ) from error
 
 
+def _read_sequence(status: Mapping[str, Any]) -> int | None:
+    sequence = status.get("sequence")
+    # The target can be used without it. bool is a subclass of int.
+    if not isinstance(sequence, int) or isinstance(sequence, bool):
+        return None
+    return sequence
+
+
 def _load_object(text: str, source: str) -> Mapping[str, Any]:
     try:
         document = json.loads(text)
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -13,10 +13,18 @@
     MALFORMED_DATA_ERRORS,
     HistoryLostError,
     PlatformError,
+    StoreReturnedError,
     WireError,
 )
+from currantline.platform._revisions import (
+    compose_revision,
+    describe_revision,
+    find_era,
+    find_number,
+    parse_era,
+)
 from currantline.replica import Record
-from currantline.wire import HttpClient, Request, Response
+from currantline.wire import HttpClient, Request, Response, find_header
 
 __all__ = ["RecordBatch", "StoreClient"]
 
@@ -32,6 +40,10 @@
 
 HTTP_GONE = 410
 
+# Header in all answers of the store; it rises by one when the store returns from an
+# older copy.
+ERA_HEADER = "store-era"
+
 # Document in place of a value that cannot be read; it is not valid JSON.
 UNREADABLE = ""
 
@@ -52,9 +64,26 @@
     revision: int
 
 
+@attrs.frozen
+class _Page:
+    era: int
+    content: dict[str, Any]
+
+    @property
+    def revision(self) -> int:
+        """Revision that the store states for the whole page."""
+        return compose_revision(self.era, self.content.get("currentRev"))
+
+    def decode_records(self, field: str) -> list[Record]:
+        return _decode_items(self.content.get(field) or (), self.era)
+
+
 class StoreClient:
     """Reads and watches the store over one connection.
 
+    Answers of an older era than one already seen fail: they are late, or come from a
+    part of the store that is behind.
+
     Parameters
     ----------
     http : HttpClient
@@ -63,8 +92,17 @@
 
     def __init__(self, http: HttpClient) -> None:
         self._http = http
+        self._era = 0
         self.calls = 0
 
+    def find_era(self, revision: int) -> int:
+        """Return the era of a revision."""
+        return find_era(revision)
+
+    def describe_revision(self, revision: int) -> dict[str, int]:
+        """Return the era and the number of a revision as fields of a log line."""
+        return describe_revision(revision)
+
     async def read_all(self) -> RecordBatch:
         """Return all published records.
 
@@ -73,43 +111,55 @@
 
         Raises
         ------
+        StoreReturnedError
+            If the store returned from a copy between two pages.
         PlatformError
             If the store returns no valid response.
         """
         records: list[Record] = []
-        revision: int | None = None
+        first: _Page | None = None
         query: dict[str, Any] = {"prefix": ALL_KEYS_PREFIX}
         while True:
-            page = await self._call("/-/kv-range", query, RANGE_TIMEOUT_MS)
-            records += _decode_items(page.get("items") or ())
-            if revision is None:
-                revision = _read_revision(page)
-            if not page.get("truncated") or not page.get("items"):
-                return RecordBatch(records=tuple(records), revision=revision)
-            query["after"] = page["items"][-1]["key"]
+            era = first.era if first is not None else None
+            page = await self._call("/-/kv-range", query, RANGE_TIMEOUT_MS, era=era)
+            records += page.decode_records("items")
+            first = first or page
+            if not page.content.get("truncated") or not page.content.get("items"):
+                return RecordBatch(records=tuple(records), revision=first.revision)
+            query["after"] = page.content["items"][-1]["key"]
 
     async def watch(self, after: int, *, wait_ms: int) -> RecordBatch:
         """Wait for changes after a revision; the result may be empty.
 
         Raises
         ------
+        StoreReturnedError
+            If the store is in a later era than the revision.
         HistoryLostError
             If the store no longer holds the changes after that revision.
         PlatformError
             If the store returns no valid response.
         """
-        query = {"prefix": ALL_KEYS_PREFIX, "after": after, "waitMs": wait_ms}
-        page = await self._call("/-/kv-watch", query, wait_ms + WATCH_SLACK_MS)
-        records = tuple(_decode_items(page.get("events") or ()))
-        return RecordBatch(records=records, revision=_read_revision(page))
+        query = {
+            "prefix": ALL_KEYS_PREFIX,
+            "after": find_number(after),
+            "waitMs": wait_ms,
+        }
+        timeout_ms = wait_ms + WATCH_SLACK_MS
+        page = await self._call("/-/kv-watch", query, timeout_ms, era=find_era(after))
+        records = tuple(page.decode_records("events"))
+        return RecordBatch(records=records, revision=page.revision)
 
     def close(self) -> None:
         """Close the connection to the store."""
         self._http.close()
 
     async def _call(
-        self, path: str, query: dict[str, Any], timeout_ms: float
-    ) -> dict[str, Any]:
+        self, path: str, query: dict[str, Any], timeout_ms: float, *, era: int | None
+    ) -> _Page:
+        """Call the store; the answer must be of the given era if there is one."""
+        self._era = max(self._era, era or 0)
+        self._check_continues(path, era)
         self.calls += 1
         # Another program may have chosen a key that is not valid Unicode.
         encoded = urlencode(query, errors="surrogatepass")
@@ -118,7 +168,27 @@
             response = await self._http.fetch(request, timeout_ms=timeout_ms)
         except WireError as error:
             raise PlatformError(f"{path}: {error}") from error
-        return _decode_response(path, response)
+        self._observe_era(path, response)
+        # Comes before the status: also an error can state the next era.
+        self._check_continues(path, era)
+        return _Page(self._era, _decode_response(path, response))
+
+    def _check_continues(self, path: str, era: int | None) -> None:
+        if era is not None and self._era > era:
+            raise StoreReturnedError(
+                f"{path}: the store is in era {self._era} instead of {era}",
+                revision=compose_revision(self._era, 0),
+            )
+
+    def _observe_era(self, path: str, response: Response) -> None:
+        value = find_header(response.headers, ERA_HEADER)
+        if value is None and response.status != 200:
+            # An error without the header may come from something before the store.
+            return
+        era = parse_era(value)
+        if era < self._era:
+            raise PlatformError(f"{path}: answer of era {era}, known is {self._era}")
+        self._era = era
 
 
 def _decode_response(path: str, response: Response) -> dict[str, Any]:
@@ -135,23 +205,17 @@
     return page
 
 
-def _read_revision(page: dict[str, Any]) -> int:
-    revision = page.get("currentRev")
-    if not isinstance(revision, int):
-        raise PlatformError(f"invalid revision in the response: {revision!r}")
-    return revision
-
-
-def _decode_items(items: Iterable[Any]) -> list[Record]:
+def _decode_items(items: Iterable[Any], era: int) -> list[Record]:
     try:
-        return [_decode_item(item) for item in items]
+        return [_decode_item(item, era) for item in items]
     except MALFORMED_DATA_ERRORS as error:
         raise PlatformError(f"cannot decode item: {error}") from error
 
 
-def _decode_item(item: dict[str, Any]) -> Record:
+def _decode_item(item: dict[str, Any], era: int) -> Record:
     document = None if item.get("removed") else _decode_value(item["value"])
-    return Record(str(item["key"]), int(item["revision"]), document)
+    revision = compose_revision(era, int(item["revision"]))
+    return Record(str(item["key"]), revision, document)
 
 
 def _decode_value(value: Any) -> str:
--- a/src/currantline/platform/samples.py
+++ b/src/currantline/platform/samples.py
@@ -69,13 +69,15 @@
     service: str = "svc",
     data_centre: str = "a",
     state: str = "ready",
+    sequence: int = 4,
+    born: int = 5,
 ) -> dict[str, Any]:
     """Return the store entry of a target."""
     return {
         "address": address,
-        "born": 5,
+        "born": born,
         "info": {"service": service, "version": "v1", "zone": data_centre, "slots": 2},
-        "status": {"state": state, "sequence": 4, "warmupLeftMs": 0},
+        "status": {"state": state, "sequence": sequence, "warmupLeftMs": 0},
     }
 
 
--- a/src/currantline/published_state.py
+++ b/src/currantline/published_state.py
@@ -4,12 +4,14 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import ConfigurationError
-from currantline.placement import TargetRegistry
+from currantline.placement import PublishedTarget, StartHistory, TargetRegistry
 from currantline.platform import (
     CONFIGURATION_KEY,
     TARGET_PREFIX,
     decode_route_table,
     decode_target,
+    describe_revision,
+    find_era,
 )
 from currantline.replica import Record
 from currantline.routing import CallerLimits, RouteTable
@@ -40,6 +42,7 @@
         self._targets = targets
         self._clock = clock
         self._log = log
+        self._starts = StartHistory()
         self.table: RouteTable | None = None
 
     @property
@@ -81,7 +84,8 @@
 
     def _apply_configuration(self, record: Record) -> None:
         if record.document is None:
-            self._log.write("configuration_removed", revision=record.revision)
+            revision = describe_revision(record.revision)
+            self._log.write("configuration_removed", **revision)
             return
         try:
             table = decode_route_table(record.document)
@@ -95,7 +99,7 @@
             "configuration_applied",
             version=table.version,
             previous=self.version,
-            revision=record.revision,
+            **describe_revision(record.revision),
         )
         if table.unknown_kinds:
             self._log.write("unknown_kinds", routes=dict(table.unknown_kinds))
@@ -105,7 +109,8 @@
         name = record.key.removeprefix(TARGET_PREFIX)
         if record.document is None:
             self._targets.remove(name)
-            self._log.write("target_gone", target=name, revision=record.revision)
+            revision = describe_revision(record.revision)
+            self._log.write("target_gone", target=name, **revision)
             return
         try:
             entry = decode_target(record.key, record.document)
@@ -113,6 +118,9 @@
             self._log.write("target_refused", target=name, reason=str(error))
             self._targets.remove(name)
             return
+        if self._starts.is_old(entry, find_era(record.revision)):
+            self._log_old_entry(entry, record)
+            return
         current = self._targets.find(name)
         self._targets.update(entry, self._clock.read())
         if current is None or current.published.is_draining != entry.is_draining:
@@ -120,5 +128,16 @@
                 "target_draining" if entry.is_draining else "target_ready",
                 target=name,
                 service=entry.service,
-                revision=record.revision,
+                **describe_revision(record.revision),
             )
+
+    def _log_old_entry(self, entry: PublishedTarget, record: Record) -> None:
+        current = self._targets.find(entry.name)
+        if current is not None and current.published == entry:
+            return
+        self._log.write(
+            "target_older",
+            target=entry.name,
+            sequence=entry.sequence,
+            **describe_revision(record.revision),
+        )
--- a/src/currantline/replica/_reader.py
+++ b/src/currantline/replica/_reader.py
@@ -6,7 +6,11 @@
 from typing import Protocol
 
 from currantline.clock import Clock
-from currantline.exceptions import HistoryLostError, PlatformError
+from currantline.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    StoreReturnedError,
+)
 from currantline.replica._record import Record
 from currantline.replica._replica import Replica
 from currantline.telemetry import EventLog
@@ -48,8 +52,8 @@
 # Time for the change of readers, and for a change to reach all instances.
 DISSEMINATION_MS = 700.0
 
-# Records that expired during an outage of the platform are published again within 2 s
-# of its recovery.
+# Records that expired during an outage of the platform, or that it lost by returning
+# from an older copy, are published again within 2 s of its recovery.
 RECOVERY_GRACE_MS = 2_100.0
 
 
@@ -78,6 +82,14 @@
         """Wait for changes after a revision."""
         ...
 
+    def find_era(self, revision: int) -> int:
+        """Return the era of a revision."""
+        ...
+
+    def describe_revision(self, revision: int) -> dict[str, int]:
+        """Return a revision as fields of a log line."""
+        ...
+
 
 class PlatformReader:
     """Keeps a replica up to date while this instance is a reader.
@@ -145,14 +157,28 @@
     def find_grace_deadline(self) -> float | None:
         """Return the time until which removals are deferred, None if they are not.
 
-        Records that expired during an outage of the platform are published again soon
-        after its return.
+        Records that expired during an outage of the platform, or that it lost by
+        returning from an older copy, are published again soon after its return.
         """
         now = self._clock.read()
         if self._is_platform_down:
             return now + RECOVERY_GRACE_MS
         return self._grace_until_ms if now < self._grace_until_ms else None
 
+    def observe_revision(self, revision: int) -> None:
+        """Note the revision of records that are about to be applied to the replica.
+
+        If they are the first of an era, removals are deferred from now on.
+        """
+        if not self._replica.revision or not self._replica.begins_era(revision):
+            return
+        self._grace_until_ms = self._clock.read() + RECOVERY_GRACE_MS
+        self._log.write(
+            "store_returned",
+            era=self._platform.find_era(revision),
+            previous=self._platform.find_era(self._replica.read_revision),
+        )
+
     async def run_deferred_removals(self) -> None:
         """Remove records that are still missing after an outage, until cancelled."""
         while True:
@@ -171,10 +197,16 @@
                 self._handle_error(error)
             else:
                 self._handle_success()
-                if has_changes:
+                # An empty store at its first revision offers no watch.
+                if has_changes or self._replica.is_unread:
                     await asyncio.sleep(BATCH_DELAY_MS / 1000)
 
     def _handle_error(self, error: PlatformError) -> None:
+        if isinstance(error, StoreReturnedError):
+            # Each such error has a later era, so there is no pause between full reads.
+            # If another instance has read the era, its changes can be watched.
+            self._needs_full_read |= self._replica.begins_era(error.revision)
+            return
         # A full read follows immediately, unless the full read itself failed.
         if isinstance(error, HistoryLostError) and not self._needs_full_read:
             self._log.write("history_lost", reason=str(error))
@@ -192,28 +224,29 @@
         return is_isolated or self._is_reader()
 
     async def _read(self) -> bool:
-        if self._needs_full_read or not self._replica.revision:
+        if self._needs_full_read or self._replica.is_unread:
             batch = await self._platform.read_all()
-            self._start_grace_period()
-            changed = self._replica.replace(
-                batch.records,
-                batch.revision,
-                defer_removals_until=self.find_grace_deadline(),
-            )
+            self._check_era(batch)
             self._needs_full_read = False
+            apply: Callable[..., list[Record]] = self._replica.replace
         else:
-            batch = await self._platform.watch(
-                self._replica.read_revision, wait_ms=self._choose_watch_timeout()
-            )
-            self._start_grace_period()
-            changed = self._replica.merge(
-                batch.records,
-                batch.revision,
-                defer_removals_until=self.find_grace_deadline(),
-            )
+            after, wait_ms = self._replica.read_revision, self._choose_watch_timeout()
+            batch = await self._platform.watch(after, wait_ms=wait_ms)
+            self._check_era(batch)
+            apply = self._replica.merge
+        self._start_grace_period()
+        self.observe_revision(batch.revision)
+        deadline_ms = self.find_grace_deadline()
+        changed = apply(batch.records, batch.revision, defer_removals_until=deadline_ms)
         self._on_change(changed)
         return bool(changed)
 
+    def _check_era(self, batch: RecordBatch) -> None:
+        # Another instance may have passed on a later era during the call.
+        if self._replica.is_of_earlier_era(batch.revision):
+            era = self._platform.find_era(batch.revision)
+            raise PlatformError(f"the answer is of era {era}, which has ended")
+
     def _choose_watch_timeout(self) -> int:
         if self._is_platform_down:
             return SHORT_WATCH_TIMEOUT_MS[0]
@@ -227,14 +260,14 @@
 
     def _handle_success(self) -> None:
         if self._is_platform_down:
-            self._log.write("platform_regained", revision=self._replica.revision)
+            revision = self._platform.describe_revision(self._replica.revision)
+            self._log.write("platform_regained", **revision)
         self._is_platform_down = False
         self._failures = 0
 
     def _handle_failure(self, error: PlatformError) -> None:
-        self._log.write(
-            "platform_lost", reason=str(error), revision=self._replica.revision
-        )
+        revision = self._platform.describe_revision(self._replica.revision)
+        self._log.write("platform_lost", reason=str(error), **revision)
         self._is_platform_down = True
         self._backoff_until_ms = self._clock.read() + self._choose_backoff()
         self._failures += 1
--- a/src/currantline/replica/_replica.py
+++ b/src/currantline/replica/_replica.py
@@ -6,10 +6,16 @@
 full read shows only that a record is absent, so there are no marks for what was removed
 up to `Replica.history_revision`. Instances that are behind that revision have to
 compare all records, see `Replica.apply_changes`.
+
+The platform may return from an older copy and assign its numbers again. Each return
+begins an era, and all revisions of an era are above those of the eras before, so that a
+later era takes precedence everywhere without a special case. What an earlier era says
+is ignored. The first revision of an era is assigned to no record; a replica that is
+complete up to there knows of the era and still has to be read in full.
 """
 
 import zlib
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -52,6 +58,12 @@
     Each change gets a position in the change sequence of the replica, so that other
     instances can request the changes since their last request.
 
+    Parameters
+    ----------
+    find_era_start : callable
+        Returns the first revision in the era of a revision. By default there is one
+        era.
+
     Attributes
     ----------
     position : int
@@ -59,7 +71,8 @@
     revision : int
         Platform revision up to which the replica is complete. It stays behind
         `read_revision` while removals are deferred, so that another instance reads
-        them again if this one ends first.
+        them again if this one ends first; but not behind the start of the era, so that
+        other instances learn of the era at once.
     read_revision : int
         Platform revision up to which changes have been read.
     history_revision : int
@@ -68,7 +81,10 @@
         Hash of the records that are not removed.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, find_era_start: Callable[[int], int] = lambda revision: 0
+    ) -> None:
+        self._find_era_start = find_era_start
         self._records: dict[str, Record] = {}
         self._positions: dict[str, int] = {}
         self._deferred_removals: dict[str, tuple[float, Record]] = {}
@@ -78,6 +94,19 @@
         self.history_revision = 0
         self.digest = 0
 
+    @property
+    def is_unread(self) -> bool:
+        """Whether nothing of the current era is known completely."""
+        return self.read_revision == self._find_era_start(self.read_revision)
+
+    def begins_era(self, revision: int) -> bool:
+        """Return whether a revision is of a later era than this replica."""
+        return self._find_era_start(revision) > self.read_revision
+
+    def is_of_earlier_era(self, revision: int) -> bool:
+        """Return whether a revision is of an earlier era than this replica."""
+        return revision < self._find_era_start(self.read_revision)
+
     def find(self, key: str) -> str | None:
         """Return the content of a record, or None if it is unknown or removed."""
         record = self._records.get(key)
@@ -97,7 +126,7 @@
         """Apply records that are newer than the known ones.
 
         A record up to `read_revision` is either known or has been removed,
-        so it is ignored.
+        so it is ignored, as are all records of an earlier era.
 
         Parameters
         ----------
@@ -114,6 +143,8 @@
         list of Record
             The records that changed.
         """
+        if self.is_of_earlier_era(revision):
+            return []
         news = [record for record in records if not self._is_outdated(record)]
         deferred: set[tuple[str, int]] = set()
         if defer_removals_until is not None:
@@ -128,9 +159,11 @@
     def is_gap_before(self, changes: Changes) -> bool:
         """Return whether removals before some changes of another replica are unknown.
 
-        All records of the other replica are needed then.
+        All records of the other replica are needed then. No mark of an earlier era
+        shows what a later one lacks.
         """
-        return changes.history_revision > self.revision
+        is_behind = changes.history_revision > self.revision
+        return is_behind or self.begins_era(changes.revision)
 
     def apply_changes(
         self, changes: Changes, *, defer_removals_until: float | None = None
@@ -195,6 +228,8 @@
         list of Record
             The records that changed.
         """
+        if self.is_of_earlier_era(revision):
+            return []
         if revision > self.revision:
             history = revision if history_revision is None else history_revision
             self.history_revision = max(self.history_revision, history)
@@ -246,12 +281,19 @@
             due, deferred = self._deferred_removals.get(record.key, (until, None))
             is_newer = deferred is None or record.revision > deferred.revision
             if is_newer and record.replaces(self._records.get(record.key)):
-                # A removal that is read once more becomes due no later.
+                # A removal that is read once more becomes due no later, unless the
+                # platform has returned since and its writers need their time again.
+                era_start = self._find_era_start(record.revision)
+                if deferred is not None and deferred.revision < era_start:
+                    due = until
                 self._deferred_removals[record.key] = (due, record)
 
     def _advance(self, revision: int) -> None:
         self.read_revision = max(self.read_revision, revision)
-        if not self._deferred_removals:
+        if self._deferred_removals:
+            era_start = self._find_era_start(self.read_revision)
+            self.revision = max(self.revision, era_start)
+        else:
             self.revision = self.read_revision
 
     def _is_held(self, key: str) -> bool:
--- a/src/currantline/replica/tests/test_reader.py
+++ b/src/currantline/replica/tests/test_reader.py
@@ -15,6 +15,9 @@
 
 RECOVERY_MS = 3_000.0
 
+# Number of revisions in an era.
+ERA = 1_000
+
 
 @attrs.frozen
 class Batch:
@@ -53,6 +56,14 @@
         except TimeoutError:
             return Batch((), after)
 
+    def find_era(self, revision: int) -> int:
+        """Return the era of a revision."""
+        return revision // ERA
+
+    def describe_revision(self, revision: int) -> dict[str, int]:
+        """Return a revision as fields of a log line."""
+        return {"era": revision // ERA, "revision": revision % ERA}
+
 
 class Harness:
     """Reader with a fake platform."""
@@ -60,7 +71,7 @@
     def __init__(self, seed: int = 1) -> None:
         clock = LoopClock(asyncio.get_running_loop())
         self.platform = FakePlatform()
-        self.replica = Replica()
+        self.replica = Replica(find_era_start=lambda r: r // ERA * ERA)
         self.is_reader = True
         self.log_lines: list[bytes] = []
         log = EventLog("i", clock=clock, write=self._write)
--- a/src/currantline/replica/tests/test_replica.py
+++ b/src/currantline/replica/tests/test_replica.py
@@ -6,6 +6,8 @@
 import pytest
 
 from currantline.exceptions import InvariantError, PeerError
+from currantline.platform import find_era_start
+from currantline.platform._revisions import compose_revision, find_era, find_number
 from currantline.replica import Record, Replica, decode_changes, encode_changes
 
 
@@ -170,42 +172,64 @@
 
 
 class Store:
-    """Published records with their history."""
+    """Published records with their history in each era."""
 
     def __init__(self) -> None:
-        self.history: list[Record] = []
+        self.histories: list[list[Record]] = [[]]
+
+    @property
+    def history(self) -> list[Record]:
+        """Changes of the current era, and those before that the copy had."""
+        return self.histories[-1]
 
     @property
     def revision(self) -> int:
         """Revision of the last change."""
-        return len(self.history)
+        return compose_revision(len(self.histories) - 1, len(self.history))
 
     def change(self, key: str, document: str | None) -> None:
         """Write or remove a record."""
         self.history.append(Record(key, self.revision + 1, document))
 
+    def restore(self, lost: int) -> None:
+        """Begin an era without the last changes."""
+        era, kept = len(self.histories), self.history[: len(self.history) - lost]
+        self.histories.append(
+            [
+                Record(record.key, compose_revision(era, number + 1), record.document)
+                for number, record in enumerate(kept)
+            ]
+        )
+
+    def list_changes(self, after: int) -> list[Record]:
+        """Return the changes after a revision of the current era."""
+        return self.history[find_number(after) :]
+
     def list_records(self, revision: int) -> dict[str, Record]:
         """Return the records that were published at a revision."""
-        latest = {record.key: record for record in self.history[:revision]}
+        history = self.histories[find_era(revision)]
+        latest = {record.key: record for record in history[: find_number(revision)]}
         return {key: r for key, r in latest.items() if not r.is_removed}
 
 
 class TestConvergence:
     """Replicas that read, watch, restart and pull in any order."""
 
+    @pytest.mark.parametrize("return_weight", [0.0, 0.3])
     @pytest.mark.parametrize("seed", range(60))
-    def test_no_removed_record(self, seed: int) -> None:
+    def test_no_removed_record(self, seed: int, return_weight: float) -> None:
         """Guards against replicas that hold a record beyond its removal.
 
-        Removals are deferred at random, as after an outage.
+        Removals are deferred at random, as after an outage. The store may return from
+        older copies.
         """
         rng = random.Random(seed)
         store = Store()
-        replicas = [Replica() for _ in range(4)]
+        replicas = [Replica(find_era_start=find_era_start) for _ in range(4)]
         checkpoints: dict[tuple[int, int], int] = {}
 
         def restart(index: int) -> None:
-            replicas[index] = Replica()
+            replicas[index] = Replica(find_era_start=find_era_start)
             for pair in [pair for pair in checkpoints if index in pair]:
                 del checkpoints[pair]
 
@@ -225,9 +249,12 @@
 
         def watch(index: int) -> None:
             replica = replicas[index]
-            if replica.revision:
+            if replica.is_unread or replica.begins_era(store.revision):
+                if replica.revision:
+                    read(index)
+            else:
                 replica.merge(
-                    store.history[replica.read_revision :],
+                    store.list_changes(replica.read_revision),
                     store.revision,
                     defer_removals_until=rng.choice([None, now + 20.0]),
                 )
@@ -242,21 +269,36 @@
                 changes, defer_removals_until=rng.choice([None, now + 20.0])
             )
 
+        def answer_late(index: int) -> None:
+            replica = replicas[index]
+            late = rng.choice(store.histories[: find_era(replica.read_revision)])
+            state = (replica.revision, replica.digest, replica.list_keys())
+            apply = rng.choice([replica.merge, replica.replace])
+            assert apply(late, late[-1].revision if late else 0) == []
+            assert state == (replica.revision, replica.digest, replica.list_keys())
+
         now = 0.0
         for _ in range(300):
             now += 1.0
             index, source = rng.sample(range(4), 2)
             action = rng.choices(
-                ("change", "restart", "read", "watch", "pull"), (8, 1, 2, 2, 8)
+                ("change", "restart", "read", "watch", "pull", "return"),
+                (8, 1, 2, 2, 8, return_weight),
             )[0]
             if action == "change":
                 store.change(rng.choice("abcdef"), rng.choice(["x", None]))
             elif action == "pull":
                 pull(index, source)
+            elif action == "return":
+                store.restore(rng.randint(0, min(10, len(store.history))))
             else:
                 {"restart": restart, "read": read, "watch": watch}[action](index)
+            if find_era(replicas[index].read_revision):
+                answer_late(index)
             for replica in replicas:
                 replica.apply_due_removals(now)
+                if replica.revision == find_era_start(replica.revision):
+                    continue
                 published = store.list_records(replica.revision)
                 for record in replica.list_changes(0).records:
                     if not record.is_removed and record.revision <= replica.revision:
@@ -264,6 +306,8 @@
         for index in range(4):
             if not replicas[index].revision:
                 read(index)
+            # Reads the era in full if it is new, which lets the store change again.
+            watch(index)
         for index in range(4):
             watch(index)
             replicas[index].apply_due_removals(now + 100.0)
--- a/src/currantline/standin/store.py
+++ b/src/currantline/standin/store.py
@@ -10,7 +10,9 @@
 
 from currantline.wire import Request, Response, json_response
 
-__all__ = ["StandinStore"]
+__all__ = ["ERA_HEADER", "StandinStore", "StoreCopy"]
+
+ERA_HEADER = "Store-Era"
 
 # Small enough that tests with few items need several pages.
 PAGE_SIZE = 5
@@ -23,6 +25,28 @@
     value: bytes | None
 
 
+@attrs.frozen(eq=False)
+class StoreCopy:
+    """Content of the store at one moment.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the last change.
+    items : dict
+        Items by key.
+    changes : tuple
+        Changes that watches can request.
+    compacted_revision : int
+        Revision up to which changes have been discarded.
+    """
+
+    revision: int
+    items: dict[str, _Change]
+    changes: tuple[_Change, ...]
+    compacted_revision: int
+
+
 class StandinStore:
     """An in-memory key-value store with paged reads and long-polling watches.
 
@@ -30,12 +54,16 @@
     ----------
     is_down : bool
         Whether every call fails with status 503.
+    era : int or None
+        Number of times that the store was restored from a copy; None for a store that
+        does not state it.
     call_count : int
         Number of calls received.
     """
 
     def __init__(self) -> None:
         self.is_down = False
+        self.era: int | None = None
         self.call_count = 0
         self._items: dict[str, _Change] = {}
         self._changes: list[_Change] = []
@@ -58,8 +86,40 @@
         self._changes.clear()
         self._notify_watchers()
 
+    def list_documents(self) -> dict[str, bytes]:
+        """Return the values of all items."""
+        return {key: change.value or b"" for key, change in self._items.items()}
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the content, for `restore`."""
+        return StoreCopy(
+            self._revision,
+            dict(self._items),
+            tuple(self._changes),
+            self._compacted_revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the content by an older copy and begin the next era.
+
+        Later revisions are given out again.
+        """
+        self.era = (self.era or 0) + 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._changes = list(copy.changes)
+        self._compacted_revision = copy.compacted_revision
+        self._notify_watchers()
+
     async def handle(self, request: Request) -> Response:
         """Respond to one call."""
+        response = await self._respond(request)
+        if self.era is None:
+            return response
+        era = (ERA_HEADER, str(self.era))
+        return attrs.evolve(response, headers=(*response.headers, era))
+
+    async def _respond(self, request: Request) -> Response:
         self.call_count += 1
         if self.is_down:
             return Response(status=503)
@@ -97,7 +157,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 while True:
-                    if after < self._compacted_revision:
+                    if not self._compacted_revision <= after <= self._revision:
                         return Response(status=410)
                     if events := [c for c in self._changes if c.revision > after]:
                         break
