--- a/src/currantline/soak/_faults.py
+++ b/src/currantline/soak/_faults.py
@@ -170,7 +170,7 @@
                 await asyncio.sleep(environment.rng.uniform(*OUTAGE_RANGE_S))
                 self._outages -= 1
                 environment.publisher.store.is_down = self._outages > 0
-            environment.publisher.restore_copy()
+            await environment.publisher.restore_copy()
             await environment.publisher.write_again(REWRITE_S)
 
     async def harm_path(self) -> None:
--- a/src/currantline/soak/_publisher.py
+++ b/src/currantline/soak/_publisher.py
@@ -86,13 +86,13 @@
             self._copies.append(self.store.take_copy())
             await asyncio.sleep(COPY_INTERVAL_S)
 
-    def restore_copy(self) -> None:
-        """Restore the store from a copy that is 1 to 10 s old.
+    async def restore_copy(self) -> None:
+        """Restore the store from a copy that is 1 to 10 s old, once there is one.
 
         What was written since is lost until `write_again`.
         """
-        if len(self._copies) <= MIN_COPY_AGE:
-            return
+        while len(self._copies) <= MIN_COPY_AGE:
+            await asyncio.sleep(COPY_INTERVAL_S)
         age = self._rng.randrange(MIN_COPY_AGE, len(self._copies))
         self.store.restore(self._copies[-1 - age])
         self._copies.clear()
--- a/src/currantline/soak/_run.py
+++ b/src/currantline/soak/_run.py
@@ -81,6 +81,7 @@
         await asyncio.gather(*load, return_exceptions=True)
         await environment.stop()
     counts = sorted(environment.checker.count_statuses().items())
+    report(f"{environment.publisher.store.era or 0} returns of the store")
     report("  ".join(f"{status}: {count}" for status, count in counts))
     violations = environment.checker.find_violations(
         checks_time_bounds=checks_time_bounds
