Merge the ordering of the store over its returns from older copies

Cause: after a return from a copy, what was written again was ignored, since revisions were compared without the era of the store.

--- a/src/currantline/placement/__init__.py
+++ b/src/currantline/placement/__init__.py
@@ -33,6 +33,7 @@
 from currantline.placement._probe_targets import choose_probe_targets
 from currantline.placement._rate_limit import RateLimit, parse_rate_limit
 from currantline.placement._registry import TargetRegistry
+from currantline.placement._start_history import StartHistory
 from currantline.placement._target import PublishedTarget, Target
 from currantline.placement._warmup import WarmupBound, WarmupTerms, parse_warmup
 
@@ -45,6 +46,7 @@
     "PublishedTarget",
     "RateLimit",
     "RequestTiming",
+    "StartHistory",
     "Target",
     "TargetRegistry",
     "Unavailability",
--- a/src/currantline/platform/__init__.py
+++ b/src/currantline/platform/__init__.py
@@ -16,6 +16,13 @@
     make_readiness_handler,
 )
 from currantline.platform._headers import HEADERS
+from currantline.platform._revisions import (
+    REVISION_PATTERN,
+    describe_revision,
+    find_era,
+    find_era_start,
+    find_number,
+)
 from currantline.platform._settings import (
     SETTINGS_VARIABLE,
     InstanceSettings,
@@ -28,6 +35,7 @@
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
     "HEADERS",
+    "REVISION_PATTERN",
     "SETTINGS_VARIABLE",
     "TARGET_PREFIX",
     "InstanceSettings",
@@ -37,6 +45,10 @@
     "decode_route_table",
     "decode_settings",
     "decode_target",
+    "describe_revision",
+    "find_era",
+    "find_era_start",
+    "find_number",
     "make_directory_handler",
     "make_readiness_handler",
     "read_settings",
--- a/src/currantline/published_state.py
+++ b/src/currantline/published_state.py
@@ -4,7 +4,13 @@
 
 from currantline.clock import Clock
 from currantline.exceptions import ConfigurationError
-from currantline.placement import TargetRegistry, WarmupBound, WarmupTerms
+from currantline.placement import (
+    PublishedTarget,
+    StartHistory,
+    TargetRegistry,
+    WarmupBound,
+    WarmupTerms,
+)
 from currantline.platform import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -12,6 +18,8 @@
     decode_evacuation,
     decode_route_table,
     decode_target,
+    describe_revision,
+    find_era,
 )
 from currantline.replica import Record
 from currantline.routing import CallerLimits, RouteTable
@@ -60,6 +68,7 @@
         self._warmup_terms = warmup_terms
         self._clock = clock
         self._log = log
+        self._starts = StartHistory()
         self.table: RouteTable | None = None
 
     @property
@@ -106,7 +115,8 @@
 
     def _apply_configuration(self, record: Record) -> None:
         if record.document is None:
-            self._log.write("configuration_removed", revision=record.revision)
+            revision = describe_revision(record.revision)
+            self._log.write("configuration_removed", **revision)
             return
         try:
             table = decode_route_table(record.document)
@@ -120,7 +130,7 @@
             "configuration_applied",
             version=table.version,
             previous=self.version,
-            revision=record.revision,
+            **describe_revision(record.revision),
         )
         if table.unknown_kinds:
             self._log.write("unknown_kinds", routes=dict(table.unknown_kinds))
@@ -157,7 +167,7 @@
         self._log.write(
             event,
             data_centre=data_centre,
-            revision=record.revision,
+            **describe_revision(record.revision),
             targets=len(found),
         )
         if not record.is_removed:
@@ -167,7 +177,8 @@
         name = record.key.removeprefix(TARGET_PREFIX)
         if record.document is None:
             self._targets.remove(name)
-            self._log.write("target_gone", target=name, revision=record.revision)
+            revision = describe_revision(record.revision)
+            self._log.write("target_gone", target=name, **revision)
             return
         try:
             entry = decode_target(record.key, record.document)
@@ -175,6 +186,9 @@
             self._log.write("target_refused", target=name, reason=str(error))
             self._targets.remove(name)
             return
+        if self._starts.is_old(entry, find_era(record.revision)):
+            self._log_old_entry(entry, record)
+            return
         current = self._targets.find(name)
         now = self._clock.read()
         was_cold = current is not None and current.is_cold(now)
@@ -185,9 +199,20 @@
                 "target_draining" if entry.is_draining else "target_ready",
                 target=name,
                 service=entry.service,
-                revision=record.revision,
+                **describe_revision(record.revision),
             )
 
+    def _log_old_entry(self, entry: PublishedTarget, record: Record) -> None:
+        current = self._targets.find(entry.name)
+        if current is not None and current.published == entry:
+            return
+        self._log.write(
+            "target_older",
+            target=entry.name,
+            sequence=entry.sequence,
+            **describe_revision(record.revision),
+        )
+
     def _note_cold(self, name: str, *, was_cold: bool) -> None:
         target, now = self._targets.find(name), self._clock.read()
         if target is None or was_cold or not target.is_cold(now):
