--- a/src/currantline/exceptions.py
+++ b/src/currantline/exceptions.py
@@ -151,8 +151,12 @@
     """A caller did not send its request or receive its response in time."""
 
 
-class NoMemoryForBodyError(WireError):
-    """The memory for request bodies stayed full, so that no body byte was read."""
+class NoMemoryForRequestError(WireError):
+    """There was no memory for a request, which has not run."""
+
+
+class NoMemoryForBodyError(NoMemoryForRequestError):
+    """There was no memory for the body of a request, which has not run."""
 
 
 class TargetError(CurrantlineError):
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import re
-from collections.abc import Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
 import attrs
@@ -31,6 +31,7 @@
     make_directory_handler,
     make_readiness_handler,
 )
+from currantline.ports import Ports
 from currantline.published_state import PublishedState
 from currantline.relay import (
     AvailabilityReader,
@@ -56,6 +57,8 @@
 from currantline.routing import RouteTable
 from currantline.telemetry import EventLog, Meter
 from currantline.wire import (
+    OWN_PORT_LIMITS,
+    AccountedPort,
     HttpClient,
     HttpServer,
     Request,
@@ -133,6 +136,13 @@
         self.meter = Meter()
         self.replica = Replica()
         self.targets = TargetRegistry()
+        self._ports = Ports(
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+            clock=clock,
+            meter=self.meter,
+            log=log,
+        )
         self._published = PublishedState(self.targets, clock=clock, log=log)
         self._build_membership(incarnation)
         self._build_relay()
@@ -274,7 +284,12 @@
 
     def _build_relay(self) -> None:
         latencies = LatencyAverages()
-        self._pool = ConnectionPool(clock=self._clock, meter=self.meter)
+        self._pool = ConnectionPool(
+            clock=self._clock,
+            meter=self.meter,
+            max_response_bytes=self._ports.account.max_bytes // 2,
+            count_response_bytes=self._ports.count_response_bytes,
+        )
         self._permits = PermitProtocol(
             self.targets,
             host=self._settings.host,
@@ -347,15 +362,17 @@
             clock=self._clock,
             log=self._log,
             max_body_bytes_held=find_max_bytes_held(self._settings.memory_bytes),
+            port=self._ports.callers,
         )
         ttl_s = min(DIRECTORY_TTL_S, self._settings.directory_ttl_s)
-        self._directory = HttpServer(
-            make_directory_handler(self._find_addresses, ttl_s)
-        )
-        self._readiness = HttpServer(make_readiness_handler(lambda: self.is_ready))
-        self._peers = HttpServer(self._handle_peer_request)
-        self._control = HttpServer(self._handle_peer_request)
-        self._metrics = HttpServer(self._handle_metrics_request)
+        resolve = make_directory_handler(self._find_addresses, ttl_s)
+        check_readiness = make_readiness_handler(lambda: self.is_ready)
+        ports = self._ports
+        self._directory = _make_server(resolve, ports.directory)
+        self._readiness = _make_server(check_readiness, ports.readiness)
+        self._peers = _make_server(self._handle_peer_request, ports.peers)
+        self._control = _make_server(self._handle_peer_request, ports.control)
+        self._metrics = _make_server(self._handle_metrics_request, ports.metrics)
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
         self.meter.add_gauge("instances", self._count_live)
@@ -398,6 +415,7 @@
                 self._published.max_connections, self._count_live()
             )
             self._pool.close_stale(self.targets.list_addresses())
+            self._ports.abort_stalled()
             self._log.flush()
 
     def _refresh_local_member(self) -> bool:
@@ -461,3 +479,9 @@
 
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
+
+
+def _make_server(
+    handle: Callable[[Request], Awaitable[Response]], port: AccountedPort
+) -> HttpServer:
+    return HttpServer(handle, limits=OWN_PORT_LIMITS, port=port)
--- /dev/null
+++ b/src/currantline/memory_account/_limits.py
@@ -0,0 +1,127 @@
+"""Costs of what is counted, and limits that follow from the machine."""
+
+import attrs
+
+__all__ = [
+    "CONNECTION_BYTES",
+    "REQUEST_BYTES",
+    "ConnectionLimits",
+    "find_connection_limits",
+    "find_head_bytes",
+    "find_max_bytes",
+]
+
+# Cost of an open connection: 8.1 KB of objects, and the 4 KiB of received bytes that
+# are not counted one by one.
+CONNECTION_BYTES = 16 * 1024
+
+# Cost of a request in progress besides its head and body: 3.3 KB with a handler that
+# only waits, and the tasks, time-outs and connection of a send to a target.
+REQUEST_BYTES = 8 * 1024
+
+# Cost of a decoded header field besides the characters of its name and value. Fields
+# with distinct short names and values take 167 bytes each.
+FIELD_BYTES = 176
+
+# Memory that is not for connections: the program and the records of the fleet (27 to
+# 45 MB), one head while it is parsed or encoded, and unused memory between objects.
+RESERVED_BYTES = 80_000_000
+
+# The tests run instances on machines that are smaller than any in use.
+MIN_BYTES = 16_000_000
+
+# Descriptors of files, of the 200 that the platform counts for them.
+FILE_DESCRIPTORS = 200
+
+# Shares of the other descriptors. The rest is for callers.
+TARGET_SHARE = 4
+DIRECTORY_SHARE = 8
+PEER_SHARE = 16
+ENDPOINT_SHARE = 64
+
+# An instance is called by at most all others at once, 125 in the largest fleet.
+MAX_PEER_CONNECTIONS = 256
+
+# The readiness and metrics ports are polled by a few programs of the platform.
+MIN_ENDPOINT_CONNECTIONS = 8
+MAX_ENDPOINT_CONNECTIONS = 64
+
+
+@attrs.frozen(kw_only=True)
+class ConnectionLimits:
+    """Maximum numbers of accepted connections by port.
+
+    Parameters
+    ----------
+    callers : int
+        Connections of callers.
+    directory : int
+        Connections to the directory.
+    peers : int
+        Connections to each of the two ports for other instances.
+    endpoints : int
+        Connections to each of the readiness and metrics ports.
+    """
+
+    callers: int
+    directory: int
+    peers: int
+    endpoints: int
+
+
+def find_max_bytes(memory_bytes: int) -> int:
+    """Return the memory that all connections may hold.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory of the machine.
+
+    Examples
+    --------
+    >>> [find_max_bytes(size * 1_000_000) // 1_000_000 for size in (60, 200, 552)]
+    [16, 120, 472]
+    """
+    return max(MIN_BYTES, memory_bytes - RESERVED_BYTES)
+
+
+def find_connection_limits(max_descriptors: int) -> ConnectionLimits:
+    """Return the maximum numbers of connections.
+
+    Parameters
+    ----------
+    max_descriptors : int
+        Descriptors of the process.
+
+    Examples
+    --------
+    >>> limits = find_connection_limits(4_100)
+    >>> limits.callers, limits.directory, limits.peers, limits.endpoints
+    (1832, 487, 243, 60)
+    """
+    free = max(max_descriptors - FILE_DESCRIPTORS, max_descriptors // 2)
+    directory = max(1, free // DIRECTORY_SHARE)
+    peers = max(1, min(MAX_PEER_CONNECTIONS, free // PEER_SHARE))
+    endpoints = min(
+        MAX_ENDPOINT_CONNECTIONS, max(MIN_ENDPOINT_CONNECTIONS, free // ENDPOINT_SHARE)
+    )
+    own = directory + 2 * peers + 2 * endpoints
+    return ConnectionLimits(
+        callers=max(1, free - free // TARGET_SHARE - own),
+        directory=directory,
+        peers=peers,
+        endpoints=endpoints,
+    )
+
+
+def find_head_bytes(text_bytes: int, fields: int) -> int:
+    """Return the memory of a decoded head.
+
+    Parameters
+    ----------
+    text_bytes : int
+        Size of the target, and of the names and values of all fields.
+    fields : int
+        Number of fields.
+    """
+    return text_bytes + FIELD_BYTES * fields
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -25,6 +25,9 @@
 
 SETTINGS_VARIABLE = "CURRANTLINE_BOOT"
 
+# The smallest number that a deployment has stated.
+DEFAULT_MAX_DESCRIPTORS = 4_100
+
 
 @attrs.frozen(kw_only=True)
 class InstanceSettings:
@@ -71,6 +74,8 @@
         Maximum number of health checks of one target per second, from all instances.
     memory_bytes : int
         Memory of the machine. A process that exceeds it is killed.
+    max_descriptors : int
+        Maximum number of descriptors of the process.
     """
 
     name: str
@@ -92,6 +97,9 @@
     grace_ms: float = attrs.field(validator=check_not_negative)
     max_probes_per_s: int
     memory_bytes: int = attrs.field(validator=check_at_least(1))
+    max_descriptors: int = attrs.field(
+        default=DEFAULT_MAX_DESCRIPTORS, validator=check_at_least(1)
+    )
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -148,6 +156,7 @@
             grace_ms=1000.0 * float(bounds["graceS"]),
             max_probes_per_s=max(1, int(bounds["probesPerS"])),
             memory_bytes=int(node["limits"]["memoryMb"]) * 1_000_000,
+            max_descriptors=int(node["limits"].get("maxFds", DEFAULT_MAX_DESCRIPTORS)),
         )
     except KeyError as error:
         key = str(error.args[0])
--- /dev/null
+++ b/src/currantline/ports.py
@@ -0,0 +1,119 @@
+"""Ports of an instance, and the memory account that they share."""
+
+from functools import partial
+
+from currantline.clock import Clock
+from currantline.memory_account import (
+    EvictionReason,
+    Holder,
+    Kind,
+    MemoryAccount,
+    find_connection_limits,
+    find_max_bytes,
+)
+from currantline.telemetry import EventLog, Meter
+from currantline.wire import AccountedPort
+
+__all__ = ["Ports"]
+
+# Minimum interval between two log lines about evictions in milliseconds. A line carries
+# the number of evictions since the one before.
+LOG_INTERVAL_MS = 200.0
+
+
+class Ports:
+    """Ports of an instance, all of which draw on one memory account.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory of the machine.
+    max_descriptors : int
+        Maximum number of descriptors of the process.
+    clock : Clock
+        Source of time.
+    meter : Meter
+        Counts evictions and shows what is held.
+    log : EventLog
+        Log of events.
+    """
+
+    def __init__(
+        self,
+        *,
+        memory_bytes: int,
+        max_descriptors: int,
+        clock: Clock,
+        meter: Meter,
+        log: EventLog,
+    ) -> None:
+        self._clock = clock
+        self._meter = meter
+        self._log = log
+        self._logged_ms = -LOG_INTERVAL_MS
+        self._unlogged = 0
+        self._ports: list[AccountedPort] = []
+        self.account = MemoryAccount(find_max_bytes(memory_bytes))
+        self.account.refresh = self._refresh
+        self.account.on_evict = self._record_eviction
+        limits = find_connection_limits(max_descriptors)
+        self.callers = self._add("callers", limits.callers)
+        self.directory = self._add("directory", limits.directory)
+        self.peers = self._add("peers", limits.peers)
+        self.control = self._add("control", limits.peers)
+        self.readiness = self._add("readiness", limits.endpoints)
+        self.metrics = self._add("metrics", limits.endpoints)
+        self._targets = self.account.add_port("targets")
+        self._add_gauges()
+
+    def count_response_bytes(self, size: int) -> None:
+        """Count a change of the memory for responses that targets are sending."""
+        self.account.add_unowned(self._targets, Kind.BODY, size, self._clock.read())
+
+    def abort_stalled(self) -> None:
+        """Abort connections whose peers have not read their responses for long."""
+        now = self._clock.read()
+        for port in self._ports:
+            port.abort_stalled(now)
+
+    def _add(self, name: str, max_connections: int) -> AccountedPort:
+        port = AccountedPort(
+            self.account, name, clock=self._clock, max_connections=max_connections
+        )
+        self._ports.append(port)
+        return port
+
+    def _refresh(self, now: float) -> None:
+        for port in self._ports:
+            port.refresh(now)
+
+    def _record_eviction(
+        self, holder: Holder, reason: EvictionReason, now: float
+    ) -> None:
+        port = holder.port.name
+        self._meter.count("evicted_connections", port=port, reason=reason.value)
+        self._unlogged += 1
+        if now - self._logged_ms < LOG_INTERVAL_MS:
+            return
+        self._logged_ms = now
+        self._log.write(
+            "connection_evicted",
+            port=port,
+            reason=reason.value,
+            held_bytes=holder.total,
+            requests=holder.requests,
+            total_bytes=self.account.total_bytes,
+            evictions=self._unlogged,
+        )
+        self._unlogged = 0
+
+    def _add_gauges(self) -> None:
+        for port in self.account.ports:
+            if port.max_connections is not None:
+                count = partial(getattr, port, "connections")
+                self._meter.add_gauge("connections", count, port=port.name)
+            for kind in Kind:
+                read = partial(port.held.__getitem__, kind)
+                self._meter.add_gauge(
+                    "held_bytes", read, port=port.name, kind=kind.value
+                )
--- a/src/currantline/relay/_body_budget.py
+++ b/src/currantline/relay/_body_budget.py
@@ -69,7 +69,7 @@
             Size of the body in bytes.
         """
         bounded = self.bound(size)
-        if not self._waiters and self._has_room(bounded):
+        if not self.must_wait(size):
             self.held_bytes += bounded
             return bounded
         waiter = _Waiter(bounded, asyncio.get_running_loop().create_future())
@@ -89,6 +89,17 @@
         """Return the memory that a body of a size counts as."""
         return min(size, self._max_bytes)
 
+    def must_wait(self, size: int) -> bool:
+        """Return whether a body of a size has to wait for room."""
+        return bool(self._waiters) or not self._has_room(self.bound(size))
+
+    @property
+    def missing_bytes(self) -> int:
+        """Memory that must be released until the first that waits is admitted."""
+        if not self._waiters:
+            return 0
+        return self.held_bytes + self._waiters[0].size - self._max_bytes
+
     def grow(self, size: int) -> bool:
         """Reserve more for a body without waiting; return False if there is no room.
 
--- a/src/currantline/relay/_growing_bodies.py
+++ b/src/currantline/relay/_growing_bodies.py
@@ -27,11 +27,14 @@
         Memory reserved for the body.
     read_bytes : int
         Size of the part that has been read.
+    is_refused : bool
+        Whether the body has been refused.
     """
 
     refuse: Callable[[NoMemoryForBodyError], object]
     reserved_bytes: int
     read_bytes: int = 0
+    is_refused: bool = False
 
 
 class GrowingBodies:
@@ -63,7 +66,7 @@
         missing = self._budget.bound(body.read_bytes) - body.reserved_bytes
         while missing > 0 and body in self._bodies and not self._budget.grow(missing):
             smallest = min(self._bodies, key=lambda each: each.read_bytes)
-            self._refuse(smallest)
+            self.refuse(smallest, f"no memory after {smallest.read_bytes} bytes")
         if body not in self._bodies:
             raise NoMemoryForBodyError(f"no memory after {body.read_bytes} bytes")
         body.reserved_bytes += max(0, missing)
@@ -79,8 +82,10 @@
             body.reserved_bytes -= unused
             self._budget.release(unused)
 
-    def _refuse(self, body: GrowingBody) -> None:
-        self._bodies.remove(body)
+    def refuse(self, body: GrowingBody, reason: str) -> None:
+        """Refuse a body, whether its size is known or not."""
+        self._bodies.discard(body)
+        body.is_refused = True
         self._budget.release(body.reserved_bytes)
         body.reserved_bytes = 0
-        body.refuse(NoMemoryForBodyError(f"no memory after {body.read_bytes} bytes"))
+        body.refuse(NoMemoryForBodyError(reason))
--- a/src/currantline/relay/_pipeline.py
+++ b/src/currantline/relay/_pipeline.py
@@ -13,6 +13,7 @@
 import attrs
 
 from currantline.exceptions import ProtocolError
+from currantline.memory_account import Kind, find_head_bytes
 from currantline.telemetry import EventLog
 from currantline.wire import HttpConnection, Request, Response, ServerExchange
 
@@ -30,6 +31,8 @@
     request: Request
     exchange: ServerExchange
     task: "asyncio.Task[Response]"
+    # Memory of a response that waits for an earlier one.
+    waiting_bytes: int = 0
 
 
 class Pipeline:
@@ -86,8 +89,9 @@
         task: "asyncio.Task[Response]",
     ) -> None:
         """Add a request whose response is the result of a task."""
-        self._entries.append(_Entry(request, exchange, task))
-        task.add_done_callback(lambda _: self._write_completed())
+        entry = _Entry(request, exchange, task)
+        self._entries.append(entry)
+        task.add_done_callback(lambda _: self._complete(entry))
 
     async def wait_for_room(self) -> None:
         """Wait until another request may be added."""
@@ -113,9 +117,27 @@
         finally:
             self._waiter = None
 
+    def _complete(self, entry: _Entry) -> None:
+        if self._entries and self._entries[0] is not entry:
+            self._count_waiting(entry)
+        self._write_completed()
+
+    def _count_waiting(self, entry: _Entry) -> None:
+        holding = self._connection.holding
+        if holding is None or entry.task.cancelled() or entry.task.exception():
+            return
+        response = entry.task.result()
+        size = find_head_bytes(len(response.body), len(response.headers))
+        if holding.add(Kind.ANSWER, size):
+            entry.waiting_bytes = size
+        else:
+            self._connection.abort()
+
     def _write_completed(self) -> None:
         while self._entries and self._entries[0].task.done():
             entry = self._entries.popleft()
+            if entry.waiting_bytes and self._connection.holding is not None:
+                self._connection.holding.release(Kind.ANSWER, entry.waiting_bytes)
             self._on_complete()
             if not (entry.task.cancelled() or self.is_closed):
                 self._write(entry)
@@ -124,12 +146,12 @@
         if not self._entries and self.on_empty is not None:
             self.on_empty()
 
-    def _encode(self, entry: _Entry, response: Response) -> bytes:
+    def _encode(self, entry: _Entry, response: Response) -> list[bytes]:
         try:
-            return entry.exchange.encode_response(response)
+            return entry.exchange.encode_response_parts(response)
         except ProtocolError as error:
             self._log.write("answer_replaced", reason=str(error))
-            return entry.exchange.encode_response(Response(status=BAD_GATEWAY))
+            return entry.exchange.encode_response_parts(Response(status=BAD_GATEWAY))
 
     def _write(self, entry: _Entry) -> None:
         response = entry.task.result()
@@ -137,7 +159,7 @@
         if self._is_draining() and not self._entries:
             response = attrs.evolve(response, headers=(*response.headers, CLOSE))
         try:
-            self._connection.write(self._encode(entry, response))
+            self._connection.write_encoded(self._encode(entry, response))
         except Exception as error:
             # The caller must see an end, whatever the fault is.
             self._log.write("answer_not_written", reason=repr(error))
--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import re
+from collections.abc import Callable
 
 import attrs
 
@@ -113,6 +114,10 @@
         Source of time.
     meter : Meter
         Counts new connections.
+    max_response_bytes : int, optional
+        Maximum total size of the response bodies that are being received.
+    count_response_bytes : callable, optional
+        Called with each change of this total size.
 
     Attributes
     ----------
@@ -120,10 +125,20 @@
         Maximum number of idle connections to one target.
     """
 
-    def __init__(self, *, clock: Clock, meter: Meter) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        meter: Meter,
+        max_response_bytes: int = MAX_RESPONSE_BYTES_HELD,
+        count_response_bytes: Callable[[int], object] | None = None,
+    ) -> None:
         self._clock = clock
         self._meter = meter
-        self._body_memory = BodyMemory(MAX_RESPONSE_BYTES_HELD)
+        self._body_memory = BodyMemory(
+            min(MAX_RESPONSE_BYTES_HELD, max_response_bytes),
+            on_change=count_response_bytes,
+        )
         self._idle: dict[str, list[_IdleConnection]] = {}
         self.max_idle_per_target = MAX_IDLE_PER_TARGET
 
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -1,52 +1,44 @@
 """HTTP server for caller connections."""
 
 import asyncio
+import weakref
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 import h11
 
 from currantline.clock import Clock
-from currantline.exceptions import (
-    BodyTooLargeError,
-    CallerTimeoutError,
-    NoMemoryForBodyError,
-    ProtocolError,
-    WireError,
-)
-from currantline.relay._body_budget import MIN_BODY_BYTES_HELD, BodyBudget
-from currantline.relay._growing_bodies import GrowingBodies, GrowingBody
+from currantline.exceptions import ProtocolError, WireError
+from currantline.memory_account import MemoryAccount, find_max_bytes
+from currantline.relay._body_admission import BodyAdmission
+from currantline.relay._body_budget import MIN_BODY_BYTES_HELD
 from currantline.relay._names import HeaderNames
 from currantline.relay._pipeline import Pipeline
+from currantline.relay._refusal import REFUSED_ERRORS, build_refusal
+from currantline.relay._request_charge import RequestCharge
+from currantline.relay._request_reader import RequestReader
 from currantline.routing import CallerLimits
 from currantline.telemetry import EventLog
-from currantline.wire import HttpConnection, Request, Response, find_header
+from currantline.wire import (
+    AccountedPort,
+    HttpConnection,
+    Request,
+    Response,
+    find_header,
+    listen,
+)
 
 __all__ = ["RelayServer"]
 
 # Backlog of the listening socket. A full backlog delays a new connection by seconds.
 ACCEPT_BACKLOG = 1024
 
-# Time-out for reading a request body in milliseconds.
-BODY_TIMEOUT_MS = 30_000.0
-
 # Time in milliseconds after which a caller that acknowledges no data counts as gone.
 DEAD_CALLER_TIMEOUT_MS = 10_000
 
-# Memory reserved at first for a body in chunks, whose size is not known before its end.
-UNKNOWN_BODY_BYTES = 1024 * 1024
-
-# Time in milliseconds for which a caller waits for memory before it is refused.
-BODY_ROOM_TIMEOUT_MS = 1_000.0
+# Memory of the machine if no account is given.
+DEFAULT_MEMORY_BYTES = 1_000_000_000
 
-REQUEST_TIMEOUT, BODY_TOO_LARGE, BAD_GATEWAY, UNAVAILABLE = 408, 413, 502, 503
-
-REFUSED_ERRORS = (
-    ProtocolError,
-    BodyTooLargeError,
-    CallerTimeoutError,
-    NoMemoryForBodyError,
-)
+BAD_GATEWAY, UNAVAILABLE = 502, 503
 
 Handler = Callable[[Request, float], Awaitable[Response]]
 
@@ -72,6 +64,8 @@
         Log of events.
     max_body_bytes_held : int
         Total size of the request bodies held at the same time.
+    port : AccountedPort, optional
+        Counts the connections in the memory account.
     """
 
     def __init__(
@@ -84,6 +78,7 @@
         clock: Clock,
         log: EventLog,
         max_body_bytes_held: int = MIN_BODY_BYTES_HELD,
+        port: AccountedPort | None = None,
     ) -> None:
         self._handle = handle
         self._is_idempotent = is_idempotent
@@ -91,11 +86,16 @@
         self._read_limits = read_limits
         self._clock = clock
         self._log = log
-        self._body_budget = BodyBudget(max_body_bytes_held)
-        self._growing_bodies = GrowingBodies(self._body_budget)
+        self._bodies = BodyAdmission(max_body_bytes_held, clock=clock)
+        self._port = port or AccountedPort(
+            MemoryAccount(find_max_bytes(DEFAULT_MEMORY_BYTES)), "callers", clock=clock
+        )
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[HttpConnection] = set()
+        self._reader = RequestReader(
+            self._bodies, names=names, read_limits=read_limits, clock=clock, log=log
+        )
         self._is_draining = False
         self._is_refusing = False
         self.active_requests = 0
@@ -103,7 +103,7 @@
     @property
     def held_body_bytes(self) -> int:
         """Memory reserved for request bodies."""
-        return self._body_budget.held_bytes
+        return self._bodies.held_bytes
 
     @property
     def connections(self) -> int:
@@ -118,10 +118,8 @@
         OSError
             If the address cannot be used.
         """
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._create_connection, host, int(port), backlog=ACCEPT_BACKLOG
+        self._server = await listen(
+            self._create_connection, address, backlog=ACCEPT_BACKLOG
         )
 
     def start_draining(self) -> None:
@@ -156,6 +154,11 @@
         )
 
     def _on_open(self, connection: HttpConnection) -> None:
+        if not self._port.open(
+            connection, lambda reason: self._reader.evict(connection, reason)
+        ):
+            connection.abort()
+            return
         connection.set_dead_peer_timeout(DEAD_CALLER_TIMEOUT_MS)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self._tasks.add(task)
@@ -192,24 +195,15 @@
         await pipeline.wait_for_room()
         if not await self._wait_for_request(connection, pipeline):
             return False
+        assert connection.holding is not None
         arrived_ms = self._clock.read()
         self.active_requests += 1
-        reserved = 0
+        charge = RequestCharge(connection.holding, self._bodies)
         task: asyncio.Task[Response] | None = None
         try:
-            head = await self._read_head(connection)
-            if head is None or pipeline.is_closed:
+            request = await self._reader.read(connection, pipeline, charge)
+            if request is None:
                 return False
-            if _has_body(head):
-                reserved = await self._reserve_body(head)
-            body = GrowingBody(connection.interrupt, reserved)
-            if connection.is_continue_expected:
-                # An interim response must not precede those to earlier requests.
-                await pipeline.wait_until_empty()
-            try:
-                request = await self._read_body(connection, head, body)
-            finally:
-                reserved = body.reserved_bytes
             exchange = connection.split_exchange()
             is_idempotent = self._is_idempotent(request)
             if not is_idempotent:
@@ -223,38 +217,36 @@
                     reason="an earlier response closed the connection",
                 )
                 return False
+            charge.check()
             is_last = not exchange.is_persistent
-            task = self._start_handler(request, arrived_ms, reserved)
+            task = self._start_handler(request, arrived_ms, charge)
             pipeline.add(request, exchange, task)
         finally:
             if task is None:
                 self.active_requests -= 1
-                self._body_budget.release(reserved)
+                charge.release()
         if not is_idempotent:
             await pipeline.wait_until_empty()
         return not is_last
 
     def _start_handler(
-        self, request: Request, arrived_ms: float, reserved: int
+        self, request: Request, arrived_ms: float, charge: RequestCharge
     ) -> "asyncio.Task[Response]":
         task = asyncio.get_running_loop().create_task(
             self._run_handler(request, arrived_ms)
         )
-        task.add_done_callback(lambda _: self._body_budget.release(reserved))
-        return task
+        charge.holding.begin_request()
 
-    async def _reserve_body(self, head: Request) -> int:
-        length = find_header(head.headers, "content-length")
-        size = UNKNOWN_BODY_BYTES if length is None else int(length)
-        try:
-            async with asyncio.timeout(BODY_ROOM_TIMEOUT_MS / 1000):
-                return await self._body_budget.reserve(size)
-        except TimeoutError as error:
-            reason = f"no memory for a body of {size} bytes"
-            self._log.write(
-                "body_refused", request_id=self._read_id(head), reason=reason
-            )
-            raise NoMemoryForBodyError(reason) from error
+        def finish(task: "asyncio.Task[Response]") -> None:
+            charge.holding.end_request()
+            if task.cancelled():
+                # A send that must not be cancelled still needs the request.
+                weakref.finalize(request, charge.release).atexit = False
+            else:
+                charge.release()
+
+        task.add_done_callback(finish)
+        return task
 
     def _read_id(self, request: Request) -> str:
         return find_header(request.headers, self._names.request_id) or ""
@@ -284,38 +276,6 @@
             pipeline.on_empty = None
             self._idle.discard(connection)
 
-    async def _read_head(self, connection: HttpConnection) -> Request | None:
-        try:
-            async with asyncio.timeout(self._read_limits().head_timeout_ms / 1000):
-                return await connection.read_request_head()
-        except TimeoutError as error:
-            raise CallerTimeoutError("the head did not arrive in time") from error
-
-    async def _read_body(
-        self, connection: HttpConnection, head: Request, body: GrowingBody
-    ) -> Request:
-        on_data = None
-        if _is_chunked(head):
-            self._growing_bodies.start(body)
-            on_data = partial(self._growing_bodies.add, body)
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_MS / 1000):
-                request = await connection.read_request_body(head, on_data=on_data)
-            if on_data is not None:
-                # The body may have been refused when its last bytes had come already.
-                on_data(0)
-            return request
-        except TimeoutError as error:
-            raise CallerTimeoutError("the body did not arrive in time") from error
-        except NoMemoryForBodyError as error:
-            self._log.write(
-                "body_refused", request_id=self._read_id(head), reason=str(error)
-            )
-            raise
-        finally:
-            self._growing_bodies.end(body)
-            connection.clear_interruption()
-
     async def _run_handler(self, request: Request, arrived_ms: float) -> Response:
         if self._is_refusing:
             self._log.write(
@@ -338,17 +298,8 @@
             return Response(status=BAD_GATEWAY)
 
     def _respond_to_error(self, connection: HttpConnection, error: WireError) -> None:
-        status = REQUEST_TIMEOUT
-        headers = [("connection", "close")]
-        if isinstance(error, BodyTooLargeError):
-            status = BODY_TOO_LARGE
-        elif isinstance(error, NoMemoryForBodyError):
-            status = UNAVAILABLE
-            headers.append(("retry-after", f"{BODY_ROOM_TIMEOUT_MS / 1000:.3f}"))
-        elif isinstance(error, ProtocolError):
-            status = error.status
-        self._log.write("request_refused", status=status, reason=str(error))
-        response = Response(status=status, headers=tuple(headers))
+        response = build_refusal(error)
+        self._log.write("request_refused", status=response.status, reason=str(error))
         try:
             connection.write_response(response)
         except ProtocolError as reason:
@@ -356,12 +307,3 @@
             connection.abort()
         else:
             connection.close_after_eof()
-
-
-def _has_body(head: Request) -> bool:
-    length = find_header(head.headers, "content-length")
-    return _is_chunked(head) or length not in (None, "0")
-
-
-def _is_chunked(head: Request) -> bool:
-    return find_header(head.headers, "transfer-encoding") is not None
--- a/src/currantline/telemetry/_meter.py
+++ b/src/currantline/telemetry/_meter.py
@@ -57,7 +57,9 @@
     def __init__(self) -> None:
         self._counters: Counter[tuple[str, tuple[tuple[str, str], ...]]] = Counter()
         self._histograms: dict[tuple[str, tuple[tuple[str, str], ...]], Histogram] = {}
-        self._gauges: dict[str, Callable[[], float]] = {}
+        self._gauges: dict[
+            tuple[str, tuple[tuple[str, str], ...]], Callable[[], float]
+        ] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Increment a counter."""
@@ -68,9 +70,9 @@
         key = (name, tuple(labels.items()))
         self._histograms.setdefault(key, Histogram()).observe(duration_ms)
 
-    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+    def add_gauge(self, name: str, read: Callable[[], float], **labels: str) -> None:
         """Register a gauge whose value is read at each scrape."""
-        self._gauges[name] = read
+        self._gauges[name, tuple(labels.items())] = read
 
     def read(self, name: str, **labels: str) -> int:
         """Return the value of a counter."""
@@ -106,8 +108,12 @@
                 total = histogram.total_ms
                 family.add_metric(list(values.values()), buckets, sum_value=total)
             yield family
-        for name, read in self._gauges.items():
-            yield GaugeMetricFamily(f"currantline_{name}", name, value=read())
+        for name, samples in _group_by_name(self._gauges).items():
+            labels = list(samples[0][0])
+            gauge = GaugeMetricFamily(f"currantline_{name}", name, labels=labels)
+            for values, read in samples:
+                gauge.add_metric(list(values.values()), read())
+            yield gauge
 
 
 def _group_by_name(
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -2,9 +2,12 @@
 
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._client import HttpClient
-from currantline.wire._connection import HttpConnection, connect
+from currantline.wire._connect import connect
+from currantline.wire._connection import HttpConnection
 from currantline.wire._encoding import ServerExchange
 from currantline.wire._fetch import fetch
+from currantline.wire._holding import AccountedPort, Holding
+from currantline.wire._listen import listen
 from currantline.wire._messages import (
     HOP_BY_HOP,
     Headers,
@@ -13,21 +16,31 @@
     find_header,
     strip_hop_by_hop,
 )
-from currantline.wire._service import HttpServer, json_response
+from currantline.wire._service import (
+    OWN_PORT_LIMITS,
+    HttpServer,
+    ServerLimits,
+    json_response,
+)
 
 __all__ = [
     "HOP_BY_HOP",
+    "OWN_PORT_LIMITS",
+    "AccountedPort",
     "BodyMemory",
     "Headers",
+    "Holding",
     "HttpClient",
     "HttpConnection",
     "HttpServer",
     "Request",
     "Response",
     "ServerExchange",
+    "ServerLimits",
     "connect",
     "fetch",
     "find_header",
     "json_response",
+    "listen",
     "strip_hop_by_hop",
 ]
--- a/src/currantline/wire/_body_buffer.py
+++ b/src/currantline/wire/_body_buffer.py
@@ -1,5 +1,7 @@
 """Buffer for a body that arrives in parts of any size."""
 
+import io
+
 from currantline.memory import LARGE_BLOCK_BYTES
 
 __all__ = ["BodyBuffer"]
@@ -36,6 +38,16 @@
             self._segment.clear()
 
     def join(self) -> bytes:
-        """Return the body."""
+        """Return the body, and free its segments while they are joined.
+
+        A second copy of a body of 64 MiB would not fit into the smallest machines.
+        """
+        if not self._segments:
+            return bytes(self._segment)
+        joined = io.BytesIO()
         self._segments.append(bytes(self._segment))
-        return b"".join(self._segments)
+        self._segments.reverse()
+        while self._segments:
+            joined.write(self._segments.pop())
+        # The value is the buffer itself, not a copy.
+        return joined.getvalue()
--- a/src/currantline/wire/_body_memory.py
+++ b/src/currantline/wire/_body_memory.py
@@ -5,6 +5,7 @@
 then, so that short bodies are still received.
 """
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from currantline.exceptions import BodyTooLargeError
@@ -22,10 +23,15 @@
     ----------
     max_bytes : int
         Maximum total size.
+    on_change : callable, optional
+        Called with each change of the total size.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self, max_bytes: int, *, on_change: Callable[[int], object] | None = None
+    ) -> None:
         self._max_bytes = max_bytes
+        self._on_change = on_change
         self._held: dict[ByteStream, int] = {}
         self.total_bytes = 0
 
@@ -35,7 +41,7 @@
         The reader of an interrupted stream gets a `BodyTooLargeError`.
         """
         self._held[stream] = self._held.get(stream, 0) + size
-        self.total_bytes += size
+        self._change_total(size)
         while self.total_bytes > self._max_bytes:
             longest = max(self._held, key=lambda each: self._held[each])
             held = self._held[longest]
@@ -46,4 +52,9 @@
 
     def release(self, stream: "ByteStream") -> None:
         """Forget the body of a stream."""
-        self.total_bytes -= self._held.pop(stream, 0)
+        self._change_total(-self._held.pop(stream, 0))
+
+    def _change_total(self, size: int) -> None:
+        self.total_bytes += size
+        if size and self._on_change is not None:
+            self._on_change(size)
--- a/src/currantline/wire/_client.py
+++ b/src/currantline/wire/_client.py
@@ -5,7 +5,8 @@
 import attrs
 
 from currantline.exceptions import WireError
-from currantline.wire._connection import HttpConnection, connect
+from currantline.wire._connect import connect
+from currantline.wire._connection import HttpConnection
 from currantline.wire._messages import Request, Response
 
 __all__ = ["HttpClient"]
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 messages over one asyncio connection, parsed by h11."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -10,8 +9,8 @@
 from currantline.exceptions import (
     BodyTooLargeError,
     ProtocolError,
-    WireError,
 )
+from currantline.memory_account import find_head_bytes
 from currantline.wire._body_buffer import BodyBuffer
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._encoding import (
@@ -23,17 +22,18 @@
 from currantline.wire._messages import Headers, Request, Response
 from currantline.wire._stream import MAX_PIECE_BYTES, ByteStream
 
-__all__ = ["HttpConnection", "connect"]
+__all__ = ["MAX_HEAD_BYTES", "HttpConnection"]
 
 MAX_HEAD_BYTES = 32768
-# Maximum time without an acknowledgement of sent bytes or of a keep-alive probe. Hosts
-# behind a network partition do not reset the connection.
-DEAD_PEER_TIMEOUT_MS = 5_000
 
 # Maximum number of parsed parts of messages, such as chunks, between two turns of other
 # tasks. A peer may send 40,000 chunks in one read of the socket.
 MAX_EVENTS_PER_TURN = 64
 
+# Maximum number of bytes that the parser is given at once. It copies what it has not
+# consumed, and parses as many header fields in one turn as it has received.
+MAX_PARSED_BYTES = 65_536
+
 
 class HttpConnection(ByteStream):
     """One side of an HTTP/1.1 connection.
@@ -50,6 +50,11 @@
         Limits the total size of the bodies that several connections receive.
     on_open : callable, optional
         Called with this object once the connection is open.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Memory of the last decoded head.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         self._body_memory = body_memory
         self._is_head_request = False
         self._events_in_turn = 0
+        self.head_bytes = 0
         self._h11 = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
 
     @property
@@ -88,6 +94,7 @@
     def start_next_cycle(self) -> None:
         """Prepare the connection for the next exchange."""
         self._h11.start_next_cycle()
+        self._count_parser_bytes(len(self._h11.trailing_data[0]))
 
     def discard_response(self) -> None:
         """Expect another response to the request, after an unsolicited one."""
@@ -120,12 +127,7 @@
         ProtocolError
             If it is not a valid HTTP request.
         """
-        parts = self._encode_request(request)
-        if len(request.body) <= MAX_PIECE_BYTES:
-            self.write(b"".join(parts))
-            return
-        for part in parts:
-            self.write_in_pieces(part)
+        self.write_encoded(self._encode_request(request))
 
     def _encode_request(self, request: Request) -> list[bytes]:
         self._is_head_request = request.method == "HEAD"
@@ -133,7 +135,15 @@
 
     def write_response(self, response: Response) -> None:
         """Write a complete response to the transport without suspending."""
-        self.write(self._open_exchange().encode_response(response))
+        self.write_encoded(self._open_exchange().encode_response_parts(response))
+
+    def write_encoded(self, parts: list[bytes]) -> None:
+        """Write the parts of an encoded message, large ones without copying them."""
+        if sum(map(len, parts)) <= MAX_PIECE_BYTES:
+            self.write(b"".join(parts))
+            return
+        for part in parts:
+            self.write_in_pieces(part)
 
     def split_exchange(self) -> ServerExchange:
         """Detach the request just read, so that the next one can be read already.
@@ -147,6 +157,7 @@
         )
         if unread:
             self._h11.receive_data(unread)
+        self._count_parser_bytes(len(unread))
         return exchange
 
     async def wait_for_data(self) -> bool:
@@ -284,13 +295,14 @@
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
 
-    def _check_head(self, target: bytes, headers: Headers) -> None:
+    def _check_head(self, target: bytes, headers: Any) -> None:
         # h11 enforces its limit only while the head is incomplete, so a head received
         # in one piece is checked here.
         size = len(target) + sum(len(name) + len(value) for name, value in headers)
         if size > self._max_head_bytes:
             limit = self._max_head_bytes
             raise ProtocolError(f"the head exceeds {limit} bytes", status=431)
+        self.head_bytes = find_head_bytes(size, len(headers))
 
     def _has_framing(self, status: int, headers: Headers) -> bool:
         if status in NO_BODY_STATUSES or self._h11.their_state is h11.DONE:
@@ -314,6 +326,8 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                # Trailers are discarded, and limited like a head.
+                self._check_head(b"", event.headers)
                 return body.join()
             if not isinstance(event, h11.Data):
                 raise ProtocolError("the connection closed within a message")
@@ -342,39 +356,23 @@
             await self._wait_for_bytes()
             if self.is_broken and not self._unread:
                 raise ProtocolError("the connection was reset")
-            self._h11.receive_data(self._take_bytes())
+            # The parser has consumed what came before, except an incomplete head.
+            is_in_body = self._h11.their_state is h11.SEND_BODY
+            incomplete = 0 if is_in_body else self._parser_bytes
+            limit = MAX_PARSED_BYTES if is_in_body else self._max_head_bytes
+            data = self._take_bytes(limit)
+            self._h11.receive_data(data)
+            self._count_parser_bytes(incomplete + len(data))
+
+    def _count_parser_bytes(self, size: int) -> None:
+        self._parser_bytes = size
+        if self.holding is not None and not self.holding.count_unread(
+            len(self._unread) + size
+        ):
+            self.abort()
 
     async def _count_event(self) -> None:
         self._events_in_turn += 1
         if self._events_in_turn >= MAX_EVENTS_PER_TURN:
             self._events_in_turn = 0
             await self._end_turn()
-
-
-async def connect(
-    address: str, *, max_body_bytes: int, body_memory: BodyMemory | None = None
-) -> HttpConnection:
-    """Open a connection to ``ip:port``.
-
-    The connection is dropped if the peer acknowledges nothing for
-    ``DEAD_PEER_TIMEOUT_MS``.
-
-    Raises
-    ------
-    OSError
-        If the address cannot be reached.
-    WireError
-        If it is not an address.
-    """
-    host, _, port = address.rpartition(":")
-    if not (host and port.isdecimal() and int(port[:6]) < 65536):
-        raise WireError(f"{address!r:.80} is not an address")
-    _, connection = await asyncio.get_running_loop().create_connection(
-        lambda: HttpConnection(
-            h11.CLIENT, max_body_bytes=max_body_bytes, body_memory=body_memory
-        ),
-        host,
-        int(port),
-    )
-    connection.set_dead_peer_timeout(DEAD_PEER_TIMEOUT_MS)
-    return connection
--- a/src/currantline/wire/_encoding.py
+++ b/src/currantline/wire/_encoding.py
@@ -43,6 +43,16 @@
     def encode_response(self, response: Response) -> bytes:
         """Encode a complete response as bytes for `ByteStream.write`.
 
+        Raises
+        ------
+        ProtocolError
+            If it is not a valid HTTP response.
+        """
+        return b"".join(self.encode_response_parts(response))
+
+    def encode_response_parts(self, response: Response) -> list[bytes]:
+        """Encode a complete response as parts, without a copy of its body.
+
         Raises
         ------
         ProtocolError
@@ -60,7 +70,7 @@
         except (h11.LocalProtocolError, UnicodeError) as error:
             raise ProtocolError(str(error)) from error
         body = b"" if self._is_head_request else response.body
-        return b"".join(_encode(self._h11, head, body))
+        return _encode(self._h11, head, body)
 
 
 def encode_request(state: h11.Connection, request: Request) -> list[bytes]:
--- a/src/currantline/wire/_fetch.py
+++ b/src/currantline/wire/_fetch.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from currantline.exceptions import WireError
-from currantline.wire._connection import connect
+from currantline.wire._connect import connect
 from currantline.wire._messages import Request, Response
 
 __all__ = ["fetch"]
--- a/src/currantline/wire/_service.py
+++ b/src/currantline/wire/_service.py
@@ -5,19 +5,69 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import h11
 
-from currantline.exceptions import BodyTooLargeError, ProtocolError, WireError
-from currantline.wire._connection import HttpConnection
+from currantline.exceptions import (
+    BodyTooLargeError,
+    CallerTimeoutError,
+    ProtocolError,
+    WireError,
+)
+from currantline.wire._connection import MAX_HEAD_BYTES, HttpConnection
+from currantline.wire._holding import AccountedPort
+from currantline.wire._listen import listen
 from currantline.wire._messages import Request, Response
 
-__all__ = ["HttpServer", "json_response"]
+__all__ = ["OWN_PORT_LIMITS", "HttpServer", "ServerLimits", "json_response"]
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
+# Backlog of the listening socket, as asyncio's default.
+ACCEPT_BACKLOG = 100
+
+REQUEST_TIMEOUT, BODY_TOO_LARGE = 408, 413
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+@attrs.frozen(kw_only=True)
+class ServerLimits:
+    """Limits of an `HttpServer`.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Maximum size of a request body.
+    head_bytes : int
+        Maximum size of a request line and headers.
+    idle_timeout_ms : float or None
+        Maximum idle time between two requests on a connection.
+    request_timeout_ms : float or None
+        Maximum time from the first byte of a request to its end.
+    response_timeout_ms : float or None
+        Maximum time from the end of a request until its response is written.
+    """
+
+    body_bytes: int = MAX_BODY_BYTES
+    head_bytes: int = MAX_HEAD_BYTES
+    idle_timeout_ms: float | None = None
+    request_timeout_ms: float | None = None
+    response_timeout_ms: float | None = None
+
+
+# Limits of the endpoints of an instance. Their requests have no bodies and heads of
+# some hundred bytes, other instances wait 1 s for a response, and pollers with an
+# interval of up to a minute keep their connections.
+OWN_PORT_LIMITS = ServerLimits(
+    body_bytes=4096,
+    head_bytes=8192,
+    idle_timeout_ms=75_000.0,
+    request_timeout_ms=3_000.0,
+    response_timeout_ms=10_000.0,
+)
+
+
 def json_response(value: Any, *, status: int = 200) -> Response:
     """Return a response with a JSON body."""
     return Response(
@@ -36,10 +86,22 @@
     ----------
     handler : callable
         Coroutine function that returns the response to a request.
+    limits : ServerLimits, optional
+        Limits of requests and connections.
+    port : AccountedPort, optional
+        Counts the connections in the memory account.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        limits: ServerLimits | None = None,
+        port: AccountedPort | None = None,
+    ) -> None:
         self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._port = port
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -63,10 +125,8 @@
         OSError
             If the address cannot be used.
         """
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._create_connection, host, int(port)
+        self._server = await listen(
+            self._create_connection, address, backlog=ACCEPT_BACKLOG
         )
 
     async def stop(self) -> None:
@@ -84,10 +144,18 @@
 
     def _create_connection(self) -> HttpConnection:
         return HttpConnection(
-            h11.SERVER, max_body_bytes=MAX_BODY_BYTES, on_open=self._on_open
+            h11.SERVER,
+            max_body_bytes=self._limits.body_bytes,
+            max_head_bytes=self._limits.head_bytes,
+            on_open=self._on_open,
         )
 
     def _on_open(self, connection: HttpConnection) -> None:
+        if self._port is not None and not self._port.open(
+            connection, lambda _: connection.abort()
+        ):
+            connection.abort()
+            return
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -95,9 +163,12 @@
     async def _serve(self, connection: HttpConnection) -> None:
         try:
             await self._serve_requests(connection)
-        except (ProtocolError, BodyTooLargeError) as error:
-            status = error.status if isinstance(error, ProtocolError) else 413
-            _write_error(connection, status)
+        except ProtocolError as error:
+            _write_error(connection, error.status)
+        except BodyTooLargeError:
+            _write_error(connection, BODY_TOO_LARGE)
+        except CallerTimeoutError:
+            _write_error(connection, REQUEST_TIMEOUT)
         except (WireError, OSError, asyncio.CancelledError):
             connection.abort()
         finally:
@@ -106,11 +177,11 @@
     async def _serve_requests(self, connection: HttpConnection) -> None:
         task = asyncio.current_task()
         assert task is not None
-        while (request := await connection.read_request()) is not None:
+        while (request := await self._read_request(connection)) is not None:
             if connection.is_lost:
                 return
             connection.on_lost = task.cancel
-            await self.exchange(connection, request)
+            await self._exchange(connection, request)
             connection.on_lost = None
             if not connection.is_reusable:
                 return
@@ -118,6 +189,36 @@
             # A handler may not suspend, and more requests may have been received.
             await asyncio.sleep(0)
 
+    async def _read_request(self, connection: HttpConnection) -> Request | None:
+        try:
+            async with asyncio.timeout(_to_s(self._limits.idle_timeout_ms)):
+                if not await connection.wait_for_data():
+                    return None
+        except TimeoutError:
+            return None
+        try:
+            async with asyncio.timeout(_to_s(self._limits.request_timeout_ms)):
+                return await connection.read_request()
+        except TimeoutError as error:
+            raise CallerTimeoutError("the request did not arrive in time") from error
+
+    async def _exchange(self, connection: HttpConnection, request: Request) -> None:
+        holding = connection.holding
+        if holding is not None:
+            holding.begin_request()
+        try:
+            async with asyncio.timeout(_to_s(self._limits.response_timeout_ms)):
+                await self.exchange(connection, request)
+        except TimeoutError as error:
+            raise WireError("the response was not taken in time") from error
+        finally:
+            if holding is not None:
+                holding.end_request()
+
+
+def _to_s(timeout_ms: float | None) -> float | None:
+    return None if timeout_ms is None else timeout_ms / 1000
+
 
 def _write_error(connection: HttpConnection, status: int) -> None:
     try:
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from currantline.exceptions import CurrantlineError, WireError
+from currantline.wire._holding import Holding
 
 __all__ = ["MAX_PIECE_BYTES", "ByteStream"]
 
@@ -40,6 +41,8 @@
     before_wait : callable or None
         Called before each wait, so that a time limit starts a timer only if a wait
         is needed.
+    holding : Holding or None
+        What the connection holds of the memory account, None if it is not counted.
     """
 
     def __init__(
@@ -47,11 +50,16 @@
     ) -> None:
         self.on_lost: Callable[[], object] | None = None
         self.before_wait: Callable[[], object] | None = None
+        self.holding: Holding | None = None
         self._on_open = on_open
         self._is_client = is_client
         self._transport: asyncio.Transport
         self._unread = bytearray()
+        # Bytes that the parser has been given and may not have consumed.
+        self._parser_bytes = 0
         self._unwritten: deque[memoryview] = deque()
+        self._unwritten_bytes = 0
+        self._on_written: Callable[[], object] | None = None
         self._is_lost = False
         self._is_broken = False
         self._has_early_response = False
@@ -73,6 +81,11 @@
         """Whether the connection ended with an error, such as a reset."""
         return self._is_broken
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether written bytes are left that the socket has not taken."""
+        return bool(self._unwritten or self._transport.get_write_buffer_size())
+
     @property
     def peer_host(self) -> str:
         """IP address of the peer."""
@@ -114,16 +127,35 @@
 
     def write(self, data: bytes) -> None:
         """Write bytes to the transport without suspending."""
+        if self._unwritten:
+            # It must not overtake the pieces that the transport has not got yet.
+            self.write_in_pieces(data)
+            return
         self._transport.write(data)
+        self.count_unwritten()
 
     def write_in_pieces(self, data: bytes) -> None:
         """Write bytes as fast as the transport takes them, without suspending.
 
         The transport copies what the socket does not take at once, so it gets large
-        data in pieces. What it has not got yet is discarded when this side closes.
+        data in pieces. What it has not got yet is discarded when a client closes; a
+        server writes it before.
         """
         self._unwritten.append(memoryview(data))
+        self._unwritten_bytes += len(data)
         self._write_pieces()
+        self.count_unwritten()
+
+    def count_unwritten(self) -> None:
+        """Count the bytes that the socket has not taken in the memory account.
+
+        The connection is aborted if there is no memory for them.
+        """
+        if self.holding is None:
+            return
+        size = self._unwritten_bytes + self._transport.get_write_buffer_size()
+        if not self.holding.count_unwritten(size):
+            self.abort()
 
     async def drain(self) -> None:
         """Wait until the transport accepts more bytes.
@@ -151,9 +183,15 @@
 
     def close(self) -> None:
         """Close the connection without waiting."""
-        self._unwritten.clear()
-        if not self._is_discarding:
+        if self._is_discarding:
+            return
+        if self._unwritten and not self._is_client and not self._is_broken:
+            self._on_written = self._transport.close
+        else:
+            self._discard_unwritten()
             self._transport.close()
+        if self.holding is not None and self.has_unwritten:
+            self.holding.linger()
 
     def close_after_eof(self) -> None:
         """Send buffered bytes and EOF, then close once the peer has closed."""
@@ -163,13 +201,19 @@
         self._is_discarding = True
         self._unread.clear()
         self._resume_reading()
-        self._transport.write_eof()
+        if self.holding is not None:
+            self.holding.count_unread(0)
+            self.holding.linger()
+        if self._unwritten:
+            self._on_written = self._transport.write_eof
+        else:
+            self._transport.write_eof()
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self._end_linger, loop.time() + MAX_LINGER_S)
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
-        self._unwritten.clear()
+        self._discard_unwritten()
         self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -191,6 +235,11 @@
         if len(self._unread) > MAX_UNREAD_BYTES and self._data_waiter is None:
             self._is_reading_paused = True
             self._transport.pause_reading()
+        if self.holding is not None:
+            unread = len(self._unread) + self._parser_bytes
+            if not self.holding.count_received(len(data), unread):
+                self._unread.clear()
+                self.abort()
         self._wake_waiters()
 
     def eof_received(self) -> bool:
@@ -201,7 +250,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed."""
         self._is_broken = exc is not None
-        self._unwritten.clear()
+        self._discard_unwritten()
+        if self.holding is not None:
+            self.holding.close()
         self._mark_lost()
 
     def pause_writing(self) -> None:
@@ -212,6 +263,7 @@
         """Resume waiting writers, as the transport's write buffer has room."""
         self._is_writing_paused = False
         self._write_pieces()
+        self.count_unwritten()
         self._wake_waiters()
 
     def _end_linger(self, end_s: float) -> None:
@@ -219,6 +271,8 @@
         if self._has_discarded and loop.time() < end_s:
             self._has_discarded = False
             loop.call_later(LINGER_S, self._end_linger, end_s)
+        elif self._unwritten:
+            self._on_written = self._transport.close
         else:
             self._transport.close()
 
@@ -227,7 +281,16 @@
             data = self._unwritten.popleft()
             if len(data) > MAX_PIECE_BYTES:
                 self._unwritten.appendleft(data[MAX_PIECE_BYTES:])
+            self._unwritten_bytes -= min(len(data), MAX_PIECE_BYTES)
             self._transport.write(data[:MAX_PIECE_BYTES])
+        if self._on_written is not None and not self._unwritten:
+            on_written, self._on_written = self._on_written, None
+            on_written()
+
+    def _discard_unwritten(self) -> None:
+        self._unwritten.clear()
+        self._unwritten_bytes = 0
+        self._on_written = None
 
     def _mark_lost(self) -> None:
         self._is_lost = True
@@ -269,8 +332,9 @@
         while not self._unread and not self._is_lost:
             await self._wait()
 
-    def _take_bytes(self) -> bytes:
-        data = bytes(self._unread)
-        self._unread.clear()
-        self._resume_reading()
+    def _take_bytes(self, max_bytes: int) -> bytes:
+        data = bytes(self._unread[:max_bytes])
+        del self._unread[:max_bytes]
+        if not self._unread:
+            self._resume_reading()
         return data
