Free refused bodies at once and return their pages

The traceback of an interrupted read formed a cycle that kept the body until the next full garbage collection, and gaps of the heap added to large blocks.

The cycle is broken, buffers of failed reads are cleared, sockets are read through one shared buffer, and free pages are returned after much memory was released.

--- a/src/currantline/memory.py
+++ b/src/currantline/memory.py
@@ -2,7 +2,7 @@
 
 import ctypes
 
-__all__ = ["LARGE_BLOCK_BYTES", "return_large_blocks"]
+__all__ = ["LARGE_BLOCK_BYTES", "return_free_pages", "return_large_blocks"]
 
 # Parameter of mallopt(3), see malloc.h of the GNU C library.
 M_MMAP_THRESHOLD = -3
@@ -27,3 +27,17 @@
     return set_option is not None and bool(
         set_option(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
     )
+
+
+def return_free_pages() -> bool:
+    """Return the free pages of the heap to the system.
+
+    Smaller blocks leave gaps in the heap, which large blocks cannot use.
+
+    Returns
+    -------
+    bool
+        False if the C library has no such function.
+    """
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    return trim is not None and bool(trim(0))
--- a/src/currantline/memory_account/_account.py
+++ b/src/currantline/memory_account/_account.py
@@ -31,6 +31,11 @@
 # of the bound may be taken before they have done so.
 EVICTED_SHARE = 4
 
+# Bytes released after which the allocator should return its free pages, if this share
+# of the bound was held in the meantime. Ordinary load does not reach the share.
+FREED_BYTES = 8_000_000
+MIN_PEAK_SHARE = 4
+
 # These are held until their owner releases them; the others end with the connection.
 REQUEST_KINDS = frozenset({Kind.HEAD, Kind.BODY})
 
@@ -52,6 +57,9 @@
         without a notice, such as those of write buffers.
     on_evict : callable or None
         Called with a holder, the reason and the time before its eviction.
+    on_freed : callable or None
+        Called when much memory has been released, so that the allocator can return it.
+        Its gaps would otherwise add to what other sizes of blocks take.
     """
 
     def __init__(self, max_bytes: int) -> None:
@@ -59,7 +67,10 @@
         self._ports: list[Port] = []
         self._evicted_bytes = 0
         self._is_refreshing = False
+        self._freed_bytes = 0
+        self._peak_bytes = 0
         self.total_bytes = 0
+        self.on_freed: Callable[[], object] | None = None
         self.refresh: Callable[[float], object] | None = None
         self.on_evict: Callable[[Holder, EvictionReason, float], object] | None = None
 
@@ -143,7 +154,7 @@
     def add_unowned(self, port: Port, kind: Kind, size: int, now: float) -> None:
         """Count a change of memory that belongs to no accepted connection."""
         port.held[kind] += size
-        self.total_bytes += size
+        self._change_total(size)
         if size > 0 and self._is_over():
             self._make_room(None, now)
 
@@ -187,10 +198,24 @@
         held[kind] = held.get(kind, 0) + size
         holder.total += size
         holder.port.held[kind] += size
-        self.total_bytes += size
+        self._change_total(size)
         if holder.is_evicted:
             self._evicted_bytes += size
 
+    def _change_total(self, size: int) -> None:
+        self.total_bytes += size
+        if size > 0:
+            self._peak_bytes = max(self._peak_bytes, self.total_bytes)
+            return
+        self._freed_bytes -= size
+        if self._freed_bytes < FREED_BYTES:
+            return
+        is_notable = self._peak_bytes >= self._max_bytes // MIN_PEAK_SHARE
+        self._freed_bytes = 0
+        self._peak_bytes = self.total_bytes
+        if is_notable and self.on_freed is not None:
+            self.on_freed()
+
     def _is_over(self) -> bool:
         credit = min(self._evicted_bytes, self._max_bytes // EVICTED_SHARE)
         return self.total_bytes - credit > self._max_bytes
--- a/src/currantline/ports.py
+++ b/src/currantline/ports.py
@@ -1,8 +1,10 @@
 """Ports of an instance, and the memory account that they share."""
 
+import asyncio
 from functools import partial
 
 from currantline.clock import Clock
+from currantline.memory import return_free_pages
 from currantline.memory_account import (
     EvictionReason,
     Holder,
@@ -20,6 +22,10 @@
 # the number of evictions since the one before.
 LOG_INTERVAL_MS = 200.0
 
+# Delay before free pages are returned in milliseconds. Connections that end give up
+# their memory some turns of the event loop later.
+RETURN_DELAY_MS = 20.0
+
 
 class Ports:
     """Ports of an instance, all of which draw on one memory account.
@@ -52,10 +58,12 @@
         self._log = log
         self._logged_ms = -LOG_INTERVAL_MS
         self._unlogged = 0
+        self._is_returning = False
         self._ports: list[AccountedPort] = []
         self.account = MemoryAccount(find_max_bytes(memory_bytes))
         self.account.refresh = self._refresh
         self.account.on_evict = self._record_eviction
+        self.account.on_freed = self._schedule_return
         limits = find_connection_limits(max_descriptors)
         self.callers = self._add("callers", limits.callers)
         self.directory = self._add("directory", limits.directory)
@@ -87,6 +95,16 @@
         for port in self._ports:
             port.refresh(now)
 
+    def _schedule_return(self) -> None:
+        if not self._is_returning:
+            self._is_returning = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETURN_DELAY_MS / 1000, self._return_pages)
+
+    def _return_pages(self) -> None:
+        self._is_returning = False
+        return_free_pages()
+
     def _record_eviction(
         self, holder: Holder, reason: EvictionReason, now: float
     ) -> None:
--- a/src/currantline/relay/_body_budget.py
+++ b/src/currantline/relay/_body_budget.py
@@ -79,7 +79,8 @@
         except asyncio.CancelledError:
             if waiter.turn.done() and not waiter.turn.cancelled():
                 self.held_bytes -= bounded
-            else:
+            elif waiter in self._waiters:
+                # Another release may have passed over it already.
                 self._waiters.remove(waiter)
             self._admit()
             raise
--- a/src/currantline/wire/_body_buffer.py
+++ b/src/currantline/wire/_body_buffer.py
@@ -37,6 +37,11 @@
             self._segments.append(bytes(self._segment))
             self._segment.clear()
 
+    def clear(self) -> None:
+        """Free the collected parts."""
+        self._segments.clear()
+        self._segment = bytearray()
+
     def join(self) -> bytes:
         """Return the body, and free its segments while they are joined.
 
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -323,6 +323,16 @@
 
     async def _collect_body(self, on_data: Callable[[int], object] | None) -> bytes:
         body = BodyBuffer()
+        try:
+            return await self._fill(body, on_data)
+        finally:
+            # An error refers to this frame, and may be kept for longer than its memory
+            # is counted.
+            body.clear()
+
+    async def _fill(
+        self, body: BodyBuffer, on_data: Callable[[int], object] | None
+    ) -> bytes:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -13,6 +13,9 @@
 
 MAX_UNREAD_BYTES = 65536
 
+# Bytes that are read from a socket at once. asyncio would allocate 256 KiB each time.
+RECEIVE_BUFFER_BYTES = 65_536
+
 # Maximum size of the pieces that `ByteStream.write_in_pieces` hands to the transport.
 MAX_PIECE_BYTES = 262_144
 
@@ -23,8 +26,11 @@
 LINGER_S = 1.0
 MAX_LINGER_S = 30.0
 
+# Shared by all connections, since each read is copied before the next one.
+_RECEIVE_BUFFER = bytearray(RECEIVE_BUFFER_BYTES)
+
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BufferedProtocol):
     """Asyncio protocol with buffered reads, flow control and interruptible waits.
 
     Parameters
@@ -223,6 +229,14 @@
         if self._on_open is not None:
             self._on_open(self)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes from the buffer."""
+        self.data_received(bytes(memoryview(_RECEIVE_BUFFER)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes for the reader."""
         if self._is_discarding:
@@ -321,7 +335,12 @@
             self.before_wait()
         if self._interruption is not None:
             error, self._interruption = self._interruption, None
-            raise error
+            try:
+                raise error
+            finally:
+                # The traceback refers to this frame. The cycle would keep what the
+                # interrupted reader holds, such as a body.
+                del error
 
     def _resume_reading(self) -> None:
         if self._is_reading_paused:
