Bound the requests that are started in one turn, and free cancelled requests

Pipelined requests of a thousand connections all took a part of each turn of the event loop, so other callers waited for seconds; the request of a cancelled task stayed until the next full garbage collection.

The error of a cancelled task is read, which breaks its cycle. Heads are counted on the instance's own ports as well, and the bound leaves a share for unused memory.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import re
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from collections.abc import Coroutine, Sequence
 from typing import Any
 
 import attrs
@@ -57,8 +57,6 @@
 from currantline.routing import RouteTable
 from currantline.telemetry import EventLog, Meter
 from currantline.wire import (
-    OWN_PORT_LIMITS,
-    AccountedPort,
     HttpClient,
     HttpServer,
     Request,
@@ -368,11 +366,11 @@
         resolve = make_directory_handler(self._find_addresses, ttl_s)
         check_readiness = make_readiness_handler(lambda: self.is_ready)
         ports = self._ports
-        self._directory = _make_server(resolve, ports.directory)
-        self._readiness = _make_server(check_readiness, ports.readiness)
-        self._peers = _make_server(self._handle_peer_request, ports.peers)
-        self._control = _make_server(self._handle_peer_request, ports.control)
-        self._metrics = _make_server(self._handle_metrics_request, ports.metrics)
+        self._directory = ports.make_server(resolve, ports.directory)
+        self._readiness = ports.make_server(check_readiness, ports.readiness)
+        self._peers = ports.make_server(self._handle_peer_request, ports.peers)
+        self._control = ports.make_server(self._handle_peer_request, ports.control)
+        self._metrics = ports.make_server(self._handle_metrics_request, ports.metrics)
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
         self.meter.add_gauge("instances", self._count_live)
@@ -479,9 +477,3 @@
 
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
-
-
-def _make_server(
-    handle: Callable[[Request], Awaitable[Response]], port: AccountedPort
-) -> HttpServer:
-    return HttpServer(handle, limits=OWN_PORT_LIMITS, port=port)
--- a/src/currantline/memory_account/_account.py
+++ b/src/currantline/memory_account/_account.py
@@ -128,6 +128,8 @@
 
         Nothing is counted then, and the holder must give up what needs the memory.
         """
+        if not (holder.is_open or kind in REQUEST_KINDS):
+            return True
         self._change(holder, kind, size)
         if not self._is_over() or self._make_room(holder, now):
             if size > 0 and holder.queue is not None:
@@ -146,7 +148,9 @@
         return True
 
     def release(self, holder: Holder, kind: Kind, size: int) -> None:
-        """Count memory as free, also after the end of the connection."""
+        """Count memory as free, that of requests also after the connection's end."""
+        if not (holder.is_open or kind in REQUEST_KINDS):
+            return
         self._change(holder, kind, -size)
         if holder.queue is not None:
             self._place(holder)
--- a/src/currantline/memory_account/_limits.py
+++ b/src/currantline/memory_account/_limits.py
@@ -23,9 +23,13 @@
 # with distinct short names and values take 167 bytes each.
 FIELD_BYTES = 176
 
-# Memory that is not for connections: the program and the records of the fleet (27 to
-# 45 MB), one head while it is parsed or encoded, and unused memory between objects.
-RESERVED_BYTES = 80_000_000
+# Memory of the program and of the records of the fleet: 27 MB idle, 45 MB in the largest
+# fleet.
+PROGRAM_BYTES = 50_000_000
+
+# Share of the rest that may be counted. Buffers that grow, gaps between objects and one
+# head while it is parsed took up to 0.36 of what was counted.
+COUNTED_SHARE = 0.7
 
 # The tests run instances on machines that are smaller than any in use.
 MIN_BYTES = 16_000_000
@@ -33,8 +37,9 @@
 # Descriptors of files, of the 200 that the platform counts for them.
 FILE_DESCRIPTORS = 200
 
-# Shares of the other descriptors. The rest is for callers.
-TARGET_SHARE = 4
+# Shares of the other descriptors. The rest is for callers, each of which may need a
+# connection to a target, or two while its request is sent a second time.
+TARGET_SHARE = 2.5
 DIRECTORY_SHARE = 8
 PEER_SHARE = 16
 ENDPOINT_SHARE = 64
@@ -80,9 +85,9 @@
     Examples
     --------
     >>> [find_max_bytes(size * 1_000_000) // 1_000_000 for size in (60, 200, 552)]
-    [16, 120, 472]
+    [16, 105, 351]
     """
-    return max(MIN_BYTES, memory_bytes - RESERVED_BYTES)
+    return max(MIN_BYTES, int(COUNTED_SHARE * (memory_bytes - PROGRAM_BYTES)))
 
 
 def find_connection_limits(max_descriptors: int) -> ConnectionLimits:
@@ -97,7 +102,7 @@
     --------
     >>> limits = find_connection_limits(4_100)
     >>> limits.callers, limits.directory, limits.peers, limits.endpoints
-    (1832, 487, 243, 60)
+    (1247, 487, 243, 60)
     """
     free = max(max_descriptors - FILE_DESCRIPTORS, max_descriptors // 2)
     directory = max(1, free // DIRECTORY_SHARE)
@@ -107,7 +112,7 @@
     )
     own = directory + 2 * peers + 2 * endpoints
     return ConnectionLimits(
-        callers=max(1, free - free // TARGET_SHARE - own),
+        callers=max(1, free - int(free / TARGET_SHARE) - own),
         directory=directory,
         peers=peers,
         endpoints=endpoints,
--- a/src/currantline/ports.py
+++ b/src/currantline/ports.py
@@ -1,6 +1,7 @@
 """Ports of an instance, and the memory account that they share."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 from currantline.clock import Clock
@@ -14,7 +15,14 @@
     find_max_bytes,
 )
 from currantline.telemetry import EventLog, Meter
-from currantline.wire import AccountedPort
+from currantline.wire import (
+    OWN_PORT_LIMITS,
+    AccountedPort,
+    HttpServer,
+    Request,
+    Response,
+    TurnQueue,
+)
 
 __all__ = ["Ports"]
 
@@ -59,6 +67,7 @@
         self._logged_ms = -LOG_INTERVAL_MS
         self._unlogged = 0
         self._is_returning = False
+        self._turns = TurnQueue()
         self._ports: list[AccountedPort] = []
         self.account = MemoryAccount(find_max_bytes(memory_bytes))
         self.account.refresh = self._refresh
@@ -74,6 +83,12 @@
         self._targets = self.account.add_port("targets")
         self._add_gauges()
 
+    def make_server(
+        self, handle: Callable[[Request], Awaitable[Response]], port: AccountedPort
+    ) -> HttpServer:
+        """Return a server for one of the instance's own endpoints."""
+        return HttpServer(handle, limits=OWN_PORT_LIMITS, port=port, turns=self._turns)
+
     def count_response_bytes(self, size: int) -> None:
         """Count a change of the memory for responses that targets are sending."""
         self.account.add_unowned(self._targets, Kind.BODY, size, self._clock.read())
--- a/src/currantline/relay/_pipeline.py
+++ b/src/currantline/relay/_pipeline.py
@@ -80,7 +80,8 @@
         A caller sends the requests behind a response with ``Connection: close`` again,
         whatever their kind, because it takes them as not read.
         """
-        return self._is_closed or self._connection.is_lost
+        connection = self._connection
+        return self._is_closed or connection.is_lost or connection.is_closing
 
     def add(
         self,
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -16,6 +16,7 @@
 from currantline.relay._selection import RequestContext
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
+from currantline.relay._tasks import discard_cancellation
 from currantline.routing import (
     RequestAgeEstimator,
     RetryBudget,
@@ -226,6 +227,7 @@
             self._timeouts.discard(timeout)
             for task in pending:
                 task.cancel()
+                task.add_done_callback(discard_cancellation)
 
     async def _await_response(
         self, progress: _Progress, pending: set["asyncio.Task[SendResult | None]"]
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -16,6 +16,7 @@
 from currantline.relay._refusal import REFUSED_ERRORS, build_refusal
 from currantline.relay._request_charge import RequestCharge
 from currantline.relay._request_reader import RequestReader
+from currantline.relay._tasks import discard_cancellation
 from currantline.routing import CallerLimits
 from currantline.telemetry import EventLog
 from currantline.wire import (
@@ -23,6 +24,7 @@
     HttpConnection,
     Request,
     Response,
+    TurnQueue,
     find_header,
     listen,
 )
@@ -93,6 +95,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: set[HttpConnection] = set()
+        self._turns = TurnQueue()
         self._reader = RequestReader(
             self._bodies, names=names, read_limits=read_limits, clock=clock, log=log
         )
@@ -193,6 +196,8 @@
     async def _serve_next(self, connection: HttpConnection, pipeline: Pipeline) -> bool:
         """Read one request and start to handle it; return False at the end."""
         await pipeline.wait_for_room()
+        if connection.has_pipelined:
+            await self._turns.take()
         if not await self._wait_for_request(connection, pipeline):
             return False
         assert connection.holding is not None
@@ -240,6 +245,7 @@
         def finish(task: "asyncio.Task[Response]") -> None:
             charge.holding.end_request()
             if task.cancelled():
+                discard_cancellation(task)
                 # A send that must not be cancelled still needs the request.
                 weakref.finalize(request, charge.release).atexit = False
             else:
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -22,6 +22,7 @@
     ServerLimits,
     json_response,
 )
+from currantline.wire._turns import TurnQueue
 
 __all__ = [
     "HOP_BY_HOP",
@@ -37,6 +38,7 @@
     "Response",
     "ServerExchange",
     "ServerLimits",
+    "TurnQueue",
     "connect",
     "fetch",
     "find_header",
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -91,6 +91,11 @@
         """Whether received bytes are left that no message has consumed."""
         return bool(self._unread or self._h11.trailing_data[0])
 
+    @property
+    def has_pipelined(self) -> bool:
+        """Whether bytes behind the last request have been received already."""
+        return bool(self._unread or self._parser_bytes)
+
     def start_next_cycle(self) -> None:
         """Prepare the connection for the next exchange."""
         self._h11.start_next_cycle()
@@ -211,7 +216,8 @@
             return None
         self._is_head_request = event.method == b"HEAD"
         headers = decode_headers(event.headers)
-        self._check_head(event.target, headers)
+        size = self._check_head(event.target, headers)
+        self.head_bytes = find_head_bytes(size, len(headers))
         self._check_length(headers)
         return Request(
             method=event.method.decode("ascii"),
@@ -295,14 +301,14 @@
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
 
-    def _check_head(self, target: bytes, headers: Any) -> None:
+    def _check_head(self, target: bytes, headers: Any) -> int:
         # h11 enforces its limit only while the head is incomplete, so a head received
         # in one piece is checked here.
         size = len(target) + sum(len(name) + len(value) for name, value in headers)
         if size > self._max_head_bytes:
             limit = self._max_head_bytes
             raise ProtocolError(f"the head exceeds {limit} bytes", status=431)
-        self.head_bytes = find_head_bytes(size, len(headers))
+        return size
 
     def _has_framing(self, status: int, headers: Headers) -> bool:
         if status in NO_BODY_STATUSES or self._h11.their_state is h11.DONE:
--- a/src/currantline/wire/_service.py
+++ b/src/currantline/wire/_service.py
@@ -1,8 +1,9 @@
 """Minimal HTTP server for endpoints outside the request path."""
 
 import asyncio
+import contextlib
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import attrs
@@ -14,10 +15,12 @@
     ProtocolError,
     WireError,
 )
+from currantline.memory_account import REQUEST_BYTES, Kind
 from currantline.wire._connection import MAX_HEAD_BYTES, HttpConnection
 from currantline.wire._holding import AccountedPort
 from currantline.wire._listen import listen
 from currantline.wire._messages import Request, Response
+from currantline.wire._turns import TurnQueue
 
 __all__ = ["OWN_PORT_LIMITS", "HttpServer", "ServerLimits", "json_response"]
 
@@ -90,6 +93,8 @@
         Limits of requests and connections.
     port : AccountedPort, optional
         Counts the connections in the memory account.
+    turns : TurnQueue, optional
+        Limits the requests that are handled in one turn of the event loop.
     """
 
     def __init__(
@@ -98,7 +103,9 @@
         *,
         limits: ServerLimits | None = None,
         port: AccountedPort | None = None,
+        turns: TurnQueue | None = None,
     ) -> None:
+        self._turns = turns
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._port = port
@@ -175,20 +182,28 @@
             connection.close()
 
     async def _serve_requests(self, connection: HttpConnection) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        while (request := await self._read_request(connection)) is not None:
-            if connection.is_lost:
-                return
-            connection.on_lost = task.cancel
-            await self._exchange(connection, request)
-            connection.on_lost = None
+        while await self._serve_request(connection):
             if not connection.is_reusable:
                 return
             connection.start_next_cycle()
             # A handler may not suspend, and more requests may have been received.
             await asyncio.sleep(0)
 
+    async def _serve_request(self, connection: HttpConnection) -> bool:
+        """Serve one request; return False if there is none."""
+        task = asyncio.current_task()
+        assert task is not None
+        request = await self._read_request(connection)
+        if request is None or connection.is_lost:
+            return False
+        connection.on_lost = task.cancel
+        with _count_request(connection):
+            if self._turns is not None:
+                await self._turns.take()
+            await self._exchange(connection, request)
+        connection.on_lost = None
+        return True
+
     async def _read_request(self, connection: HttpConnection) -> Request | None:
         try:
             async with asyncio.timeout(_to_s(self._limits.idle_timeout_ms)):
@@ -203,17 +218,29 @@
             raise CallerTimeoutError("the request did not arrive in time") from error
 
     async def _exchange(self, connection: HttpConnection, request: Request) -> None:
-        holding = connection.holding
-        if holding is not None:
-            holding.begin_request()
         try:
             async with asyncio.timeout(_to_s(self._limits.response_timeout_ms)):
                 await self.exchange(connection, request)
         except TimeoutError as error:
             raise WireError("the response was not taken in time") from error
-        finally:
-            if holding is not None:
-                holding.end_request()
+
+
+@contextlib.contextmanager
+def _count_request(connection: HttpConnection) -> Iterator[None]:
+    """Count the memory of the request just read."""
+    holding = connection.holding
+    if holding is None:
+        yield
+        return
+    size = REQUEST_BYTES + connection.head_bytes
+    if not holding.add(Kind.HEAD, size):
+        raise WireError("no memory for the head")
+    holding.begin_request()
+    try:
+        yield
+    finally:
+        holding.end_request()
+        holding.release(Kind.HEAD, size)
 
 
 def _to_s(timeout_ms: float | None) -> float | None:
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -11,7 +11,8 @@
 
 __all__ = ["MAX_PIECE_BYTES", "ByteStream"]
 
-MAX_UNREAD_BYTES = 65536
+# Unread bytes above which a connection without a waiting reader is not read from.
+MAX_UNREAD_BYTES = 32_768
 
 # Bytes that are read from a socket at once. asyncio would allocate 256 KiB each time.
 RECEIVE_BUFFER_BYTES = 65_536
@@ -82,6 +83,11 @@
         """Whether the peer closed the connection or it failed."""
         return self._is_lost
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether this side is closing the connection, or it is closed."""
+        return self._transport.is_closing()
+
     @property
     def is_broken(self) -> bool:
         """Whether the connection ended with an error, such as a reset."""
