--- a/src/currantline/relay/_request_reader.py
+++ b/src/currantline/relay/_request_reader.py
@@ -68,8 +68,8 @@
                 return None
             charge.check()
             charge.add_head(REQUEST_BYTES + connection.head_bytes)
-            charge.holding.record_progress()
             if _has_body(head):
+                charge.holding.record_progress()
                 # An eviction cannot interrupt this wait.
                 del self._reading[connection]
                 charge.reserved_bytes = await self._reserve_body(head)
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -34,6 +34,8 @@
 # consumed, and parses as many header fields in one turn as it has received.
 MAX_PARSED_BYTES = 65_536
 
+HEAD_END = b"\r\n\r\n"
+
 
 class HttpConnection(ByteStream):
     """One side of an HTTP/1.1 connection.
@@ -375,8 +377,10 @@
             # The parser has consumed what came before, except an incomplete head.
             is_in_body = self._h11.their_state is h11.SEND_BODY
             incomplete = 0 if is_in_body else self._parser_bytes
-            limit = MAX_PARSED_BYTES if is_in_body else self._max_head_bytes
-            data = self._take_bytes(limit)
+            # The parser checks the size of a head only while it is incomplete.
+            max_head = self._max_head_bytes
+            is_bounded = is_in_body or self._unread.find(HEAD_END, 0, max_head) >= 0
+            data = self._take_bytes(MAX_PARSED_BYTES if is_bounded else max_head)
             self._h11.receive_data(data)
             self._count_parser_bytes(incomplete + len(data))
 
--- a/src/currantline/wire/_holding.py
+++ b/src/currantline/wire/_holding.py
@@ -145,8 +145,14 @@
         self._unread = size
         return self._account.set(self._holder, Kind.UNREAD, size, self._clock.read())
 
-    def count_unwritten(self, size: int) -> bool:
-        """Count bytes that the peer has not taken; return False without memory."""
+    def count_unwritten(self, size: int, *, held: int) -> bool:
+        """Count bytes that the peer has not taken, and the memory that they hold.
+
+        Returns
+        -------
+        bool
+            False if there is no memory for them.
+        """
         if size == self._unwritten or not self._holder.is_open:
             return True
         now = self._clock.read()
@@ -159,7 +165,7 @@
         self._unwritten = size
         if not size:
             self._port.writing.discard(self)
-        return self._account.set(self._holder, Kind.UNWRITTEN, size, now)
+        return self._account.set(self._holder, Kind.UNWRITTEN, held, now)
 
     def add(self, kind: Kind, size: int) -> bool:
         """Count memory of a request; return False if there is none."""
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -29,6 +29,7 @@
 
 # Shared by all connections, since each read is copied before the next one.
 _RECEIVE_BUFFER = bytearray(RECEIVE_BUFFER_BYTES)
+_RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
 
 
 class ByteStream(asyncio.BufferedProtocol):
@@ -66,6 +67,8 @@
         self._parser_bytes = 0
         self._unwritten: deque[memoryview] = deque()
         self._unwritten_bytes = 0
+        # Size of the blocks that the pieces in `_unwritten` are parts of.
+        self._unwritten_block_bytes = 0
         self._on_written: Callable[[], object] | None = None
         self._is_lost = False
         self._is_broken = False
@@ -155,6 +158,7 @@
         """
         self._unwritten.append(memoryview(data))
         self._unwritten_bytes += len(data)
+        self._unwritten_block_bytes += len(data)
         self._write_pieces()
         self.count_unwritten()
 
@@ -165,8 +169,12 @@
         """
         if self.holding is None:
             return
-        size = self._unwritten_bytes + self._transport.get_write_buffer_size()
-        if not self.holding.count_unwritten(size):
+        buffered = self._transport.get_write_buffer_size()
+        is_counted = self.holding.count_unwritten(
+            self._unwritten_bytes + buffered,
+            held=self._unwritten_block_bytes + buffered,
+        )
+        if not is_counted:
             self.abort()
 
     async def drain(self) -> None:
@@ -241,7 +249,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take received bytes from the buffer."""
-        self.data_received(bytes(memoryview(_RECEIVE_BUFFER)[:nbytes]))
+        self.data_received(bytes(_RECEIVE_VIEW[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes for the reader."""
@@ -301,6 +309,9 @@
             data = self._unwritten.popleft()
             if len(data) > MAX_PIECE_BYTES:
                 self._unwritten.appendleft(data[MAX_PIECE_BYTES:])
+            else:
+                # Each piece keeps the whole block until the last one is written.
+                self._unwritten_block_bytes -= memoryview(data.obj).nbytes
             self._unwritten_bytes -= min(len(data), MAX_PIECE_BYTES)
             self._transport.write(data[:MAX_PIECE_BYTES])
         if self._on_written is not None and not self._unwritten:
@@ -310,6 +321,7 @@
     def _discard_unwritten(self) -> None:
         self._unwritten.clear()
         self._unwritten_bytes = 0
+        self._unwritten_block_bytes = 0
         self._on_written = None
 
     def _mark_lost(self) -> None:
@@ -358,8 +370,11 @@
             await self._wait()
 
     def _take_bytes(self, max_bytes: int) -> bytes:
-        data = bytes(self._unread[:max_bytes])
-        del self._unread[:max_bytes]
-        if not self._unread:
-            self._resume_reading()
+        if len(self._unread) > max_bytes:
+            data = bytes(self._unread[:max_bytes])
+            del self._unread[:max_bytes]
+            return data
+        data = bytes(self._unread)
+        self._unread.clear()
+        self._resume_reading()
         return data
