--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -37,6 +37,7 @@
     make_directory_handler,
     make_readiness_handler,
 )
+from currantline.ports import Ports
 from currantline.published_state import PublishedState
 from currantline.relay import (
     AvailabilityReader,
@@ -146,6 +147,13 @@
         self.meter = Meter()
         self.replica = Replica(find_era_start=find_era_start)
         self.targets = TargetRegistry()
+        self._ports = Ports(
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+            clock=clock,
+            meter=self.meter,
+            log=log,
+        )
         self._published = PublishedState(
             self.targets,
             data_centres=settings.data_centres,
@@ -295,7 +303,12 @@
 
     def _build_relay(self, hedge_limit: float | None) -> None:
         latencies = LatencyAverages()
-        self._pool = ConnectionPool(clock=self._clock, meter=self.meter)
+        self._pool = ConnectionPool(
+            clock=self._clock,
+            meter=self.meter,
+            max_response_bytes=self._ports.account.max_bytes // 2,
+            count_response_bytes=self._ports.count_response_bytes,
+        )
         self._permits = PermitProtocol(
             self.targets,
             host=self._settings.host,
@@ -401,15 +414,17 @@
             clock=self._clock,
             log=self._log,
             max_body_bytes_held=find_max_bytes_held(self._settings.memory_bytes),
+            port=self._ports.callers,
         )
         ttl_s = min(DIRECTORY_TTL_S, self._settings.directory_ttl_s)
-        self._directory = HttpServer(
-            make_directory_handler(self._find_addresses, ttl_s)
-        )
-        self._readiness = HttpServer(make_readiness_handler(lambda: self.is_ready))
-        self._peers = HttpServer(self._handle_peer_request)
-        self._control = HttpServer(self._handle_peer_request)
-        self._metrics = HttpServer(self._handle_metrics_request)
+        resolve = make_directory_handler(self._find_addresses, ttl_s)
+        check_readiness = make_readiness_handler(lambda: self.is_ready)
+        ports = self._ports
+        self._directory = ports.make_server(resolve, ports.directory)
+        self._readiness = ports.make_server(check_readiness, ports.readiness)
+        self._peers = ports.make_server(self._handle_peer_request, ports.peers)
+        self._control = ports.make_server(self._handle_peer_request, ports.control)
+        self._metrics = ports.make_server(self._handle_metrics_request, ports.metrics)
         self.meter.add_gauge("targets", lambda: len(self.targets))
         self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
         self.meter.add_gauge("evacuated_targets", self.targets.count_evacuated)
@@ -459,6 +474,7 @@
             self._pool.close_stale(self.targets.list_connectable_addresses())
             for target in self.targets.take_warmed(self._clock.read()):
                 self._log.write("target_warm", target=target.name)
+            self._ports.abort_stalled()
             self._log.flush()
 
     def _refresh_local_member(self) -> bool:
--- a/src/currantline/platform/_settings.py
+++ b/src/currantline/platform/_settings.py
@@ -29,6 +29,8 @@
 
 BYTES_PER_S_PER_MBPS = 125_000.0
 DEFAULT_LINK_MBPS = 1_000.0
+# The smallest number that a deployment has stated.
+DEFAULT_MAX_DESCRIPTORS = 4_100
 
 
 @attrs.frozen(kw_only=True)
@@ -82,6 +84,8 @@
         Processor time per second that the instance may use.
     link_bytes_per_s : float
         Bytes per second that the link of the machine carries in each direction.
+    max_descriptors : int
+        Maximum number of descriptors of the process.
     """
 
     name: str
@@ -106,6 +110,9 @@
     memory_bytes: int = attrs.field(validator=check_at_least(1))
     cores: float = attrs.field(validator=check_positive)
     link_bytes_per_s: float = attrs.field(validator=check_positive)
+    max_descriptors: int = attrs.field(
+        default=DEFAULT_MAX_DESCRIPTORS, validator=check_at_least(1)
+    )
 
 
 def read_settings(path: str) -> InstanceSettings:
@@ -165,6 +172,7 @@
             memory_bytes=int(node["limits"]["memoryMb"]) * 1_000_000,
             cores=_decode_cores(node["limits"]),
             link_bytes_per_s=_decode_link(node["limits"]),
+            max_descriptors=int(node["limits"].get("maxFds", DEFAULT_MAX_DESCRIPTORS)),
         )
     except KeyError as error:
         key = str(error.args[0])
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -21,6 +21,7 @@
 from currantline.relay._selection import RequestContext, Selection
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
+from currantline.relay._tasks import discard_cancellation
 from currantline.routing import (
     RequestAgeEstimator,
     Route,
@@ -201,6 +202,7 @@
             self._timeouts.discard(timeout)
             for task in pending:
                 task.cancel()
+                task.add_done_callback(discard_cancellation)
             self._hedger.record_end(progress)
 
     async def _await_response(
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -7,10 +7,15 @@
 from collections.abc import Callable
 
 from currantline.exceptions import CurrantlineError, WireError
+from currantline.wire._holding import Holding
 
 __all__ = ["MAX_PIECE_BYTES", "ByteStream"]
 
-MAX_UNREAD_BYTES = 65536
+# Unread bytes above which a connection without a waiting reader is not read from.
+MAX_UNREAD_BYTES = 32_768
+
+# Bytes that are read from a socket at once. asyncio would allocate 256 KiB each time.
+RECEIVE_BUFFER_BYTES = 65_536
 
 # Maximum size of the pieces that `ByteStream.write_in_pieces` hands to the transport.
 MAX_PIECE_BYTES = 262_144
@@ -22,8 +27,12 @@
 LINGER_S = 1.0
 MAX_LINGER_S = 30.0
 
+# Shared by all connections, since each read is copied before the next one.
+_RECEIVE_BUFFER = bytearray(RECEIVE_BUFFER_BYTES)
+_RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
+
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BufferedProtocol):
     """Asyncio protocol with buffered reads, flow control and interruptible waits.
 
     Parameters
@@ -40,6 +49,8 @@
     before_wait : callable or None
         Called before each wait, so that a time limit starts a timer only if a wait
         is needed.
+    holding : Holding or None
+        What the connection holds of the memory account, None if it is not counted.
     """
 
     def __init__(
@@ -47,11 +58,18 @@
     ) -> None:
         self.on_lost: Callable[[], object] | None = None
         self.before_wait: Callable[[], object] | None = None
+        self.holding: Holding | None = None
         self._on_open = on_open
         self._is_client = is_client
         self._transport: asyncio.Transport
         self._unread = bytearray()
+        # Bytes that the parser has been given and may not have consumed.
+        self._parser_bytes = 0
         self._unwritten: deque[memoryview] = deque()
+        self._unwritten_bytes = 0
+        # Size of the blocks that the pieces in `_unwritten` are parts of.
+        self._unwritten_block_bytes = 0
+        self._on_written: Callable[[], object] | None = None
         self._is_lost = False
         self._is_broken = False
         self._has_early_response = False
@@ -68,11 +86,26 @@
         """Whether the peer closed the connection or it failed."""
         return self._is_lost
 
+    @property
+    def has_pipelined(self) -> bool:
+        """Whether bytes behind the last request have been received already."""
+        return bool(self._unread or self._parser_bytes)
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether this side is closing the connection, or it is closed."""
+        return self._transport.is_closing()
+
     @property
     def is_broken(self) -> bool:
         """Whether the connection ended with an error, such as a reset."""
         return self._is_broken
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether written bytes are left that the socket has not taken."""
+        return bool(self._unwritten or self._transport.get_write_buffer_size())
+
     @property
     def peer_host(self) -> str:
         """IP address of the peer."""
@@ -114,16 +147,48 @@
 
     def write(self, data: bytes) -> None:
         """Write bytes to the transport without suspending."""
+        if self._unwritten:
+            # It must not overtake the pieces that the transport has not got yet.
+            self.write_in_pieces(data)
+            return
         self._transport.write(data)
+        self.count_unwritten()
 
     def write_in_pieces(self, data: bytes) -> None:
         """Write bytes as fast as the transport takes them, without suspending.
 
         The transport copies what the socket does not take at once, so it gets large
-        data in pieces. What it has not got yet is discarded when this side closes.
+        data in pieces. What it has not got yet is discarded when a client closes; a
+        server writes it before.
         """
         self._unwritten.append(memoryview(data))
+        self._unwritten_bytes += len(data)
+        self._unwritten_block_bytes += len(data)
         self._write_pieces()
+        self.count_unwritten()
+
+    def write_encoded(self, parts: list[bytes]) -> None:
+        """Write the parts of an encoded message, large ones without copying them."""
+        if sum(map(len, parts)) <= MAX_PIECE_BYTES:
+            self.write(b"".join(parts))
+            return
+        for part in parts:
+            self.write_in_pieces(part)
+
+    def count_unwritten(self) -> None:
+        """Count the bytes that the socket has not taken in the memory account.
+
+        The connection is aborted if there is no memory for them.
+        """
+        if self.holding is None:
+            return
+        buffered = self._transport.get_write_buffer_size()
+        is_counted = self.holding.count_unwritten(
+            self._unwritten_bytes + buffered,
+            held=self._unwritten_block_bytes + buffered,
+        )
+        if not is_counted:
+            self.abort()
 
     async def drain(self) -> None:
         """Wait until the transport accepts more bytes.
@@ -151,9 +216,15 @@
 
     def close(self) -> None:
         """Close the connection without waiting."""
-        self._unwritten.clear()
-        if not self._is_discarding:
+        if self._is_discarding:
+            return
+        if self._unwritten and not self._is_client and not self._is_broken:
+            self._on_written = self._transport.close
+        else:
+            self._discard_unwritten()
             self._transport.close()
+        if self.holding is not None and self.has_unwritten:
+            self.holding.linger()
 
     def close_after_eof(self) -> None:
         """Send buffered bytes and EOF, then close once the peer has closed."""
@@ -163,13 +234,19 @@
         self._is_discarding = True
         self._unread.clear()
         self._resume_reading()
-        self._transport.write_eof()
+        if self.holding is not None:
+            self.holding.count_unread(0)
+            self.holding.linger()
+        if self._unwritten:
+            self._on_written = self._transport.write_eof
+        else:
+            self._transport.write_eof()
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self._end_linger, loop.time() + MAX_LINGER_S)
 
     def abort(self) -> None:
         """Close the connection immediately and discard unsent bytes."""
-        self._unwritten.clear()
+        self._discard_unwritten()
         self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -179,6 +256,14 @@
         if self._on_open is not None:
             self._on_open(self)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes from the buffer."""
+        self.data_received(bytes(_RECEIVE_VIEW[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes for the reader."""
         if self._is_discarding:
@@ -191,6 +276,11 @@
         if len(self._unread) > MAX_UNREAD_BYTES and self._data_waiter is None:
             self._is_reading_paused = True
             self._transport.pause_reading()
+        if self.holding is not None:
+            unread = len(self._unread) + self._parser_bytes
+            if not self.holding.count_received(len(data), unread):
+                self._unread.clear()
+                self.abort()
         self._wake_waiters()
 
     def eof_received(self) -> bool:
@@ -201,7 +291,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed."""
         self._is_broken = exc is not None
-        self._unwritten.clear()
+        self._discard_unwritten()
+        if self.holding is not None:
+            self.holding.close()
         self._mark_lost()
 
     def pause_writing(self) -> None:
@@ -212,6 +304,7 @@
         """Resume waiting writers, as the transport's write buffer has room."""
         self._is_writing_paused = False
         self._write_pieces()
+        self.count_unwritten()
         self._wake_waiters()
 
     def _end_linger(self, end_s: float) -> None:
@@ -219,6 +312,8 @@
         if self._has_discarded and loop.time() < end_s:
             self._has_discarded = False
             loop.call_later(LINGER_S, self._end_linger, end_s)
+        elif self._unwritten:
+            self._on_written = self._transport.close
         else:
             self._transport.close()
 
@@ -227,7 +322,20 @@
             data = self._unwritten.popleft()
             if len(data) > MAX_PIECE_BYTES:
                 self._unwritten.appendleft(data[MAX_PIECE_BYTES:])
+            else:
+                # Each piece keeps the whole block until the last one is written.
+                self._unwritten_block_bytes -= memoryview(data.obj).nbytes
+            self._unwritten_bytes -= min(len(data), MAX_PIECE_BYTES)
             self._transport.write(data[:MAX_PIECE_BYTES])
+        if self._on_written is not None and not self._unwritten:
+            on_written, self._on_written = self._on_written, None
+            on_written()
+
+    def _discard_unwritten(self) -> None:
+        self._unwritten.clear()
+        self._unwritten_bytes = 0
+        self._unwritten_block_bytes = 0
+        self._on_written = None
 
     def _mark_lost(self) -> None:
         self._is_lost = True
@@ -258,7 +366,12 @@
             self.before_wait()
         if self._interruption is not None:
             error, self._interruption = self._interruption, None
-            raise error
+            try:
+                raise error
+            finally:
+                # The traceback refers to this frame. The cycle would keep what the
+                # interrupted reader holds, such as a body.
+                del error
 
     def _resume_reading(self) -> None:
         if self._is_reading_paused:
@@ -269,7 +382,11 @@
         while not self._unread and not self._is_lost:
             await self._wait()
 
-    def _take_bytes(self) -> bytes:
+    def _take_bytes(self, max_bytes: int) -> bytes:
+        if len(self._unread) > max_bytes:
+            data = bytes(self._unread[:max_bytes])
+            del self._unread[:max_bytes]
+            return data
         data = bytes(self._unread)
         self._unread.clear()
         self._resume_reading()
