Check a configuration of the gateway before it is sent

`currantline check` reads the YAML configurations only and refuses the document under op/config, so that its faults show up only on the instances.

`currantline check-gateway` runs the decoder of the instances and locates what it refuses by decoding each field in an otherwise valid document. It also finds routes that never match, limits that contradict each other and services that are unknown or unused, and lists the differences from the version in force. It is a command of its own because its exit codes and output format differ from those of `check`. Standard output now escapes characters that the terminal lacks; the test for that raised UnicodeEncodeError before.

The whole suite was not run.

--- a/src/currantline/cli/_command.py
+++ b/src/currantline/cli/_command.py
@@ -11,9 +11,13 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes of the tool; Python exits with 1 on an unhandled exception."""
+    """Exit codes of the tool.
+
+    Python also exits with 1 on an unhandled exception, without a report.
+    """
 
     OK = 0
+    ERRORS_FOUND = 1
     USAGE = 2
     INVALID = 3
     CONFLICT = 4
@@ -93,6 +97,8 @@
         Runs the command; raises `CommandError` with an exit code on failure.
     define_flags : callable
         Defines the flags specific to this command.
+    text_format : str
+        Name of the output format for reading, next to ``json``; the default format.
     """
 
     name: str
@@ -102,6 +108,7 @@
     define_flags: Callable[[flags.FlagValues], None] = _define_none
     rest: str = ""
     details: str = ""
+    text_format: str = "table"
 
     @property
     def usage(self) -> str:
--- a/src/currantline/cli/_commands.py
+++ b/src/currantline/cli/_commands.py
@@ -1,6 +1,15 @@
 """Registry of the commands of the tool."""
 
-from currantline.cli import _audit, _check, _diff, _explain, _patch, _status, _wait
+from currantline.cli import (
+    _audit,
+    _check,
+    _check_gateway,
+    _diff,
+    _explain,
+    _patch,
+    _status,
+    _wait,
+)
 
 __all__ = ["COMMANDS"]
 
@@ -8,6 +17,7 @@
     command.name: command
     for command in (
         _check.COMMAND,
+        _check_gateway.COMMAND,
         _diff.COMMAND,
         _patch.COMMAND,
         _status.COMMAND,
--- a/src/currantline/cli/_program.py
+++ b/src/currantline/cli/_program.py
@@ -1,5 +1,6 @@
 """Parsing of the command line and printing of reports."""
 
+import io
 import json
 import sys
 from collections.abc import Iterable, Mapping, Sequence
@@ -59,6 +60,9 @@
 
 def run() -> NoReturn:
     """Entry point of the program."""
+    # Names may have characters that the encoding of the terminal lacks.
+    if isinstance(sys.stdout, io.TextIOWrapper):
+        sys.stdout.reconfigure(errors="backslashreplace")
     sys.exit(main(sys.argv))
 
 
@@ -117,13 +121,16 @@
     return next((word for word in words if not word.startswith("-")), "")
 
 
-def _define_flags(commands: Iterable[Command]) -> flags.FlagValues:
+def _define_flags(commands: Sequence[Command]) -> flags.FlagValues:
     values: flags.FlagValues = flags.FlagValues()  # type: ignore[no-untyped-call]
     values.set_gnu_getopt(True)
+    # Before the command is known, the formats of all commands are accepted.
+    known = commands or COMMANDS.values()
+    formats = sorted({"json", *(command.text_format for command in known)})
     flags.DEFINE_enum(
         "output",
-        "table",
-        ["json", "table"],
+        commands[0].text_format if commands else "table",
+        formats,
         "Output format.",
         flag_values=values,
     )
--- a/src/currantline/cli/tests/test_cli.py
+++ b/src/currantline/cli/tests/test_cli.py
@@ -104,7 +104,10 @@
         """Guards against a command, flag or exit code missing from the help."""
         assert main(["currantline", "--help"]) == 0
         text = capsys.readouterr().out
-        for word in ("check FILE", "diff OLD NEW", "patch BASE", "--author", "4 conf"):
+        for word in (
+            *("check FILE", "check-gateway FILE", "--in-force", "1 errors_found"),
+            *("diff OLD NEW", "patch BASE", "--author", "4 conf"),
+        ):
             assert word in text
 
     def test_unknown_flag(self, capsys: pytest.CaptureFixture[str]) -> None:
