Bound the memory and time of the check of a configuration

A document of 16 MiB of empty objects took 2.8 GB and 27 s, and long keys multiplied in the paths of findings.

Documents above 8 MiB and keys above 256 characters are errors. Duplicate keys are looked for, and differences compared, down to the fields that the decoder reads. Tables without duplicate keys need no additional memory. A further test covers a refused value that is reported twice or only at its table.

The whole suite was not run.

--- a/src/currantline/platform/_configuration_check.py
+++ b/src/currantline/platform/_configuration_check.py
@@ -4,7 +4,7 @@
 import math
 import re
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -30,10 +30,15 @@
 
 ERROR, WARNING = "error", "warning"
 
-# Far above any useful configuration. It bounds the memory and time of a check.
-MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+# Room for tens of thousands of routes. It bounds the memory and time of a check, which
+# are highest for a document of empty objects.
+MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+# Paths repeat the keys, so that long keys would multiply in the findings.
+MAX_KEY_CHARACTERS = 256
 # A valid configuration has six levels. The bound stays clear of the recursion limit.
 MAX_DEPTH = 64
+# Keys in the longest path that the decoder reads, routes.r1.trafficSplit.0.weight.
+MAX_PATH_KEYS = 5
 
 VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{8}")
 ROUTE_NUMBERS = ("timeoutMs", "targetLatencyMs", "priority", "maxAttempts")
@@ -85,10 +90,14 @@
 class _Table(dict[str, Any]):
     """JSON object that keeps the keys that occur more than once."""
 
+    __slots__ = ("duplicates",)
+
     def __init__(self, pairs: list[tuple[str, Any]]) -> None:
         super().__init__(pairs)
-        counts = Counter(key for key, _ in pairs)
-        self.duplicates = [key for key, count in counts.items() if count > 1]
+        self.duplicates: tuple[str, ...] = ()
+        if len(self) < len(pairs):
+            counts = Counter(key for key, _ in pairs)
+            self.duplicates = tuple(key for key in counts if counts[key] > 1)
 
 
 def check_configuration(
@@ -137,21 +146,24 @@
         return {}, _error("", f"not JSON: {error}")
     if not isinstance(document, dict):
         return {}, _error("", "a JSON object is required")
-    if _is_too_deep(document):
-        return {}, _error("", f"nested deeper than {MAX_DEPTH} levels")
-    return document, None
+    excess = _find_excess(document)
+    return (document, None) if excess is None else ({}, _error("", excess))
 
 
-def _is_too_deep(document: Any) -> bool:
+def _find_excess(document: Any) -> str | None:
+    """Return which bound a document exceeds, None if it keeps all of them."""
     level = [document]
     for _ in range(MAX_DEPTH):
+        tables = (value for value in level if isinstance(value, dict))
+        if any(len(key) > MAX_KEY_CHARACTERS for table in tables for key in table):
+            return f"a key has more than {MAX_KEY_CHARACTERS} characters"
         level = [
             item
             for value in level
             if isinstance(value, dict | list)
             for item in (value.values() if isinstance(value, dict) else value)
         ]
-    return bool(level)
+    return f"nested deeper than {MAX_DEPTH} levels" if level else None
 
 
 def _check_document(data: bytes, document: dict[str, Any]) -> Iterator[Finding]:
@@ -185,10 +197,16 @@
     if isinstance(value, _Table):
         for key in value.duplicates:
             yield _error(".".join((*path, key)), "duplicate key")
-    if isinstance(value, dict | list):
-        keys = value if isinstance(value, dict) else range(len(value))
-        for key in keys:
-            yield from _check_keys(value[key], (*path, str(key)))
+    if len(path) == MAX_PATH_KEYS - 1:
+        return
+    items: Iterable[tuple[Any, Any]] = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for key, item in items:
+        if isinstance(item, dict | list):
+            yield from _check_keys(item, (*path, str(key)))
 
 
 def _check_version(document: Mapping[str, Any]) -> Iterator[Finding]:
--- a/src/currantline/platform/_document_differences.py
+++ b/src/currantline/platform/_document_differences.py
@@ -8,6 +8,10 @@
 
 __all__ = ["Difference", "compare_documents"]
 
+# The platform's documents have tables, entries and fields. Values below a field are
+# compared as a whole.
+MAX_PATH_KEYS = 3
+
 ADDED, REMOVED, CHANGED = "added", "removed", "changed"
 
 
@@ -38,7 +42,7 @@
 ) -> Iterator[Difference]:
     """Yield the differences between two parsed documents of limited depth.
 
-    Tables are compared by key and all other values, such as lists, as a whole.
+    Tables and entries are compared by key and all other values as a whole.
     """
     for key in sorted({*old, *new}):
         inner = (*path, key)
@@ -47,7 +51,11 @@
             yield Difference(kind=ADDED, path=".".join(inner), new=after)
         elif key not in new:
             yield Difference(kind=REMOVED, path=".".join(inner), old=before)
-        elif isinstance(before, dict) and isinstance(after, dict):
+        elif (
+            isinstance(before, dict)
+            and isinstance(after, dict)
+            and len(inner) < MAX_PATH_KEYS
+        ):
             yield from compare_documents(before, after, inner)
         # The text tells 1 from true, and NaN is equal to itself.
         elif _format(before) != _format(after):
--- a/src/currantline/platform/tests/test_configuration_check.py
+++ b/src/currantline/platform/tests/test_configuration_check.py
@@ -146,6 +146,7 @@
             b'{"version":"00000001","routes":{},"services":{},"x":%s}'
             % (b"[" * 900 + b"]" * 900),
             b'{"version":"00000001","routes":{},"services":{},"x":%s}' % (b"9" * 5000),
+            b'{"version":"00000001","routes":{},"services":{},"%s":1}' % (b"k" * 257),
             b" " * (MAX_DOCUMENT_BYTES + 1),
         ],
         ids=lambda data: repr(data[:12]),
@@ -155,6 +156,18 @@
         assert check_configuration(data).has_errors
         assert check_configuration(encode(make_sound()), data).has_errors
 
+    @pytest.mark.parametrize(
+        ("table", "field"), [("read", "timeoutMs"), ("svc", "warmupS")]
+    )
+    def test_one_finding(self, table: str, field: str) -> None:
+        """Guards against a refused value found twice or only at its table."""
+        document = make_sound()
+        tables = {**document["routes"], **document["services"]}
+        tables["svc"].update(warmupS=3, warmupPerS=2)
+        tables[table][field] = "x"
+        (finding,) = check_configuration(encode(document)).findings
+        assert finding.path.endswith(f".{table}.{field}")
+
     def test_duplicate_keys(self) -> None:
         """Guards against a route that a later one of the same name replaces."""
         text = json.dumps(make_sound()).replace('"orders":', '"read":')
@@ -173,6 +186,7 @@
         old["services"]["svc"]["warmupS"] = 1
         del new["limits"]["headerBytes"]
         new["services"]["more"] = {}
+        old["services"]["two"]["x"], new["services"]["two"]["x"] = {"y": 1}, {"y": 2}
         assert check_configuration(encode(new), encode(old)).differences == (
             Difference(kind="removed", path="limits.headerBytes", old=16384),
             Difference(
@@ -180,6 +194,9 @@
             ),
             Difference(kind="added", path="services.more", new={}),
             Difference(kind="changed", path="services.svc.warmupS", old=1, new=True),
+            Difference(
+                kind="changed", path="services.two.x", old={"y": 1}, new={"y": 2}
+            ),
             Difference(kind="changed", path="version", old="00000005", new="00000006"),
         )
 
