Keep the check of configurations out of the instances' start

Cause: the adapter imported the check, so instances took longer to start. Change: a public module of the adapter that only the command line imports.

--- a/src/currantline/cli/_check_gateway.py
+++ b/src/currantline/cli/_check_gateway.py
@@ -8,7 +8,7 @@
 
 from currantline.cli._command import Command, ExitCode, Invocation, Report
 from currantline.exceptions import CommandError
-from currantline.platform import (
+from currantline.platform.configuration_check import (
     MAX_DOCUMENT_BYTES,
     ConfigurationCheck,
     Difference,
--- a/src/currantline/platform/__init__.py
+++ b/src/currantline/platform/__init__.py
@@ -1,15 +1,10 @@
 """Adapter between the users' platform and currantline.
 
-The platform's names of fields, keys, paths and headers appear only in this package.
+The platform's names of fields, keys, paths and headers appear only in this package. The
+check of a configuration, `configuration_check`, is imported by the command line only:
+each module takes instances time to start.
 """
 
-from currantline.platform._configuration_check import (
-    MAX_DOCUMENT_BYTES,
-    ConfigurationCheck,
-    Finding,
-    check_configuration,
-)
-from currantline.platform._document_differences import Difference
 from currantline.platform._documents import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -42,17 +37,12 @@
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
     "HEADERS",
-    "MAX_DOCUMENT_BYTES",
     "REVISION_PATTERN",
     "SETTINGS_VARIABLE",
     "TARGET_PREFIX",
-    "ConfigurationCheck",
-    "Difference",
-    "Finding",
     "InstanceSettings",
     "RecordBatch",
     "StoreClient",
-    "check_configuration",
     "decode_evacuation",
     "decode_route_table",
     "decode_settings",
--- a/src/currantline/platform/_configuration_check.py
+++ b/src/currantline/platform/configuration_check.py
@@ -24,6 +24,7 @@
     "MAX_DOCUMENT_BYTES",
     "WARNING",
     "ConfigurationCheck",
+    "Difference",
     "Finding",
     "check_configuration",
 ]
--- a/src/currantline/platform/tests/test_configuration_check.py
+++ b/src/currantline/platform/tests/test_configuration_check.py
@@ -7,11 +7,11 @@
 import pytest
 
 from currantline.exceptions import ConfigurationError
-from currantline.platform import (
+from currantline.platform import decode_route_table
+from currantline.platform.configuration_check import (
     MAX_DOCUMENT_BYTES,
     Difference,
     check_configuration,
-    decode_route_table,
 )
 from currantline.platform.samples import make_configuration
 
