Read the connections of each thread into a buffer of their own

Cause: one buffer served the reads of all connections of a process. A socket is read without the interpreter lock, so with event loops in two threads one may read before the other has copied its bytes: a client got its own request as the response. Instances run one loop, in one thread; tests and the command line inside another program run several.

Change: the buffer is local to the thread.

--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 import socket
+import threading
 from collections import deque
 from collections.abc import Callable
 
@@ -27,9 +28,20 @@
 LINGER_S = 1.0
 MAX_LINGER_S = 30.0
 
-# Shared by all connections, since each read is copied before the next one.
-_RECEIVE_BUFFER = bytearray(RECEIVE_BUFFER_BYTES)
-_RECEIVE_VIEW = memoryview(_RECEIVE_BUFFER)
+
+class _ReceiveBuffer(threading.local):
+    """Buffer for the reads of all connections of one event loop.
+
+    Each read is copied before the next one. Event loops run in threads of their own,
+    and a shared buffer would mix the bytes of their connections.
+    """
+
+    def __init__(self) -> None:
+        self.bytes = bytearray(RECEIVE_BUFFER_BYTES)
+        self.view = memoryview(self.bytes)
+
+
+_RECEIVE_BUFFER = _ReceiveBuffer()
 
 
 class ByteStream(asyncio.BufferedProtocol):
@@ -258,11 +270,11 @@
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read."""
-        return _RECEIVE_BUFFER
+        return _RECEIVE_BUFFER.bytes
 
     def buffer_updated(self, nbytes: int) -> None:
         """Take received bytes from the buffer."""
-        self.data_received(bytes(_RECEIVE_VIEW[:nbytes]))
+        self.data_received(bytes(_RECEIVE_BUFFER.view[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes for the reader."""
