Split the composition root along its duties

Change: the exchange of changes with other instances, the gauges and the metrics endpoint, the background tasks and the assembly of the relay move to modules of their own. Gateway stays the composition root and calls them in the same order. No behaviour changes.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import random
-import re
-from collections.abc import Coroutine, Sequence
-from typing import Any
+from collections.abc import Sequence
 
 import attrs
 
+from currantline.background_tasks import BackgroundTasks
+from currantline.change_exchange import ChangeExchange
 from currantline.clock import Clock
-from currantline.exceptions import AddressInUseError, PeerError
+from currantline.exceptions import AddressInUseError
 from currantline.fleet import (
     Member,
     MembershipList,
@@ -19,75 +19,31 @@
     choose_hosts,
     find_weight,
 )
-from currantline.hedging import HedgePolicy
-from currantline.permits import PermitProtocol
-from currantline.placement import (
-    LatencyAverages,
-    ProbeLimit,
-    TargetRegistry,
+from currantline.instance_metrics import (
+    METRICS_PORT,
+    add_instance_gauges,
+    make_metrics_handler,
 )
+from currantline.placement import TargetRegistry
 from currantline.platform import (
     HEADERS,
-    REVISION_PATTERN,
     InstanceSettings,
     StoreClient,
-    find_era,
     find_era_start,
-    find_number,
     make_directory_handler,
     make_readiness_handler,
 )
 from currantline.ports import Ports
 from currantline.published_state import PublishedState
-from currantline.relay import (
-    AvailabilityReader,
-    ColdTargetSelector,
-    ConnectionPool,
-    Hedger,
-    LimitedTargetSelector,
-    LoadProber,
-    RateLimitReader,
-    Relay,
-    RelayServer,
-    RepeatLimiter,
-    Sender,
-    TargetSelector,
-    WarmupReader,
-    find_max_bytes_held,
-    find_max_idle,
-)
-from currantline.replica import (
-    Changes,
-    PlatformReader,
-    Record,
-    Replica,
-    decode_changes,
-    encode_changes,
-)
+from currantline.relay import RelayServer, find_max_bytes_held, find_max_idle
+from currantline.relay_assembly import assemble_relay
+from currantline.replica import Changes, PlatformReader, Record, Replica
 from currantline.routing import RouteTable
 from currantline.telemetry import EventLog, Meter
-from currantline.wire import (
-    HttpClient,
-    HttpServer,
-    Request,
-    Response,
-    fetch,
-    find_header,
-)
+from currantline.wire import HttpClient, HttpServer
 
 __all__ = ["Gateway"]
 
-CHANGES_PATH = "/changes"
-POSITION_PATTERN = re.compile(r"[0-9]{1,20}")
-HISTORY_HEADER = "currantline-history-revision"
-METRICS_PATH = "/metrics"
-
-# Port of the metrics endpoint; the deploy file states the same port.
-METRICS_PORT = 9464
-
-# Timeout for a pull of changes from another instance.
-PULL_TIMEOUT_MS = 1_000.0
-
 # Maximum TTL of directory responses; callers may connect to a dead instance for this
 # long.
 DIRECTORY_TTL_S = 2.0
@@ -142,8 +98,7 @@
         self._rng = rng
         self._log = log
         self._is_leaving = False
-        self._tasks: list[asyncio.Task[None]] = []
-        self._has_failed = asyncio.Event()
+        self._tasks = BackgroundTasks()
         self.meter = Meter()
         self.replica = Replica(find_era_start=find_era_start)
         self.targets = TargetRegistry()
@@ -209,13 +164,11 @@
             self._replica_puller.run,
             self._sweep,
         ):
-            self._start_task(run())
+            self._tasks.start(run())
 
     async def wait_for_failure(self) -> BaseException:
         """Wait until a background task fails and return its exception."""
-        await self._has_failed.wait()
-        ended = [task for task in self._tasks if task.done() and not task.cancelled()]
-        return next(error for task in ended if (error := task.exception()))
+        return await self._tasks.wait_for_failure()
 
     async def leave(self) -> None:
         """Direct callers to other instances, complete requests in flight and stop."""
@@ -279,10 +232,11 @@
             rng=self._rng,
             log=self._log,
         )
+        self._exchange = ChangeExchange(self.replica, port=settings.peer_port)
         self._replica_puller = ReplicaPuller(
             self.replica,
             data_centre=settings.data_centre,
-            pull=self._pull,
+            pull=self._exchange.pull,
             apply_changes=self._apply_pulled_changes,
             clock=self._clock,
             rng=self._rng,
@@ -302,108 +256,22 @@
         )
 
     def _build_relay(self, hedge_limit: float | None) -> None:
-        latencies = LatencyAverages()
-        self._pool = ConnectionPool(
-            clock=self._clock,
-            meter=self.meter,
-            max_response_bytes=self._ports.account.max_bytes // 2,
-            count_response_bytes=self._ports.count_response_bytes,
-        )
-        self._permits = PermitProtocol(
-            self.targets,
-            host=self._settings.host,
-            port=self._settings.permit_port,
-            list_issuers=self._list_permit_issuers,
-            list_instances=lambda: [m.host for m in self._membership.list_live()],
-            list_known=self._membership.list_known,
-            is_alive=self._membership.is_alive,
-            clock=self._clock,
-            meter=self.meter,
-            log=self._log,
-        )
-        limit_reader = RateLimitReader(
-            names=HEADERS, observe=self._permits.observe, log=self._log
-        )
-        availability_reader = AvailabilityReader(
-            names=HEADERS, clock=self._clock, rng=self._rng, log=self._log
-        )
-        prober = LoadProber(
-            self._pool,
-            names=HEADERS,
-            limit_reader=limit_reader,
-            availability_reader=availability_reader,
-            warmup_reader=WarmupReader(
-                names=HEADERS, observe=self._permits.observe_warmup, log=self._log
-            ),
-            clock=self._clock,
-            meter=self.meter,
-            log=self._log,
-        )
-        self._selector = TargetSelector(
-            self.targets,
-            prober=prober,
-            latencies=latencies,
-            probe_limit=ProbeLimit(self._settings.max_probes_per_s),
-            limited_targets=LimitedTargetSelector(
-                permits=self._permits,
-                latencies=latencies,
-                clock=self._clock,
-                rng=self._rng,
-            ),
-            cold_targets=ColdTargetSelector(
-                self.targets,
-                permits=self._permits,
-                prober=prober,
-                latencies=latencies,
-                clock=self._clock,
-                rng=self._rng,
-            ),
-            count_instances=lambda: len(self._membership.list_live()) + 1,
-            data_centre=self._settings.data_centre,
-            get_weight=self._find_relative_weight,
-            clock=self._clock,
-            rng=self._rng,
-        )
-        sender = Sender(
-            self._pool,
-            names=HEADERS,
-            limit_reader=limit_reader,
-            availability_reader=availability_reader,
-            latencies=latencies,
-            clock=self._clock,
-            meter=self.meter,
-            log=self._log,
-        )
-        retry_options = self._settings.retry_options
-        repeats = RepeatLimiter(
-            retry_options,
-            count_instances=lambda: self._membership.peak_size,
-            clock=self._clock,
-            meter=self.meter,
-        )
-        policy: HedgePolicy | None = None
-        if hedge_limit is not None:
-            policy = HedgePolicy(hedge_limit, retry_options.window_ms)
-        hedger = Hedger(
-            policy,
+        assembly = assemble_relay(
+            self._settings,
             targets=self.targets,
-            selector=self._selector,
-            repeats=repeats,
-            clock=self._clock,
-            meter=self.meter,
-        )
-        self._relay = Relay(
+            membership=self._membership,
+            ports=self._ports,
             read_table=lambda: self.table,
-            selector=self._selector,
-            sender=sender,
-            repeats=repeats,
-            hedger=hedger,
-            names=HEADERS,
+            hedge_limit=hedge_limit,
             clock=self._clock,
             rng=self._rng,
             meter=self.meter,
             log=self._log,
         )
+        self._relay = assembly.relay
+        self._selector = assembly.selector
+        self._permits = assembly.permits
+        self._pool = assembly.pool
 
     def _build_services(self) -> None:
         self._server = RelayServer(
@@ -422,40 +290,25 @@
         ports = self._ports
         self._directory = ports.make_server(resolve, ports.directory)
         self._readiness = ports.make_server(check_readiness, ports.readiness)
-        self._peers = ports.make_server(self._handle_peer_request, ports.peers)
-        self._control = ports.make_server(self._handle_peer_request, ports.control)
-        self._metrics = ports.make_server(self._handle_metrics_request, ports.metrics)
-        self.meter.add_gauge("targets", lambda: len(self.targets))
-        self.meter.add_gauge("rate_limited_targets", self.targets.count_rate_limited)
-        self.meter.add_gauge("evacuated_targets", self.targets.count_evacuated)
-        self.meter.add_gauge("cold_targets", self._count_cold)
-        self.meter.add_gauge("instances", self._count_live)
-        self.meter.add_gauge("configuration_version", lambda: self._published.version)
-        self.meter.add_gauge(
-            "routes_of_unknown_kind", lambda: self._published.unknown_kinds
+        self._peers = ports.make_server(self._exchange.handle, ports.peers)
+        self._control = ports.make_server(self._exchange.handle, ports.control)
+        self._metrics = ports.make_server(
+            make_metrics_handler(self.meter), ports.metrics
         )
-        self.meter.add_gauge(
-            "replica_revision", lambda: find_number(self.replica.revision)
+        add_instance_gauges(
+            self.meter,
+            targets=self.targets,
+            published=self._published,
+            replica=self.replica,
+            store=self._store,
+            server=self._server,
+            count_instances=self._count_live,
+            clock=self._clock,
+            log=self._log,
         )
-        self.meter.add_gauge("store_era", lambda: find_era(self.replica.revision))
-        self.meter.add_gauge("platform_calls", lambda: self._store.calls)
-        self.meter.add_gauge("caller_connections", lambda: self._server.connections)
-        self.meter.add_gauge("held_body_bytes", lambda: self._server.held_body_bytes)
-        self.meter.add_gauge("dropped_log_lines", lambda: self._log.dropped)
-
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
-
-    def _on_task_done(self, task: "asyncio.Task[None]") -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._has_failed.set()
 
     async def _stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.stop()
         for server in (self._server, self._directory, self._readiness):
             await server.stop()
         for service in (self._peers, self._control, self._metrics):
@@ -502,11 +355,6 @@
         if changed:
             self._membership_protocol.notify_replica_change(is_from_platform=False)
 
-    def _list_permit_issuers(self) -> list[str]:
-        members = [*self._membership.list_live(), self._membership.local_member]
-        ready = [m.host for m in members if m.status is MemberStatus.READY]
-        return ready or [self._settings.host]
-
     def _find_addresses(self, data_centre: str) -> list[str]:
         ready = self._membership.list_ready()
         if self.is_ready:
@@ -515,39 +363,5 @@
         hosts = choose_hosts(ready, data_centre, self._rng)
         return [f"{host}:{port}" for host in hosts]
 
-    async def _pull(self, host: str, after: int) -> Changes:
-        request = Request(method="GET", target=f"{CHANGES_PATH}?after={after}")
-        address = f"{host}:{self._settings.peer_port}"
-        response = await fetch(address, request, timeout_ms=PULL_TIMEOUT_MS)
-        if response.status != 200:
-            raise PeerError(f"{host} answered with status {response.status}")
-        history = find_header(response.headers, HISTORY_HEADER) or "0"
-        if not REVISION_PATTERN.fullmatch(history):
-            raise PeerError(f"{host} answered with history {history!r}")
-        return decode_changes(response.body, after=after, history_revision=int(history))
-
-    async def _handle_peer_request(self, request: Request) -> Response:
-        path, _, query = request.target.partition("?")
-        after = query.removeprefix("after=")
-        if path != CHANGES_PATH or not POSITION_PATTERN.fullmatch(after):
-            return Response(status=404)
-        changes = self.replica.list_changes(int(after))
-        history = (HISTORY_HEADER, str(changes.history_revision))
-        return Response(status=200, headers=(history,), body=encode_changes(changes))
-
-    async def _handle_metrics_request(self, request: Request) -> Response:
-        if request.target != METRICS_PATH:
-            return Response(status=404)
-        content_type = ("content-type", "text/plain; version=0.0.4")
-        return Response(status=200, headers=(content_type,), body=self.meter.render())
-
-    def _count_cold(self) -> int:
-        return self.targets.count_cold(self._clock.read())
-
-    def _find_relative_weight(self) -> int:
-        weights = [member.weight for member in self._membership.list_live()]
-        local = self._membership.local_member.weight
-        return local // min([*weights, local])
-
     def _count_live(self) -> int:
         return len(self._membership.list_live()) + 1
