Split the selector along its duties

Change: the probing of targets with its limits moves to TargetSampler, connecting to a chosen target to TargetConnector. Clock reads, random draws and calls keep their order. No behaviour changes.

--- a/src/currantline/relay/_selector.py
+++ b/src/currantline/relay/_selector.py
@@ -11,7 +11,6 @@
     ProbeLimit,
     Target,
     TargetRegistry,
-    choose_probe_targets,
     describe_unavailability,
     find_next_available_ms,
     find_pause,
@@ -23,38 +22,21 @@
 )
 from currantline.relay._cold_targets import ColdTargetSelector
 from currantline.relay._limited_targets import LimitedTargetSelector
-from currantline.relay._pool import Lease
 from currantline.relay._probe_queue import ProbeQueue, Urgency
-from currantline.relay._prober import LoadProber, ProbeResult
+from currantline.relay._prober import LoadProber
 from currantline.relay._selection import RequestContext, Selection, presume_idle
+from currantline.relay._target_connector import MAX_REPORT_AGE_MS, TargetConnector
+from currantline.relay._target_sampler import TargetSampler
 
 __all__ = ["TargetSelector"]
 
-# Number of targets probed concurrently in the own data centre, then in the others.
-LOCAL_PROBES = 4
-REMOTE_PROBES = 3
-
-# The same for later searches of the same request.
-LOCAL_PROBES_AGAIN = 2
-REMOTE_PROBES_AGAIN = 1
-
 # Pause between two searches of an overdue request in milliseconds.
 OVERDUE_PAUSE_MS = 60.0
 
-# Time for which a full target is not probed again, in milliseconds.
-FULL_PAUSE_MS = 25.0
-
-# Age up to which a load report is used instead of a health check, in milliseconds.
-# Hosts change their speed every 150 ms.
-MAX_REPORT_AGE_MS = 40.0
-
-# The same while the limit of health checks is reached, in milliseconds.
+# Age up to which a load report is used while the limit of health checks is reached,
+# in milliseconds.
 MAX_LIMITED_REPORT_AGE_MS = 1_000.0
 
-# Time after which a target that may turn cold without notice gets a health check before
-# a request that needs none otherwise, in milliseconds.
-MAX_UNCHECKED_MS = 1_000.0
-
 
 class TargetSelector:
     """Probes targets and selects one of them.
@@ -103,17 +85,26 @@
         self._targets = targets
         self._prober = prober
         self._latencies = latencies
-        self._probe_limit = probe_limit
         self._limited_targets = limited_targets
         self._cold_targets = cold_targets
-        self._count_instances = count_instances
         self._data_centre = data_centre
         self._get_weight = get_weight
         self._clock = clock
         self._rng = rng
+        self._sampler = TargetSampler(
+            targets,
+            prober=prober,
+            latencies=latencies,
+            probe_limit=probe_limit,
+            count_instances=count_instances,
+            data_centre=data_centre,
+            clock=clock,
+            rng=rng,
+        )
+        self._connector = TargetConnector(
+            targets, prober=prober, sampler=self._sampler, clock=clock
+        )
         self._queues: dict[str, ProbeQueue] = {}
-        # Targets of the requests that wait for their permits to become valid.
-        self._reserved: dict[asyncio.Future[None], Target] = {}
         # Services whose targets all warmed up when they were searched last.
         self._cold_services: set[str] = set()
 
@@ -143,7 +134,7 @@
             finally:
                 queue.end_turn(found=selection is not None)
             if selection is not None and selection.target and not selection.lease:
-                selection = await self._connect_later(context, selection)
+                selection = await self._connector.connect_later(context, selection)
             if selection is not None:
                 return selection
             searches += 1
@@ -169,12 +160,12 @@
         usable = [t for t in usable if not (t.is_rate_limited or t.is_cold(now))]
         if len(self._find_queue(context)) or not usable:
             return None
-        probed = await self._probe(context, usable, searches=1)
+        probed = await self._sampler.probe(context, usable, searches=1)
         average_ms, now = self._read_average(context), self._clock.read()
         best = select_hedge_candidate(
-            context, self._list_current(probed), average_ms, now, self._rng
+            context, self._sampler.list_current(probed), average_ms, now, self._rng
         )
-        return self._claim(probed, best)
+        return self._sampler.claim(probed, best)
 
     def notify_slot_freed(self, context: RequestContext, target: Target) -> None:
         """Offer the slot of a finished request to the next waiting one."""
@@ -182,13 +173,11 @@
 
     def notify_evacuation(self) -> None:
         """Let requests with a permit for an evacuated target search for another."""
-        for woken, target in self._reserved.items():
-            if target.is_evacuated and not woken.done():
-                woken.set_result(None)
+        self._connector.notify_evacuation()
 
     def is_current(self, target: Target) -> bool:
         """Return whether a selected target may still receive the request."""
-        return self._targets.is_current(target, self._clock.read())
+        return self._connector.is_current(target)
 
     def find_wait_ms(self, context: RequestContext) -> float:
         """Return the time until a target of the service of a request is available.
@@ -258,7 +247,7 @@
             if not exclude:
                 self._cold_services.add(context.service.name)
             return await self._cold_targets.select_alone(
-                context, cold, self._probe_eligible
+                context, cold, self._sampler.probe_eligible
             )
         self._cold_services.discard(context.service.name)
         if not cold:
@@ -278,7 +267,7 @@
         self, context: RequestContext, cold: list[Target]
     ) -> Selection | None:
         return await self._cold_targets.select_besides(
-            context, cold, self._probe_eligible
+            context, cold, self._sampler.probe_eligible
         )
 
     async def _search_warm(
@@ -321,14 +310,14 @@
         )
         if selection is not None:
             return selection
-        if self._is_probing_limited(context, usable):
+        if self._sampler.is_limited(context, usable):
             return await self._select_presumed(context, usable)
-        probed = await self._probe(context, usable, searches)
+        probed = await self._sampler.probe(context, usable, searches)
         average_ms, now = self._read_average(context), self._clock.read()
         best = select_candidate(
-            context, self._list_current(probed), average_ms, now, self._rng
+            context, self._sampler.list_current(probed), average_ms, now, self._rng
         )
-        return self._claim(probed, best)
+        return self._sampler.claim(probed, best)
 
     async def _select_known(
         self, context: RequestContext, usable: list[Target], *, is_freed: bool
@@ -339,7 +328,7 @@
             for target in usable
             if (is_freed or target.published.data_centre == self._data_centre)
             and self._prober.is_verified(target, max_idle_ms=MAX_REPORT_AGE_MS)
-            and not self._needs_check(target)
+            and not self._connector.needs_check(target)
         ]
         candidates = self._list_reported(eligible, MAX_REPORT_AGE_MS)
         average_ms, now = self._read_average(context), self._clock.read()
@@ -348,7 +337,7 @@
             is_freed or has_good_candidate([best[0]], average_ms, now, self._rng)
         ):
             return None
-        return await self._connect(best)
+        return await self._connector.connect(best)
 
     async def _select_presumed(
         self, context: RequestContext, usable: list[Target]
@@ -364,7 +353,7 @@
             candidates = [presume_idle(context, target) for target in available]
         average_ms = self._read_average(context)
         best = select_candidate(context, candidates, average_ms, now, self._rng)
-        return await self._connect(best) if best is not None else None
+        return await self._connector.connect(best) if best is not None else None
 
     async def _select_limited(
         self, context: RequestContext, limited: list[Target]
@@ -373,60 +362,9 @@
         if best is None:
             return None
         target, predicted_ms = best[0].target, best[1]
-        lease = await self._open_limited(context, target)
-        return self._check_current(target, lease, predicted_ms=predicted_ms)
-
-    def _needs_check(self, target: Target) -> bool:
-        """Return whether only a health check shows that a target is not cold."""
-        age_ms = self._clock.read() - target.checked_ms
-        return target.warmup_bound is not None and age_ms > MAX_UNCHECKED_MS
-
-    async def _open_limited(
-        self, context: RequestContext, target: Target
-    ) -> Lease | None:
-        """Connect to a target for which a permit was granted."""
-        if self._needs_check(target) and self._count_probes_left(context):
-            self._probe_limit.record(context.service.name, 1)
-            path = context.service.health_path
-            probed = await self._prober.probe([target], path)
-            return probed[0].lease if probed else None
-        return await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
-
-    async def _connect_later(
-        self, context: RequestContext, reserved: Selection
-    ) -> Selection | None:
-        """Connect to a target for which a permit was granted, once it is valid."""
-        assert reserved.target is not None
-        target = reserved.target
-        woken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._reserved[woken] = target
-        try:
-            await asyncio.wait([woken], timeout=reserved.wait_ms / 1000)
-        finally:
-            del self._reserved[woken]
-        if not self.is_current(target):
-            return None
-        lease = await self._open_limited(context, target)
-        return self._check_current(target, lease, predicted_ms=0.0)
-
-    async def _connect(self, chosen: tuple[Candidate, float]) -> Selection | None:
-        # No health check would show that a connection has gone silent.
-        target = chosen[0].target
-        lease = await self._prober.connect(target, max_idle_ms=MAX_REPORT_AGE_MS)
-        if lease is not None and target.is_rate_limited:
-            self._prober.release(lease)
-            return None
-        return self._check_current(target, lease, predicted_ms=chosen[1])
-
-    def _check_current(
-        self, target: Target, lease: Lease | None, *, predicted_ms: float
-    ) -> Selection | None:
-        if lease is None:
-            return None
-        if target.is_cold(self._clock.read()) or not self.is_current(target):
-            self._prober.release(lease)
-            return None
-        return Selection(target, lease, predicted_ms)
+        return await self._connector.connect_limited(
+            context, target, predicted_ms=predicted_ms
+        )
 
     def _list_reported(
         self, targets: list[Target], max_age_ms: float
@@ -439,23 +377,6 @@
             and target.last_report.requested_ms > oldest_ms
         ]
 
-    def _is_probing_limited(
-        self, context: RequestContext, usable: list[Target]
-    ) -> bool:
-        """Return whether targets are available but none may be probed now."""
-        now = self._clock.read()
-        is_available = any(find_pause(target, now) is None for target in usable)
-        return is_available and self._count_probes_left(context) == 0
-
-    def _count_probes_left(self, context: RequestContext) -> int:
-        service = context.service.name
-        return self._probe_limit.count_left(
-            service,
-            targets=len(self._targets.list_usable(service)),
-            instances=self._count_instances(),
-            now=self._clock.read(),
-        )
-
     def _list_usable(
         self, context: RequestContext, exclude: Collection[str]
     ) -> list[Target]:
@@ -467,73 +388,3 @@
             return Selection(reason="all available targets rejected it")
         published = self._targets.list_published(context.service.name)
         return Selection(reason=describe_unavailability(published, self._clock.read()))
-
-    async def _probe(
-        self, context: RequestContext, usable: list[Target], searches: int
-    ) -> list[ProbeResult]:
-        local = [t for t in usable if t.published.data_centre == self._data_centre]
-        local_limit = LOCAL_PROBES_AGAIN if searches else LOCAL_PROBES
-        probed = await self._probe_some(context, local, local_limit)
-        local_candidates = [result.candidate for result in probed]
-        if has_good_candidate(
-            local_candidates, self._read_average(context), self._clock.read(), self._rng
-        ):
-            return probed
-        remote = [target for target in usable if target not in local]
-        limit = REMOTE_PROBES_AGAIN if searches else REMOTE_PROBES
-        try:
-            return probed + await self._probe_some(context, remote, limit)
-        except asyncio.CancelledError:
-            self._prober.release_unused(probed)
-            raise
-
-    async def _probe_some(
-        self, context: RequestContext, targets: list[Target], limit: int
-    ) -> list[ProbeResult]:
-        now = self._clock.read()
-        eligible = [t for t in targets if find_pause(t, now) is None]
-        return await self._probe_eligible(context, eligible, limit)
-
-    async def _probe_eligible(
-        self, context: RequestContext, eligible: list[Target], limit: int
-    ) -> list[ProbeResult]:
-        now = self._clock.read()
-        limit = min(limit, self._count_probes_left(context))
-        if not eligible or limit == 0:
-            return []
-        chosen = choose_probe_targets(
-            eligible,
-            limit,
-            is_connected=self._prober.is_connected,
-            now=now,
-            rng=self._rng,
-        )
-        self._probe_limit.record(context.service.name, len(chosen))
-        probed = await self._prober.probe(chosen, context.service.health_path)
-        for result in probed:
-            if not result.candidate.has_free_slot:
-                result.candidate.target.skip_until_ms = (
-                    self._clock.read() + FULL_PAUSE_MS
-                )
-        return probed
-
-    def _list_current(self, probed: list[ProbeResult]) -> list[Candidate]:
-        # A target may have started draining, or named a limit, or said that it is cold,
-        # while it was probed.
-        now = self._clock.read()
-        candidates = [result.candidate for result in probed]
-        return [
-            c
-            for c in candidates
-            if self._targets.is_current(c.target, now)
-            and not (c.target.is_rate_limited or c.target.is_cold(now))
-        ]
-
-    def _claim(
-        self, probed: list[ProbeResult], best: tuple[Candidate, float] | None
-    ) -> Selection | None:
-        chosen = next((a for a in probed if best and a.candidate is best[0]), None)
-        self._prober.release_unused(a for a in probed if a is not chosen)
-        if chosen is None or best is None:
-            return None
-        return Selection(chosen.candidate.target, chosen.lease, best[1])
