--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -13,6 +13,7 @@
 from currantline.relay._names import HeaderNames
 from currantline.relay._progress import Progress
 from currantline.relay._repeats import MIN_REMAINING_MS, RepeatLimiter
+from currantline.relay._request_log import RequestLog
 from currantline.relay._responses import build_text_response, strip_platform_headers
 from currantline.relay._retry_after import (
     UNREADY_RETRY_AFTER_MS,
@@ -98,7 +99,7 @@
         self._clock = clock
         self._rng = rng
         self._meter = meter
-        self._log = log
+        self._request_log = RequestLog(names=names, clock=clock, meter=meter, log=log)
         self._age_estimator = RequestAgeEstimator()
         self._detached: set[asyncio.Task[SendResult]] = set()
         self._timeouts: set[asyncio.Timeout] = set()
@@ -152,7 +153,9 @@
             )
         route = _find_route(table, request)
         if route is None:
-            self._log_unrouted(request, NOT_FOUND, "no route", version=table.version)
+            self._request_log.write_unrouted(
+                request, NOT_FOUND, "no route", version=table.version
+            )
             return build_text_response(NOT_FOUND, "no route fits")
         service = table.services.get(choose_service(route, self._rng))
         if service is None:
@@ -173,7 +176,7 @@
         )
         progress = Progress(context, request)
         response = await self._process(progress)
-        self._log_request(progress, response, table.version)
+        self._request_log.write(progress, response, table.version)
         return response
 
     def _read_time_left(self, request: Request, route: Route) -> float:
@@ -357,7 +360,7 @@
     def _refuse(
         self, request: Request, reason: str, bounds_ms: tuple[float, float]
     ) -> Response:
-        self._log_unrouted(request, UNAVAILABLE, reason)
+        self._request_log.write_unrouted(request, UNAVAILABLE, reason)
         return self._build_refusal(reason, bounds_ms)
 
     def _build_refusal(self, reason: str, bounds_ms: tuple[float, float]) -> Response:
@@ -366,43 +369,6 @@
         header = ("retry-after", f"{after_s:.3f}")
         return attrs.evolve(response, headers=(*response.headers, header))
 
-    def _log_unrouted(
-        self, request: Request, status: int, reason: str, *, version: int = 0
-    ) -> None:
-        request_id = find_header(request.headers, self._names.request_id) or ""
-        self._meter.count("requests", status=str(status))
-        self._log.write(
-            "request",
-            request_id=request_id,
-            status=status,
-            reason=reason,
-            version=version,
-        )
-
-    def _log_request(
-        self, progress: Progress, response: Response, version: int
-    ) -> None:
-        context = progress.context
-        took_ms = self._clock.read() - context.arrived_ms
-        self._meter.count("requests", status=str(response.status))
-        self._meter.observe("request_ms", took_ms, service=context.service.name)
-        self._log.write(
-            "request",
-            request_id=context.request_id,
-            status=response.status,
-            route=context.route.name,
-            service=context.service.name,
-            version=version,
-            took_ms=round(took_ms, 1),
-            left_ms=round(context.deadline_ms - context.arrived_ms),
-            reason=progress.refusal_reason,
-            sends=[
-                [r.target, r.outcome.value, round(r.took_ms, 1), r.reason]
-                for r in progress.results
-            ],
-            tried=sorted(progress.tried),
-        )
-
 
 def _find_route(table: RouteTable, request: Request) -> Route | None:
     host = find_header(request.headers, "host") or ""
