Use the weights of instances only where callers upload

Weights were made for thin links that fill with large bodies, and earlier deployments are to be served as before.

Change: the directory and the searches use weights only while the configuration has a route for uploads. With one, nothing changes.

--- a/src/currantline/fleet/_addresses.py
+++ b/src/currantline/fleet/_addresses.py
@@ -20,7 +20,11 @@
 
 
 def choose_hosts(
-    ready: Iterable[Member], data_centre: str, rng: random.Random
+    ready: Iterable[Member],
+    data_centre: str,
+    rng: random.Random,
+    *,
+    uses_weights: bool = True,
 ) -> list[str]:
     """Return the hosts for callers of a data centre.
 
@@ -37,10 +41,12 @@
         Data centre of the caller.
     rng : random.Random
         Samples hosts if there are more than needed.
+    uses_weights : bool
+        Whether callers are directed by the weights of the instances.
     """
     members = list(ready)
     near = [member for member in members if member.data_centre == data_centre]
-    if len({member.weight for member in near}) > 1:
+    if uses_weights and len({member.weight for member in near}) > 1:
         near = _sample_by_weight(near, rng)
     local = [member.host for member in near]
     remote = [member.host for member in members if member.data_centre != data_centre]
--- a/src/currantline/fleet/tests/test_codec.py
+++ b/src/currantline/fleet/tests/test_codec.py
@@ -136,6 +136,11 @@
             expected = member.weight / total
             assert 0.8 * expected <= shares[member.host] <= 1.2 * expected
 
+    def test_without_large_bodies(self) -> None:
+        """Guards against deployments without large bodies that are served anew."""
+        hosts = choose_hosts(UNEQUAL_MEMBERS, "a", random.Random(1), uses_weights=False)
+        assert hosts == [member.host for member in UNEQUAL_MEMBERS]
+
     def test_large_instances_lost(self) -> None:
         """Guards against responses without a host once the large instances are gone."""
         shares = self.draw_shares(UNEQUAL_MEMBERS[2:])
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -360,7 +360,9 @@
         if self.is_ready:
             ready.append(self._membership.local_member)
         port = self._settings.caller_address.rpartition(":")[2]
-        hosts = choose_hosts(ready, data_centre, self._rng)
+        # Only large bodies fill the thin links of small machines.
+        uses_weights = self._published.has_uploads
+        hosts = choose_hosts(ready, data_centre, self._rng, uses_weights=uses_weights)
         return [f"{host}:{port}" for host in hosts]
 
     def _count_live(self) -> int:
--- a/src/currantline/platform/_documents.py
+++ b/src/currantline/platform/_documents.py
@@ -42,7 +42,8 @@
 MAX_UNIX_MS = 253_402_300_799_999
 
 IDEMPOTENT = "idempotent"
-ROUTE_KINDS = frozenset({IDEMPOTENT, "non_idempotent", "upload"})
+UPLOAD = "upload"
+ROUTE_KINDS = frozenset({IDEMPOTENT, "non_idempotent", UPLOAD})
 READY, DRAINING = "ready", "draining"
 
 
@@ -75,6 +76,9 @@
             },
             limits=_decode_limits(document.get("limits") or {}),
             unknown_kinds=_find_unknown_kinds(document["routes"]),
+            has_uploads=any(
+                route["kind"] == UPLOAD for route in document["routes"].values()
+            ),
         )
     except ConfigurationError:
         raise
--- a/src/currantline/published_state.py
+++ b/src/currantline/published_state.py
@@ -88,6 +88,11 @@
         limits = [s.max_connections for s in services if s.max_connections is not None]
         return min(limits, default=None)
 
+    @property
+    def has_uploads(self) -> bool:
+        """Whether callers send large bodies on some route."""
+        return self.table is not None and self.table.has_uploads
+
     @property
     def unknown_kinds(self) -> int:
         """Number of routes of an unknown kind."""
--- a/src/currantline/relay_assembly.py
+++ b/src/currantline/relay_assembly.py
@@ -148,7 +148,7 @@
         ),
         count_instances=lambda: len(membership.list_live()) + 1,
         data_centre=settings.data_centre,
-        get_weight=lambda: _find_relative_weight(membership),
+        get_weight=lambda: _find_relative_weight(membership, read_table()),
         clock=clock,
         rng=rng,
     )
@@ -201,7 +201,9 @@
     return ready or [host]
 
 
-def _find_relative_weight(membership: MembershipList) -> int:
+def _find_relative_weight(membership: MembershipList, table: RouteTable | None) -> int:
+    if table is None or not table.has_uploads:
+        return 1
     weights = [member.weight for member in membership.list_live()]
     local = membership.local_member.weight
     return local // min([*weights, local])
--- a/src/currantline/routing/_table.py
+++ b/src/currantline/routing/_table.py
@@ -27,6 +27,8 @@
     unknown_kinds : mapping of str to str
         Kind as published, by name of the route, of the routes whose kind is not known
         and that are therefore served as non-idempotent.
+    has_uploads : bool
+        Whether callers send large bodies on some route.
     """
 
     version: int
@@ -34,6 +36,7 @@
     services: Mapping[str, RoutedService]
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     unknown_kinds: Mapping[str, str] = attrs.field(factory=dict)
+    has_uploads: bool = False
     _by_host: Mapping[str, tuple[Route, ...]] = attrs.field(init=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
