--- /dev/null
+++ b/review/doubles/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, upstreams, clients and the instances' host."""
