Show answers that callers lose while they read slowly

TCP_USER_TIMEOUT of 10 s on the connections of callers is meant for callers that acknowledge nothing. Linux also applies it while the receive window of a caller is closed, though the caller acknowledges each window probe.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=review exec python3 review/8/scenario.py
--- a/review/doubles/client.py
+++ b/review/doubles/client.py
@@ -65,6 +65,9 @@
     segment_bytes : int or None
         Size of the segments that its link carries, None for that of the loopback
         interface.
+    pause_s : float
+        Time for which it reads nothing after the first answer of an exchange that has
+        more than one.
     """
 
     def __init__(
@@ -75,8 +78,10 @@
         bytes_per_s: float | None = None,
         receive_buffer: int | None = None,
         segment_bytes: int | None = None,
+        pause_s: float = 0.0,
     ) -> None:
         self.host = host
+        self._pause_s = pause_s
         self._record = record
         self._bytes_per_s = bytes_per_s
         self._data = bytearray()
@@ -133,7 +138,10 @@
                 )
             self._started_s, self._received = time.monotonic(), 0
             async with asyncio.timeout(deadline_ms / 1000):
-                for answer in answers:
+                for number, answer in enumerate(answers):
+                    if number == 1 and self._pause_s:
+                        self._record.write("pause", attempt=answer.attempt)
+                        await asyncio.sleep(self._pause_s)
                     await self._read_answer(answer)
         except TimeoutError:
             end = "time"
