--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -1,103 +1,95 @@
-"""Clients that read slowly lose answers that are ready."""
+"""Upstreams run orders and then fail them with status 503 or 429."""
 
 import asyncio
+import random
+from collections.abc import Callable
 
-from doubles.client import Answer, Client
+from doubles.client import Answer, send_request
 from doubles.deployment import Deployment, make_route
 from doubles.record import Record
 from doubles.script import run_case
 from doubles.upstream import Upstream
 
-SERVICE, PREFIX = "arena-assets", "/archive/"
-ROUTE_TIMEOUT_MS, DEADLINE_MS = 10_000, 20_000
-# The largest answer that the site file names.
-ANSWER_BYTES, SMALL_BYTES = 30_000, 400
-CLIENTS, REQUESTS_AHEAD = 6, 12
-# A client reads nothing for this time, and has its answers before its deadline.
-PAUSE_S = 12.0
-# The socket of a client on an Ethernet, with the usual receive buffer.
-SEGMENT_BYTES, RECEIVE_BUFFER = 1_460, 65_536
-# A machine may close so many kept connections without an answer.
-MAX_CLOSED = 3
+SERVICE, PREFIX = "turbine-desk", "/orders/"
+ROUTE_TIMEOUT_MS, DEADLINE_MS = 2_000, 4_700
+ORDERS = 600
+INTERVAL_S = 0.03
+# Share of the requests that a failing upstream fails, and the number of such upstreams.
+# Both are within the doses that the site file names, 0.45 and 0.14 of the upstreams.
+FAILED_SHARE = 0.45
+FAILING_UPSTREAMS, UPSTREAMS = 1, 8
+PROMISES = (408, 421, 429, 503)
 
 
 async def play(record: Record, has_trouble: bool) -> list[str]:
-    """Return the violations of LOST."""
+    """Return the violations of REFUSED."""
     deployment = Deployment(record)
     route = make_route(
         SERVICE,
         PREFIX,
-        kind="idempotent",
+        kind="non_idempotent",
         timeout_ms=ROUTE_TIMEOUT_MS,
-        latency_ms=4_122,
+        latency_ms=600,
     )
     try:
-        await deployment.start_store({"archive": route}, [SERVICE])
-        for number in range(18):
+        await deployment.start_store({"orders": route}, [SERVICE])
+        for number in range(UPSTREAMS):
+            is_failing = has_trouble and number < FAILING_UPSTREAMS
             upstream = Upstream(
-                f"i-{number}", slots=2, work_s=0.1, make_body=_make_body, record=record
+                f"i-{number}",
+                slots=4,
+                work_s=0.14,
+                make_body=lambda path: path.encode(),
+                record=record,
+                choose_status=_fail_some() if is_failing else lambda attempt: 200,
             )
             await deployment.add_upstream(upstream, SERVICE)
         await deployment.start_instances()
-        return await _read_all(deployment, has_trouble)
+        return await _send_orders(deployment)
     finally:
         await deployment.stop()
 
 
-def _make_body(path: str) -> bytes:
-    return bytes(SMALL_BYTES if path.endswith("/first") else ANSWER_BYTES)
-
-
-async def _read_all(deployment: Deployment, has_trouble: bool) -> list[str]:
-    host = deployment.hosts[0]
-    tasks = [
-        asyncio.create_task(_read(deployment, host, number, has_trouble))
-        for number in range(CLIENTS)
-    ]
-    results = [await task for task in tasks]
-    if not any(answer.status == 200 for answers in results for answer in answers):
-        raise RuntimeError("no request was served")
-    # A connection counts once, if a request on it has run and no byte of its answer
-    # came.
-    closed = [lost for answers in results if (lost := _list_lost(deployment, answers))]
-    if len(closed) <= MAX_CLOSED:
-        return []
-    return [
-        f"LOST: {host} closed a kept connection on which {', '.join(lost)} had been "
-        "run and answered by sound upstreams, without an answer to them"
-        for lost in closed
-    ]
-
-
-async def _read(
-    deployment: Deployment, host: str, number: int, has_trouble: bool
-) -> list[Answer]:
-    client = Client(
-        host,
-        deployment.record,
-        receive_buffer=RECEIVE_BUFFER,
-        segment_bytes=SEGMENT_BYTES,
-        pause_s=PAUSE_S if has_trouble else 0.0,
-    )
-    first = [(f"{PREFIX}{number}/first", f"a{number}-first")]
-    await client.exchange(first, deadline_ms=DEADLINE_MS)
-    requests = [
-        (f"{PREFIX}{number}/{n}", f"a{number}-{n}") for n in range(REQUESTS_AHEAD)
-    ]
-    answers = await client.exchange(requests, deadline_ms=DEADLINE_MS)
-    client.close()
-    return answers
-
-
-def _list_lost(deployment: Deployment, answers: list[Answer]) -> list[str]:
-    upstreams = deployment.upstreams.values()
-    return [
-        answer.attempt
-        for answer in answers
-        if answer.end in ("closed", "reset")
-        and answer.status == 0
-        and any(answer.attempt in upstream.answered for upstream in upstreams)
-    ]
+def _fail_some() -> Callable[[str], int]:
+    rng = random.Random(FAILED_SHARE)
+
+    def choose(attempt: str) -> int:
+        is_failed = rng.random() < FAILED_SHARE
+        return rng.choice((503, 429)) if is_failed else 200
+
+    return choose
+
+
+async def _send_orders(deployment: Deployment) -> list[str]:
+    tasks = []
+    for number in range(ORDERS):
+        host = deployment.hosts[number % len(deployment.hosts)]
+        tasks.append(
+            asyncio.create_task(
+                send_request(
+                    host,
+                    f"{PREFIX}{number}",
+                    f"o{number}",
+                    deployment.record,
+                    method="POST",
+                    deadline_ms=DEADLINE_MS,
+                )
+            )
+        )
+        await asyncio.sleep(INTERVAL_S)
+    answers = list(await asyncio.gather(*tasks))
+    if not any(answer.status == 200 for answer in answers):
+        raise RuntimeError("no order was served")
+    return [_describe(a) for a in answers if _is_broken(deployment, a)]
+
+
+def _is_broken(deployment: Deployment, answer: Answer) -> bool:
+    runs = sum(u.runs.get(answer.attempt, 0) for u in deployment.upstreams.values())
+    return runs > 0 and answer.status in PROMISES
+
+
+def _describe(answer: Answer) -> str:
+    return f"REFUSED: order {answer.attempt} has run, and was answered {answer.status}"
 
 
 if __name__ == "__main__":
