--- a/review/doubles/script.py
+++ b/review/doubles/script.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -27,10 +28,12 @@
         and returns the violations.
     """
     record = Record(Path(file).resolve().parent / "record.txt")
+    # The processes of the case are ended also if the script is stopped.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         violations = asyncio.run(_play(play, record, has_trouble))
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         traceback.print_exc()
         record.write("not_run", reason=traceback.format_exc(limit=3))
         sys.exit(NOT_RUN)
