Answer 502 to requests that ran and failed as "not run"

What callers saw: an order that its target ran and failed with 503 or 429 was answered so.

Cause: each signed response that is no success was passed on with its status. A signed 421 even counted as "another target at the address" and was sent again.

Change: one place turns the failure of a target into the answer of a caller, and there a status of NOT_RUN_STATUSES becomes 502 without the signature. 503 of the instance's own is given only if every send was rejected. 421 with a signature is a failure, not a rejection.

--- a/src/currantline/relay/__init__.py
+++ b/src/currantline/relay/__init__.py
@@ -11,12 +11,14 @@
 from currantline.relay._prober import LoadProber
 from currantline.relay._relay import Relay
 from currantline.relay._repeats import RepeatLimiter
+from currantline.relay._responses import NOT_RUN_STATUSES
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Sender
 from currantline.relay._server import RelayServer
 from currantline.relay._warmup_reader import WarmupReader
 
 __all__ = [
+    "NOT_RUN_STATUSES",
     "AvailabilityReader",
     "ColdTargetSelector",
     "ConnectionPool",
--- a/src/currantline/relay/_availability_reader.py
+++ b/src/currantline/relay/_availability_reader.py
@@ -6,6 +6,7 @@
 from currantline.exceptions import InvalidValueError
 from currantline.placement import Target
 from currantline.relay._names import HeaderNames
+from currantline.relay._responses import is_misdirected
 from currantline.telemetry import EventLog
 from currantline.validators import parse_amount
 from currantline.wire import Response, find_header
@@ -13,7 +14,7 @@
 __all__ = ["AvailabilityReader"]
 
 LEAVING = "1"
-MISDIRECTED_REQUEST, UNAVAILABLE = 421, 503
+UNAVAILABLE = 503
 
 # Maximum time of silence in milliseconds. A longer one is taken for a mistake that must
 # not keep a target from being used for hours.
@@ -60,8 +61,7 @@
         response : Response
             Response to a request or a health check.
         """
-        # With status 421, another target responds at the address.
-        if response.status != MISDIRECTED_REQUEST:
+        if not is_misdirected(response, self._names):
             self._read_leaving(target, response)
             self._read_silence(target, response)
 
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -14,7 +14,11 @@
 from currantline.relay._progress import Progress
 from currantline.relay._repeats import MIN_REMAINING_MS, RepeatLimiter
 from currantline.relay._request_log import RequestLog
-from currantline.relay._responses import build_text_response, strip_platform_headers
+from currantline.relay._responses import (
+    NOT_RUN_STATUSES,
+    build_text_response,
+    strip_platform_headers,
+)
 from currantline.relay._retry_after import (
     UNREADY_RETRY_AFTER_MS,
     find_retry_after_bounds_ms,
@@ -335,13 +339,20 @@
     def _build_final(self, progress: Progress) -> Response:
         failures = [r for r in progress.results if r.outcome is Outcome.FAILURE]
         if failures and failures[-1].response is not None:
-            return strip_platform_headers(failures[-1].response, self._names)
-        if any(r.outcome is Outcome.UNKNOWN for r in progress.results):
+            return self._pass_on_failure(progress, failures[-1].response)
+        if any(r.outcome is not Outcome.NOT_RUN for r in progress.results):
             return build_text_response(BAD_GATEWAY, "the target gave no whole answer")
         return self._refuse_routed(
             progress, progress.refusal_reason or "targets rejected it"
         )
 
+    def _pass_on_failure(self, progress: Progress, response: Response) -> Response:
+        """Return the failure of a target, unless it would promise "not run"."""
+        if response.status not in NOT_RUN_STATUSES:
+            return strip_platform_headers(response, self._names)
+        progress.refusal_reason = f"run, and failed with {response.status}"
+        return build_text_response(BAD_GATEWAY, "the target failed the request")
+
     def _refuse_routed(self, progress: Progress, reason: str) -> Response:
         progress.refusal_reason = reason
         context = progress.context
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -17,14 +17,13 @@
 from currantline.relay._limit_reader import RateLimitReader
 from currantline.relay._names import HeaderNames
 from currantline.relay._pool import ConnectionPool, Lease
+from currantline.relay._responses import is_misdirected
 from currantline.relay._selection import RequestContext
 from currantline.telemetry import EventLog, Meter
 from currantline.wire import Request, Response, find_header, strip_hop_by_hop
 
 __all__ = ["Outcome", "SendResult", "Sender"]
 
-MISDIRECTED_REQUEST = 421
-
 # A send that is cancelled after this multiple of the average response time counts as a
 # failure of lower weight, since the request may have been a straggler.
 SLOW_CANCELLATION_RATIO = 2.0
@@ -228,7 +227,7 @@
         names = self._names
         if find_header(response.headers, names.not_run) is not None:
             return Outcome.NOT_RUN, f"rejected with {response.status}"
-        if response.status == MISDIRECTED_REQUEST:
+        if is_misdirected(response, names):
             return Outcome.NOT_RUN, "another target answers at the address"
         if find_header(response.headers, names.signature) is None:
             return Outcome.UNKNOWN, f"status {response.status} without a signature"
@@ -242,7 +241,7 @@
 
     def _record_load(self, response: Response, target: Target) -> None:
         load = find_header(response.headers, self._names.load)
-        if load is None or response.status == MISDIRECTED_REQUEST:
+        if load is None or is_misdirected(response, self._names):
             return
         try:
             running, waiting, slots, slowness = parse_load_header(load)
@@ -280,10 +279,7 @@
             ratio = self._latencies.record(context.route.name, result.took_ms)
             target.passive_health.record_success(now, ratio)
             return
-        if (
-            result.response is not None
-            and result.response.status == MISDIRECTED_REQUEST
-        ):
+        if result.response is not None and is_misdirected(result.response, self._names):
             target.is_address_reused = True
         if result.response is not None:
             target.passive_health.record_rejection(now)
@@ -293,6 +289,6 @@
     def _read_limit(self, result: SendResult, target: Target) -> None:
         response = result.response
         # Another target that responds at the address states its own limit.
-        if response is not None and response.status != MISDIRECTED_REQUEST:
+        if response is not None and not is_misdirected(response, self._names):
             is_success = result.outcome is Outcome.SUCCESS
             self._limit_reader.read(target, response, is_success=is_success)
--- a/src/currantline/relay/tests/test_statuses.py
+++ b/src/currantline/relay/tests/test_statuses.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from currantline.relay import NOT_RUN_STATUSES
 from currantline.relay.tests.support import (
     CALLER,
     LISTEN_ADDRESS,
@@ -109,6 +110,70 @@
         run_scenario(scenario, make_route(is_idempotent=False))
 
 
+class TestPromises:
+    """Responses whose status would promise that a request has not run."""
+
+    @pytest.mark.parametrize("status", NOT_RUN_STATUSES)
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    def test_failed(self, status: int, is_idempotent: bool) -> None:
+        """Guards against "not run" for a request that its target ran and failed."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            answer = make_answer(str(status), "retry-after: 1")
+            scripts = [await harness.add_scripted_target(answer) for _ in range(2)]
+            await harness.server.start(LISTEN_ADDRESS)
+            received = await run_on_host(CALLER, RawCaller().send())
+            assert received.startswith(b"HTTP/1.1 502 ")
+            assert b"x-signature" not in received
+            assert b"retry-after" not in received
+            requests = sum(script.requests for script in scripts)
+            assert requests == (2 if is_idempotent else 1)
+
+        run_scenario(scenario, make_route(is_idempotent=is_idempotent))
+
+    @pytest.mark.parametrize("status", NOT_RUN_STATUSES)
+    @pytest.mark.parametrize("is_failed_first", [True, False])
+    def test_failed_and_rejected(self, status: int, is_failed_first: bool) -> None:
+        """Guards against "not run" for a request that only one of its targets ran."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            answers = [make_answer(str(status)), make_answer("503", "x-not-run: 1")]
+            if not is_failed_first:
+                answers.reverse()
+            scripts = [await harness.add_scripted_target() for _ in range(2)]
+            for script in scripts:
+                # The targets answer in this order, whichever is asked first.
+                script.responses = answers
+            assert (await harness.send("a")).status == 502
+            assert not answers
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("status", NOT_RUN_STATUSES)
+    def test_rejected(self, status: int) -> None:
+        """Guards against a rejection that is no longer passed on as "not run"."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            answer = make_answer(str(status), "x-not-run: 1")
+            scripts = [await harness.add_scripted_target(answer) for _ in range(2)]
+            assert (await harness.send("a")).status == 503
+            assert sum(script.requests for script in scripts) == 2
+
+        run_scenario(scenario, make_route(is_idempotent=False))
+
+    def test_failed_as_misdirected(self) -> None:
+        """Guards against a target that counts as replaced since it failed a request."""
+
+        async def scenario(harness: RelayHarness) -> None:
+            await harness.add_scripted_target(make_answer("421"))
+            await harness.send("a")
+            target = harness.targets.find("t1")
+            assert target is not None
+            assert not target.is_address_reused
+
+        run_scenario(scenario, make_route(is_idempotent=False))
+
+
 class TestHealthChecks:
     """Responses to health checks."""
 
