Keep ready answers for callers that pause within their deadline

Cause: TCP_USER_TIMEOUT of 10 s on the connections of callers. Linux also counts the time for which the receive window of a live peer is closed. Logs could not tell this from an eviction or from the instance's own time-out, so the event answer_cut was added first; it named TimeoutError(110) with 204,354 bytes.

Change: there is no kernel time-out for bytes written to callers, and the one of the instance ends no connection before the time that its caller stated. Siblings: an idle time-out begins when the answer is taken; lingering after the last answer waits for it to be written; evictions take idle connections before those with an answer under way, and lingering ones only once it is written; an upload to a target that reads slowly has the time that is left for the request.

--- a/src/currantline/memory_account/_account.py
+++ b/src/currantline/memory_account/_account.py
@@ -16,8 +16,9 @@
 # A connection without progress for this time is closed before one with progress.
 STALL_STEPS = 4
 
-# A connection with a request in progress since this time or longer is closed for a new
-# one if all of its port have requests in progress. Most requests end earlier.
+# A connection with a request in progress, or an answer that its peer has not taken, is
+# closed for a new one after this time without progress if all of its port have such.
+# Most requests end earlier.
 BUSY_STEPS = 2
 
 # Bytes to transfer for progress. A peer that sends or reads single bytes to keep its
@@ -103,7 +104,7 @@
         -------
         Holder or None
             None if the connection must be closed: all others of the port have requests
-            in progress since less than 250 ms, or there is no memory.
+            in progress, or take answers, since less than 250 ms, or there is no memory.
         """
         if port.max_connections is not None:
             while port.connections >= port.max_connections:
@@ -204,8 +205,12 @@
         holder.is_lingering = True
         self._place(holder)
         port = holder.port
-        if port.max_connections is not None and port.connections > port.max_connections:
-            self._evict(next(iter(port.lingering)), EvictionReason.CONNECTIONS, now)
+        is_full = (
+            port.max_connections is not None and port.connections > port.max_connections
+        )
+        if is_full:
+            victim = next(iter(port.lingering), holder)
+            self._evict(victim, EvictionReason.CONNECTIONS, now)
         if self._is_over():
             self._make_room(None, now)
 
@@ -259,7 +264,7 @@
             return lingering
         last_step = _find_step(now) - STALL_STEPS
         for queues in (
-            [port.heavy for port in self._ports],
+            [q for port in self._ports for q in (port.heavy, port.answered)],
             [port.light for port in self._ports],
         ):
             oldest = _find_oldest(queues)
@@ -298,10 +303,12 @@
     port = holder.port
     if holder.is_evicted or not holder.is_open:
         return None
+    if holder.requests and not holder.is_lingering:
+        return port.busy
+    if holder.held.get(Kind.UNWRITTEN):
+        return port.answered
     if holder.is_lingering:
         return port.lingering
-    if holder.requests:
-        return port.busy
     is_heavy = holder.total > CONNECTION_BYTES + HEAVY_BYTES
     return port.heavy if is_heavy else port.light
 
@@ -312,7 +319,7 @@
     waiting = _find_oldest((port.light, port.heavy))
     if waiting is not None:
         return waiting
-    longest = next(iter(port.busy), None)
+    longest = _find_oldest((port.answered, port.busy))
     return longest if longest is not None and longest.step <= last_step else None
 
 
--- a/src/currantline/memory_account/_holder.py
+++ b/src/currantline/memory_account/_holder.py
@@ -81,9 +81,9 @@
         Maximum number of connections that are open and not evicted.
     held : dict of Kind to int
         Bytes held by kind.
-    lingering, light, heavy, busy : OrderedDict
-        Holders that were refused; that hold little; that hold much; and that have
-        requests in progress.
+    lingering, light, heavy, answered, busy : OrderedDict
+        Holders that were refused; that hold little; that hold much; whose peers have
+        not taken all of their answers; and that have requests in progress.
     """
 
     name: str
@@ -92,14 +92,17 @@
     lingering: "OrderedDict[Holder, None]" = attrs.field(factory=OrderedDict)
     light: "OrderedDict[Holder, None]" = attrs.field(factory=OrderedDict)
     heavy: "OrderedDict[Holder, None]" = attrs.field(factory=OrderedDict)
+    answered: "OrderedDict[Holder, None]" = attrs.field(factory=OrderedDict)
     busy: "OrderedDict[Holder, None]" = attrs.field(factory=OrderedDict)
 
     @property
     def connections(self) -> int:
         """Number of connections that are open and not evicted."""
-        return len(self.lingering) + len(self.light) + len(self.heavy) + len(self.busy)
+        queues = (self.lingering, self.light, self.heavy, self.answered, self.busy)
+        return sum(map(len, queues))
 
     def iterate_active(self) -> Iterator[Holder]:
         """Yield the holders that may be making progress."""
         yield from self.heavy
+        yield from self.answered
         yield from self.busy
--- a/src/currantline/memory_account/tests/test_account.py
+++ b/src/currantline/memory_account/tests/test_account.py
@@ -153,6 +153,21 @@
         assert fixture.evicted == [("idle", EvictionReason.CONNECTIONS)]
         assert fixture.port.connections == 2
 
+    @pytest.mark.parametrize("is_lingering", [False, True])
+    def test_answer_under_way(self, is_lingering: bool) -> None:
+        """Guards against an idle connection that is kept in place of an answer."""
+        fixture = Fixture(max_connections=2)
+        reader = fixture.open("reader")
+        fixture.account.set(reader, Kind.UNWRITTEN, 100, 0.0)
+        if is_lingering:
+            fixture.account.linger(reader, 0.0)
+        fixture.open("idle", 1_000.0)
+        fixture.open("new", 2_000.0)
+        assert fixture.evicted == [("idle", EvictionReason.CONNECTIONS)]
+        fixture.account.set(reader, Kind.UNWRITTEN, 0, 2_000.0)
+        fixture.open("next", 2_000.0)
+        assert fixture.evicted[1:] == [("reader", EvictionReason.CONNECTIONS)]
+
     def test_all_busy(self) -> None:
         """Guards against slow requests that keep new callers out."""
         fixture = Fixture(max_connections=2)
--- a/src/currantline/ports.py
+++ b/src/currantline/ports.py
@@ -26,8 +26,8 @@
 
 __all__ = ["Ports"]
 
-# Minimum interval between two log lines about evictions in milliseconds. A line carries
-# the number of evictions since the one before.
+# Minimum interval between two log lines about evictions, or about answers that were
+# cut, in milliseconds. A line carries the number of events since the one before.
 LOG_INTERVAL_MS = 200.0
 
 # Delay before free pages are returned in milliseconds. Connections that end give up
@@ -64,8 +64,8 @@
         self._clock = clock
         self._meter = meter
         self._log = log
-        self._logged_ms = -LOG_INTERVAL_MS
-        self._unlogged = 0
+        self._evictions = _EventCount()
+        self._cuts = _EventCount()
         self._is_returning = False
         self._turns = TurnQueue()
         self._ports: list[AccountedPort] = []
@@ -103,6 +103,7 @@
         port = AccountedPort(
             self.account, name, clock=self._clock, max_connections=max_connections
         )
+        port.on_cut = partial(self._record_cut, name)
         self._ports.append(port)
         return port
 
@@ -125,10 +126,9 @@
     ) -> None:
         port = holder.port.name
         self._meter.count("evicted_connections", port=port, reason=reason.value)
-        self._unlogged += 1
-        if now - self._logged_ms < LOG_INTERVAL_MS:
+        evictions = self._evictions.take(now)
+        if not evictions:
             return
-        self._logged_ms = now
         self._log.write(
             "connection_evicted",
             port=port,
@@ -136,9 +136,16 @@
             held_bytes=holder.total,
             requests=holder.requests,
             total_bytes=self.account.total_bytes,
-            evictions=self._unlogged,
+            evictions=evictions,
         )
-        self._unlogged = 0
+
+    def _record_cut(self, port: str, size: int, reason: str) -> None:
+        self._meter.count("cut_answers", port=port)
+        cuts = self._cuts.take(self._clock.read())
+        if cuts:
+            self._log.write(
+                "answer_cut", port=port, reason=reason, cut_bytes=size, cuts=cuts
+            )
 
     def _add_gauges(self) -> None:
         for port in self.account.ports:
@@ -150,3 +157,20 @@
                 self._meter.add_gauge(
                     "held_bytes", read, port=port.name, kind=kind.value
                 )
+
+
+class _EventCount:
+    """Number of events since the last one that was logged."""
+
+    def __init__(self) -> None:
+        self._logged_ms = -LOG_INTERVAL_MS
+        self._unlogged = 0
+
+    def take(self, now: float) -> int:
+        """Count an event; return the number to log, or 0 soon after a line."""
+        self._unlogged += 1
+        if now - self._logged_ms < LOG_INTERVAL_MS:
+            return 0
+        self._logged_ms = now
+        count, self._unlogged = self._unlogged, 0
+        return count
--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -11,6 +11,7 @@
 from currantline.exceptions import TargetConnectError, WireError
 from currantline.telemetry import Meter
 from currantline.wire import (
+    DEAD_PEER_TIMEOUT_MS,
     BodyMemory,
     HttpConnection,
     Response,
@@ -204,6 +205,7 @@
         if not lease.connection.is_reusable:
             lease.connection.close()
             return False
+        lease.connection.set_write_timeout(DEAD_PEER_TIMEOUT_MS)
         lease.connection.start_next_cycle()
         lease.keep_alive_ms = _parse_keep_alive_ms(response)
         return True
--- a/src/currantline/relay/_relay.py
+++ b/src/currantline/relay/_relay.py
@@ -27,6 +27,7 @@
 from currantline.relay._selector import TargetSelector
 from currantline.relay._sender import Outcome, Sender, SendResult
 from currantline.relay._tasks import discard_cancellation
+from currantline.relay._time_left import parse_time_left
 from currantline.routing import (
     RequestAgeEstimator,
     Route,
@@ -185,11 +186,7 @@
 
     def _read_time_left(self, request: Request, route: Route) -> float:
         stated = find_header(request.headers, self._names.time_left)
-        try:
-            remaining_ms = float(stated) if stated is not None else route.timeout_ms
-        except ValueError:
-            return route.timeout_ms
-        return remaining_ms if math.isfinite(remaining_ms) else route.timeout_ms
+        return parse_time_left(stated, route.timeout_ms)
 
     async def _process(self, progress: Progress) -> Response:
         context = progress.context
--- a/src/currantline/relay/_request_reader.py
+++ b/src/currantline/relay/_request_reader.py
@@ -97,7 +97,7 @@
                 NoMemoryForRequestError("the memory went to other connections")
             )
         else:
-            connection.abort()
+            connection.abort(f"evicted for {reason.value}")
 
     async def _reserve_body(self, head: Request) -> int:
         length = find_header(head.headers, "content-length")
--- a/src/currantline/relay/_sender.py
+++ b/src/currantline/relay/_sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 
 import attrs
 
@@ -20,7 +21,13 @@
 from currantline.relay._responses import is_misdirected
 from currantline.relay._selection import RequestContext
 from currantline.telemetry import EventLog, Meter
-from currantline.wire import Request, Response, find_header, strip_hop_by_hop
+from currantline.wire import (
+    DEAD_PEER_TIMEOUT_MS,
+    Request,
+    Response,
+    find_header,
+    strip_hop_by_hop,
+)
 
 __all__ = ["Outcome", "SendResult", "Sender"]
 
@@ -155,6 +162,10 @@
         response: Response | None = None
         reason = "cancelled"
         try:
+            if request.body:
+                # A target may read slowly, and the deadline limits the send already.
+                left_ms = math.ceil(context.deadline_ms - sent_ms)
+                lease.connection.set_write_timeout(max(DEAD_PEER_TIMEOUT_MS, left_ms))
             lease.connection.write_request(
                 self._build_request(request, target, context)
             )
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -17,6 +17,7 @@
 from currantline.relay._request_charge import RequestCharge
 from currantline.relay._request_reader import RequestReader
 from currantline.relay._tasks import discard_cancellation
+from currantline.relay._time_left import parse_time_left
 from currantline.routing import CallerLimits
 from currantline.telemetry import EventLog
 from currantline.wire import (
@@ -34,7 +35,7 @@
 # Backlog of the listening socket. A full backlog delays a new connection by seconds.
 ACCEPT_BACKLOG = 1024
 
-# Time in milliseconds after which a caller that acknowledges no data counts as gone.
+# Time in milliseconds after which a caller that answers no probes counts as gone.
 DEAD_CALLER_TIMEOUT_MS = 10_000
 
 # Memory of the machine if no account is given.
@@ -103,6 +104,13 @@
         self._is_refusing = False
         self.active_requests = 0
 
+    @property
+    def address(self) -> str:
+        """Address that the server listens on, as ``ip:port``."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     @property
     def held_body_bytes(self) -> int:
         """Memory reserved for request bodies."""
@@ -162,7 +170,7 @@
         ):
             connection.abort()
             return
-        connection.set_dead_peer_timeout(DEAD_CALLER_TIMEOUT_MS)
+        connection.set_keep_alive(DEAD_CALLER_TIMEOUT_MS)
         task = asyncio.get_running_loop().create_task(self._serve(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -209,6 +217,7 @@
             request = await self._reader.read(connection, pipeline, charge)
             if request is None:
                 return False
+            connection.holding.await_until(arrived_ms + self._read_time_left(request))
             exchange = connection.split_exchange()
             if exchange.retained_bytes:
                 charge.add_head(exchange.retained_bytes)
@@ -256,6 +265,9 @@
         task.add_done_callback(finish)
         return task
 
+    def _read_time_left(self, request: Request) -> float:
+        return parse_time_left(find_header(request.headers, self._names.time_left), 0.0)
+
     def _read_id(self, request: Request) -> str:
         return find_header(request.headers, self._names.request_id) or ""
 
@@ -265,12 +277,25 @@
     async def _wait_for_request(
         self, connection: HttpConnection, pipeline: Pipeline
     ) -> bool:
-        idle_s = self._read_limits().idle_timeout_ms / 1000
+        idle_timeout_ms = self._read_limits().idle_timeout_ms
+        left_ms = idle_timeout_ms
+        while left_ms > 0:
+            try:
+                return await self._wait_while_idle(connection, pipeline, left_ms)
+            except TimeoutError:
+                assert connection.holding is not None
+                left_ms = connection.holding.find_idle_left_ms(idle_timeout_ms)
+        return False
+
+    async def _wait_while_idle(
+        self, connection: HttpConnection, pipeline: Pipeline, timeout_ms: float
+    ) -> bool:
+        """Wait for a request, at most for a time after the last response."""
         loop = asyncio.get_running_loop()
 
         def start_idle_period() -> None:
             self._idle.add(connection)
-            limit.reschedule(loop.time() + idle_s)
+            limit.reschedule(loop.time() + timeout_ms / 1000)
 
         try:
             async with asyncio.timeout(None) as limit:
@@ -278,8 +303,6 @@
                 if pipeline.is_empty:
                     start_idle_period()
                 return await connection.wait_for_data()
-        except TimeoutError:
-            return False
         finally:
             pipeline.on_empty = None
             self._idle.discard(connection)
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -2,7 +2,7 @@
 
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._client import HttpClient
-from currantline.wire._connect import connect
+from currantline.wire._connect import DEAD_PEER_TIMEOUT_MS, connect
 from currantline.wire._connection import HttpConnection
 from currantline.wire._encoding import ServerExchange
 from currantline.wire._fetch import fetch
@@ -22,13 +22,16 @@
     ServerLimits,
     json_response,
 )
+from currantline.wire._stream import ByteStream
 from currantline.wire._turns import TurnQueue
 
 __all__ = [
+    "DEAD_PEER_TIMEOUT_MS",
     "HOP_BY_HOP",
     "OWN_PORT_LIMITS",
     "AccountedPort",
     "BodyMemory",
+    "ByteStream",
     "Headers",
     "Holding",
     "HttpClient",
--- a/src/currantline/wire/_connect.py
+++ b/src/currantline/wire/_connect.py
@@ -8,7 +8,7 @@
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._connection import HttpConnection
 
-__all__ = ["connect"]
+__all__ = ["DEAD_PEER_TIMEOUT_MS", "connect"]
 
 # Maximum time without an acknowledgement of sent bytes or of a keep-alive probe. Hosts
 # behind a network partition do not reset the connection.
@@ -40,5 +40,6 @@
         host,
         int(port),
     )
-    connection.set_dead_peer_timeout(DEAD_PEER_TIMEOUT_MS)
+    connection.set_keep_alive(DEAD_PEER_TIMEOUT_MS)
+    connection.set_write_timeout(DEAD_PEER_TIMEOUT_MS)
     return connection
--- a/src/currantline/wire/_holding.py
+++ b/src/currantline/wire/_holding.py
@@ -1,5 +1,6 @@
 """Connections as holders of the memory account."""
 
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -19,7 +20,8 @@
 REFRESH_INTERVAL_MS = 20.0
 
 # Time without progress after which a connection with unwritten bytes is aborted, also
-# if its memory is not needed. Probes of the kernel do not show that a peer reads.
+# if its memory is not needed. A peer that said that it waits for longer keeps it until
+# then. Probes of the kernel do not show that a peer reads.
 WRITE_STALL_TIMEOUT_MS = 30_000.0
 
 
@@ -36,6 +38,12 @@
         Source of time.
     max_connections : int, optional
         Maximum number of open connections.
+
+    Attributes
+    ----------
+    on_cut : callable or None
+        Called when a connection ends before its peer has taken all bytes, with their
+        number and the reason for the end.
     """
 
     def __init__(
@@ -49,6 +57,7 @@
         self.account = account
         self.clock = clock
         self.writing: set[Holding] = set()
+        self.on_cut: Callable[[int, str], object] | None = None
         self._port = account.add_port(name, max_connections)
         self._refreshed_ms = clock.read()
 
@@ -81,8 +90,9 @@
         """Abort connections whose peer has not read for long."""
         self.refresh(now)
         for holding in tuple(self.writing):
-            if now - holding.written_ms >= WRITE_STALL_TIMEOUT_MS:
-                holding.stream.abort()
+            is_stalled = now - holding.written_ms >= WRITE_STALL_TIMEOUT_MS
+            if is_stalled and now >= holding.awaited_until_ms:
+                holding.stream.abort("the peer read nothing")
 
 
 class Holding:
@@ -96,6 +106,13 @@
         Its holder in the account.
     stream : ByteStream
         The connection.
+
+    Attributes
+    ----------
+    written_ms : float
+        Time at which the peer was last seen to take bytes, in milliseconds.
+    awaited_until_ms : float
+        Time until which the peer waits for responses, in milliseconds.
     """
 
     __slots__ = (
@@ -105,6 +122,7 @@
         "_port",
         "_unread",
         "_unwritten",
+        "awaited_until_ms",
         "stream",
         "written_ms",
     )
@@ -119,13 +137,29 @@
         self._unread = 0
         self._unwritten = 0
         self.stream = stream
-        self.written_ms = 0.0
+        self.written_ms = -math.inf
+        self.awaited_until_ms = -math.inf
 
     @property
     def is_evicted(self) -> bool:
         """Whether the connection is being closed for another one."""
         return self._holder.is_evicted
 
+    def await_until(self, end_ms: float) -> None:
+        """Record that the peer waits for a response until a time."""
+        self.awaited_until_ms = max(self.awaited_until_ms, end_ms)
+
+    def find_idle_left_ms(self, idle_timeout_ms: float) -> float:
+        """Return for how much longer a connection without requests may be kept.
+
+        It is not idle before its peer has taken all responses, or no longer waits for
+        them.
+        """
+        now = self._clock.read()
+        if self.stream.has_undelivered and now < self.awaited_until_ms:
+            return idle_timeout_ms
+        return max(0.0, self.written_ms + idle_timeout_ms - now)
+
     def count_received(self, size: int, unread: int) -> bool:
         """Count received bytes and those of them that are unread.
 
@@ -192,7 +226,17 @@
         """Record that the connection only waits for its peer to close it."""
         self._account.linger(self._holder, self._clock.read())
 
-    def close(self) -> None:
-        """Record the end of the connection."""
+    def close(self, *, cut: int, reason: str) -> None:
+        """Record the end of the connection.
+
+        Parameters
+        ----------
+        cut : int
+            Number of bytes that the peer does not get any more.
+        reason : str
+            Reason for the end.
+        """
+        if cut and self._port.on_cut is not None:
+            self._port.on_cut(cut, reason)
         self._port.writing.discard(self)
         self._account.close(self._holder)
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -1,8 +1,11 @@
 """Byte stream over one asyncio connection."""
 
 import asyncio
+import fcntl
 import select
 import socket
+import sys
+import termios
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -21,6 +24,9 @@
 # Maximum size of the pieces that `ByteStream.write_in_pieces` hands to the transport.
 MAX_PIECE_BYTES = 262_144
 
+# Unanswered keep-alive probes after which the kernel drops a connection.
+KEEP_ALIVE_PROBES = 2
+
 # Closing a socket with unread bytes sends a reset, which may discard a response that
 # the peer has not read yet. The close therefore waits for the peer's EOF: until nothing
 # has come for this long, since a peer may read only after it has sent its whole body,
@@ -89,6 +95,9 @@
         self._has_discarded = False
         self._is_reading_paused = False
         self._is_writing_paused = False
+        self._write_timeout_ms = 0
+        self._cut_reason = ""
+        self._cut_bytes = 0
         self._interruption: CurrantlineError | None = None
         self._data_waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
@@ -118,6 +127,14 @@
         """Whether written bytes are left that the socket has not taken."""
         return bool(self._unwritten or self._transport.get_write_buffer_size())
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether the peer has not acknowledged all written bytes.
+
+        On systems that do not tell, bytes that the socket has taken count as delivered.
+        """
+        return self.has_unwritten or self._count_unacknowledged() > 0
+
     @property
     def peer_host(self) -> str:
         """IP address of the peer."""
@@ -139,23 +156,41 @@
         poll.register(sock, select.POLLIN)
         return bool(poll.poll(0))
 
-    def set_dead_peer_timeout(self, timeout_ms: int) -> None:
-        """Let the kernel drop the connection if the peer stops acknowledging.
+    def set_keep_alive(self, timeout_ms: int) -> None:
+        """Let the kernel drop the connection if the peer answers no probes.
+
+        It probes only while all written bytes are acknowledged.
 
         Parameters
         ----------
         timeout_ms : int
-            Maximum time without an acknowledgement, in milliseconds.
+            Maximum time without an answer, in milliseconds.
         """
         sock = self._transport.get_extra_info("socket")
         if sock is None:
             return
-        seconds = max(1, timeout_ms // 2000)
+        idle_s = max(1, timeout_ms // 2000)
+        interval_s = max(1, timeout_ms // 1000 - idle_s) // KEEP_ALIVE_PROBES
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, max(1, interval_s))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+    def set_write_timeout(self, timeout_ms: int) -> None:
+        """Let the kernel drop the connection if the peer takes no written bytes.
+
+        Linux does so even if the peer is alive and only reads nothing, because it also
+        counts the time for which the peer's receive window is closed.
+
+        Parameters
+        ----------
+        timeout_ms : int
+            Maximum time without progress, in milliseconds.
+        """
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and timeout_ms != self._write_timeout_ms:
+            self._write_timeout_ms = timeout_ms
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
     def write(self, data: bytes) -> None:
         """Write bytes to the transport without suspending."""
@@ -256,8 +291,9 @@
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self._end_linger, loop.time() + MAX_LINGER_S)
 
-    def abort(self) -> None:
+    def abort(self, reason: str = "") -> None:
         """Close the connection immediately and discard unsent bytes."""
+        self._record_cut(reason or "aborted")
         self._discard_unwritten()
         self._transport.abort()
 
@@ -303,9 +339,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed."""
         self._is_broken = exc is not None
+        if exc is not None:
+            self._record_cut(repr(exc))
         self._discard_unwritten()
         if self.holding is not None:
-            self.holding.close()
+            self.holding.close(cut=self._cut_bytes, reason=self._cut_reason)
         self._mark_lost()
 
     def pause_writing(self) -> None:
@@ -321,14 +359,37 @@
 
     def _end_linger(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
-        if self._has_discarded and loop.time() < end_s:
+        if self._transport.is_closing():
+            return
+        if self.has_unwritten:
+            # What the peer sends in the meantime would reset a closed socket.
+            loop.call_later(LINGER_S, self._end_linger, loop.time() + MAX_LINGER_S)
+        elif self._has_discarded and loop.time() < end_s:
             self._has_discarded = False
             loop.call_later(LINGER_S, self._end_linger, end_s)
-        elif self._unwritten:
-            self._on_written = self._transport.close
         else:
             self._transport.close()
 
+    def _record_cut(self, reason: str) -> None:
+        if self.holding is not None and not self._cut_reason:
+            self._cut_reason = reason
+            self._cut_bytes = self._count_unwritten() + self._count_unacknowledged()
+
+    def _count_unwritten(self) -> int:
+        return self._unwritten_bytes + self._transport.get_write_buffer_size()
+
+    def _count_unacknowledged(self) -> int:
+        """Return the number of bytes that only the socket holds, 0 if unknown."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return 0
+        try:
+            size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            # Not every system supports this for sockets.
+            return 0
+        return int.from_bytes(size, sys.byteorder)
+
     def _write_pieces(self) -> None:
         while self._unwritten and not self._is_writing_paused:
             data = self._unwritten.popleft()
