Limit what health checks, store calls and pulls read

What operators saw elsewhere: a faulty target sent bytes without end and the machine that had called it ran out of memory.

Cause: bodies that an instance reads for itself had 64 MiB each and counted nowhere; four may be read at once. Health checks had the limit of answers.

Change: 16 MiB each and 24 MiB together, counted in the memory account; a watch that does not fit becomes a full read in pages. 16 KiB for all that a health check reads. At most 64 interim responses. Bytes on an idle connection close it.

--- a/src/currantline/change_exchange.py
+++ b/src/currantline/change_exchange.py
@@ -5,7 +5,7 @@
 from currantline.exceptions import PeerError
 from currantline.platform import REVISION_PATTERN
 from currantline.replica import Changes, Replica, decode_changes, encode_changes
-from currantline.wire import Request, Response, fetch, find_header
+from currantline.wire import BodyMemory, Request, Response, fetch, find_header
 
 __all__ = ["ChangeExchange"]
 
@@ -26,11 +26,16 @@
         Replica whose changes the others pull.
     port : int
         Port on which every instance answers pulls.
+    body_memory : BodyMemory, optional
+        Limits the total size of the changes that are being pulled.
     """
 
-    def __init__(self, replica: Replica, *, port: int) -> None:
+    def __init__(
+        self, replica: Replica, *, port: int, body_memory: BodyMemory | None = None
+    ) -> None:
         self._replica = replica
         self._port = port
+        self._body_memory = body_memory
 
     async def pull(self, host: str, after: int) -> Changes:
         """Return the changes of another instance after a position.
@@ -49,7 +54,12 @@
         """
         request = Request(method="GET", target=f"{CHANGES_PATH}?after={after}")
         address = f"{host}:{self._port}"
-        response = await fetch(address, request, timeout_ms=PULL_TIMEOUT_MS)
+        response = await fetch(
+            address,
+            request,
+            timeout_ms=PULL_TIMEOUT_MS,
+            body_memory=self._body_memory,
+        )
         if response.status != 200:
             raise PeerError(f"{host} answered with status {response.status}")
         history = find_header(response.headers, HISTORY_HEADER) or "0"
--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -220,7 +220,9 @@
             weight=find_weight(settings.cores, settings.link_bytes_per_s),
         )
         self._membership = MembershipList(local_member, now=self._clock.read())
-        self._store = StoreClient(HttpClient(settings.store_address))
+        self._store = StoreClient(
+            HttpClient(settings.store_address, body_memory=self._ports.published_state)
+        )
         self._reader = PlatformReader(
             self._store,
             self.replica,
@@ -232,7 +234,11 @@
             rng=self._rng,
             log=self._log,
         )
-        self._exchange = ChangeExchange(self.replica, port=settings.peer_port)
+        self._exchange = ChangeExchange(
+            self.replica,
+            port=settings.peer_port,
+            body_memory=self._ports.published_state,
+        )
         self._replica_puller = ReplicaPuller(
             self.replica,
             data_centre=settings.data_centre,
--- a/src/currantline/load/_prober.py
+++ b/src/currantline/load/_prober.py
@@ -21,7 +21,13 @@
 from currantline.load._options import LoadOptions
 from currantline.load._target_tracker import TargetTracker
 from currantline.membership import rendezvous_score
-from currantline.wire import Request, Response, connect, find_header
+from currantline.wire import (
+    MAX_HEALTH_CHECK_BYTES,
+    Request,
+    Response,
+    connect,
+    find_header,
+)
 
 __all__ = ["ProbeFetch", "ProbePlan", "Prober", "fetch_health"]
 
@@ -30,7 +36,6 @@
 # delayed for longer waits for its next phase. Otherwise all targets would be probed at
 # once, one period after a lease was acquired.
 DUE_WINDOW_MS = 150.0
-MAX_BODY_BYTES = 64 * 1024
 
 
 class ProbePlan(Protocol):
@@ -280,12 +285,12 @@
     request = Request(method="GET", target="/health", headers=(("host", address),))
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            connection = await connect(address, max_body_bytes=MAX_BODY_BYTES)
+            connection = await connect(address, max_body_bytes=MAX_HEALTH_CHECK_BYTES)
             try:
                 if not may_send():
                     return None
                 connection.write_request(request)
-                return await connection.read_response()
+                return await connection.read_response(max_bytes=MAX_HEALTH_CHECK_BYTES)
             finally:
                 connection.abort()
     except TimeoutError as error:
--- a/src/currantline/platform/_store.py
+++ b/src/currantline/platform/_store.py
@@ -11,6 +11,7 @@
 
 from currantline.exceptions import (
     MALFORMED_DATA_ERRORS,
+    BodyTooLargeError,
     HistoryLostError,
     PlatformError,
     StoreReturnedError,
@@ -136,7 +137,8 @@
         StoreReturnedError
             If the store is in a later era than the revision.
         HistoryLostError
-            If the store no longer holds the changes after that revision.
+            If the store no longer holds the changes after that revision, or they do not
+            fit into the memory; a full read comes in pages.
         PlatformError
             If the store returns no valid response.
         """
@@ -166,6 +168,8 @@
         request = Request(method="GET", target=f"{path}?{encoded}")
         try:
             response = await self._http.fetch(request, timeout_ms=timeout_ms)
+        except BodyTooLargeError as error:
+            raise HistoryLostError(f"{path}: {error}") from error
         except WireError as error:
             raise PlatformError(f"{path}: {error}") from error
         self._observe_era(path, response)
--- a/src/currantline/platform/tests/test_store.py
+++ b/src/currantline/platform/tests/test_store.py
@@ -14,7 +14,14 @@
 from currantline.platform._revisions import compose_revision
 from currantline.standin.network import Network, run_session
 from currantline.standin.store import PAGE_SIZE, StandinStore
-from currantline.wire import HttpClient, HttpServer, Request, Response, json_response
+from currantline.wire import (
+    MAX_FETCHED_BYTES,
+    HttpClient,
+    HttpServer,
+    Request,
+    Response,
+    json_response,
+)
 
 ADDRESS = "10.200.1.7:8642"
 
@@ -52,6 +59,24 @@
     return Response(status=status, headers=headers, body=body)
 
 
+class TestLargeAnswers:
+    """Answers above the limit for one of them."""
+
+    def test_watch(self) -> None:
+        """Guards against changes that are never read since they do not fit at once."""
+        value = bytes(MAX_FETCHED_BYTES // 10)
+
+        async def scenario(client: StoreClient, store: StandinStore) -> None:
+            after = (await client.read_all()).revision
+            for number in range(10):
+                store.put(f"large{number}", value)
+            with pytest.raises(HistoryLostError):
+                await client.watch(after, wait_ms=0)
+            assert len((await client.read_all()).records) == PAGE_SIZE + 11
+
+        run(scenario)
+
+
 class TestRevisions:
     """One order of all states of the store."""
 
--- a/src/currantline/ports.py
+++ b/src/currantline/ports.py
@@ -11,6 +11,7 @@
     Holder,
     Kind,
     MemoryAccount,
+    Port,
     find_connection_limits,
     find_max_bytes,
 )
@@ -18,6 +19,7 @@
 from currantline.wire import (
     OWN_PORT_LIMITS,
     AccountedPort,
+    BodyMemory,
     HttpServer,
     Request,
     Response,
@@ -30,6 +32,9 @@
 # cut, in milliseconds. A line carries the number of events since the one before.
 LOG_INTERVAL_MS = 200.0
 
+# Maximum total size of the bodies that the store and other instances are sending.
+MAX_STATE_BYTES = 24 * 1024 * 1024
+
 # Delay before free pages are returned in milliseconds. Connections that end give up
 # their memory some turns of the event loop later.
 RETURN_DELAY_MS = 20.0
@@ -50,6 +55,11 @@
         Counts evictions and shows what is held.
     log : EventLog
         Log of events.
+
+    Attributes
+    ----------
+    published_state : BodyMemory
+        Limits the bodies that the store and other instances are sending.
     """
 
     def __init__(
@@ -81,6 +91,11 @@
         self.readiness = self._add("readiness", limits.endpoints)
         self.metrics = self._add("metrics", limits.endpoints)
         self._targets = self.account.add_port("targets")
+        self._state = self.account.add_port("state")
+        self.published_state = BodyMemory(
+            min(MAX_STATE_BYTES, self.account.max_bytes // 2),
+            on_change=partial(self._count_received_bytes, self._state),
+        )
         self._add_gauges()
 
     def make_server(
@@ -91,7 +106,7 @@
 
     def count_response_bytes(self, size: int) -> None:
         """Count a change of the memory for responses that targets are sending."""
-        self.account.add_unowned(self._targets, Kind.BODY, size, self._clock.read())
+        self._count_received_bytes(self._targets, size)
 
     def abort_stalled(self) -> None:
         """Abort connections whose peers have not read their responses for long."""
@@ -107,6 +122,9 @@
         self._ports.append(port)
         return port
 
+    def _count_received_bytes(self, port: Port, size: int) -> None:
+        self.account.add_unowned(port, Kind.BODY, size, self._clock.read())
+
     def _refresh(self, now: float) -> None:
         for port in self._ports:
             port.refresh(now)
--- a/src/currantline/relay/_pool.py
+++ b/src/currantline/relay/_pool.py
@@ -216,6 +216,8 @@
         if len(idle) >= self.max_idle_per_target:
             lease.connection.close()
             return
+        # Bytes that come now belong to no request.
+        lease.connection.is_silence_expected = True
         now = self._clock.read()
         idle.append(
             _IdleConnection(
@@ -257,6 +259,7 @@
         while idle and now - idle[-1].released_ms <= max_idle_ms:
             kept = idle.pop()
             if _is_usable(kept, now):
+                kept.connection.is_silence_expected = False
                 return kept
             kept.connection.close()
         return None
--- a/src/currantline/relay/_prober.py
+++ b/src/currantline/relay/_prober.py
@@ -25,7 +25,12 @@
 from currantline.relay._pool import ConnectionPool, Lease
 from currantline.relay._warmup_reader import WarmupReader
 from currantline.telemetry import EventLog, Meter
-from currantline.wire import Request, Response, find_header
+from currantline.wire import (
+    MAX_HEALTH_CHECK_BYTES,
+    Request,
+    Response,
+    find_header,
+)
 
 __all__ = ["LoadProber", "ProbeResult"]
 
@@ -192,7 +197,9 @@
                     method="GET", target=path, headers=(("host", target.address),)
                 )
                 lease.connection.write_request(request)
-                response = await lease.connection.read_response()
+                response = await lease.connection.read_response(
+                    max_bytes=MAX_HEALTH_CHECK_BYTES
+                )
                 report = self._parse_report(target, lease, response, requested_ms)
                 if self._is_refusal(response):
                     lease.has_carried_refusal = True
--- a/src/currantline/wire/__init__.py
+++ b/src/currantline/wire/__init__.py
@@ -3,9 +3,9 @@
 from currantline.wire._body_memory import BodyMemory
 from currantline.wire._client import HttpClient
 from currantline.wire._connect import DEAD_PEER_TIMEOUT_MS, connect
-from currantline.wire._connection import HttpConnection
+from currantline.wire._connection import MAX_HEALTH_CHECK_BYTES, HttpConnection
 from currantline.wire._encoding import ServerExchange
-from currantline.wire._fetch import fetch
+from currantline.wire._fetch import MAX_FETCHED_BYTES, fetch
 from currantline.wire._holding import AccountedPort, Holding
 from currantline.wire._listen import listen
 from currantline.wire._messages import (
@@ -28,6 +28,8 @@
 __all__ = [
     "DEAD_PEER_TIMEOUT_MS",
     "HOP_BY_HOP",
+    "MAX_FETCHED_BYTES",
+    "MAX_HEALTH_CHECK_BYTES",
     "OWN_PORT_LIMITS",
     "AccountedPort",
     "BodyMemory",
--- a/src/currantline/wire/_client.py
+++ b/src/currantline/wire/_client.py
@@ -5,14 +5,14 @@
 import attrs
 
 from currantline.exceptions import WireError
+from currantline.wire._body_memory import BodyMemory
 from currantline.wire._connect import connect
 from currantline.wire._connection import HttpConnection
+from currantline.wire._fetch import MAX_FETCHED_BYTES
 from currantline.wire._messages import Request, Response
 
 __all__ = ["HttpClient"]
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
-
 
 class HttpClient:
     """Sends idempotent requests to one address, one at a time.
@@ -21,10 +21,13 @@
     ----------
     address : str
         IP address and port.
+    body_memory : BodyMemory, optional
+        Limits the total size of the bodies that several connections receive.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, body_memory: BodyMemory | None = None) -> None:
         self._address = address
+        self._body_memory = body_memory
         self._connection: HttpConnection | None = None
 
     @property
@@ -40,6 +43,8 @@
 
         Raises
         ------
+        BodyTooLargeError
+            If the body exceeds ``MAX_FETCHED_BYTES``, or there is no memory for it.
         WireError
             If no complete response arrived in time.
         """
@@ -72,7 +77,11 @@
                     raise
         elif idle is not None:
             idle.abort()
-        new = await connect(self._address, max_body_bytes=MAX_BODY_BYTES)
+        new = await connect(
+            self._address,
+            max_body_bytes=MAX_FETCHED_BYTES,
+            body_memory=self._body_memory,
+        )
         return await self._exchange(new, request)
 
     async def _exchange(self, connection: HttpConnection, request: Request) -> Response:
--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages over one asyncio connection, parsed by h11."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -22,10 +23,18 @@
 from currantline.wire._messages import Headers, Request, Response
 from currantline.wire._stream import ByteStream
 
-__all__ = ["MAX_HEAD_BYTES", "HttpConnection"]
+__all__ = ["MAX_HEAD_BYTES", "MAX_HEALTH_CHECK_BYTES", "HttpConnection"]
 
 MAX_HEAD_BYTES = 32768
 
+# Maximum number of bytes that are read for one health check. Its response is a head and
+# a short text.
+MAX_HEALTH_CHECK_BYTES = 16_384
+
+# Maximum number of interim responses before a response. They are read and discarded, so
+# without a limit they take processor time for as long as a peer likes.
+MAX_INTERIM_RESPONSES = 64
+
 # Statuses of final responses (RFC 9110, section 15). h11 accepts up to 999.
 FINAL_STATUSES = range(200, 600)
 
@@ -81,6 +90,8 @@
         self._body_memory = body_memory
         self._is_head_request = False
         self._events_in_turn = 0
+        # Bytes that may still be read of a message with a limit for all of it.
+        self._left_bytes = math.inf
         self.head_bytes = 0
         self._h11 = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
 
@@ -252,7 +263,9 @@
             self.write(self._h11.send(interim) or b"")
         return attrs.evolve(head, body=await self._read_body(on_data))
 
-    async def read_response(self, *, accept_unframed: bool = False) -> Response:
+    async def read_response(
+        self, *, accept_unframed: bool = False, max_bytes: int | None = None
+    ) -> Response:
         """Read one complete response.
 
         Parameters
@@ -260,6 +273,9 @@
         accept_unframed : bool, default=False
             Whether a body may be delimited by the close of the connection. A reset
             is always an error.
+        max_bytes : int, optional
+            Maximum number of bytes that are read for the response, with its head and
+            all interim responses. Such a body is not counted in the memory for bodies.
 
         Returns
         -------
@@ -270,17 +286,15 @@
         ------
         ProtocolError
             If the bytes are not valid HTTP or end within the response, or the status is
-            not that of a final response, or an interim response has a body. Also if the
-            body is delimited only by the close of the connection, unless
-            `accept_unframed` is set, because a truncated body would go unnoticed.
+            not that of a final response, or an interim response has a body, or there
+            are too many of these, or more than `max_bytes` bytes. Also if the body is
+            delimited only by the close of the connection, unless `accept_unframed` is
+            set, because a truncated body would go unnoticed.
         BodyTooLargeError
             If the body exceeds the limit.
         """
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
-            if _states_body(decode_headers(event.headers)):
-                raise ProtocolError(f"status {event.status_code} with a body")
-            event = await self._next_event()
+        self._left_bytes = math.inf if max_bytes is None else max_bytes
+        event = await self._skip_interim_responses()
         if not isinstance(event, h11.Response):
             raise ProtocolError("the connection closed before a response")
         if event.status_code not in FINAL_STATUSES:
@@ -293,6 +307,15 @@
         body = await self._read_body()
         return Response(status=event.status_code, headers=headers, body=body)
 
+    async def _skip_interim_responses(self) -> Any:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+            if _states_body(decode_headers(event.headers)):
+                raise ProtocolError(f"status {event.status_code} with a body")
+        raise ProtocolError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+
     def _open_exchange(self) -> ServerExchange:
         return ServerExchange(self._h11, is_head_request=self._is_head_request)
 
@@ -351,7 +374,7 @@
                 raise BodyTooLargeError(
                     f"the body exceeds {self._max_body_bytes} bytes"
                 )
-            if self._body_memory is not None:
+            if self._body_memory is not None and math.isinf(self._left_bytes):
                 self._body_memory.add(self, len(event.data))
             if on_data is not None:
                 on_data(len(event.data))
@@ -377,6 +400,9 @@
             data = self._take_bytes(
                 MAX_PARSED_BYTES if is_in_body else self._find_head_size()
             )
+            self._left_bytes -= len(data)
+            if self._left_bytes < 0:
+                raise ProtocolError("the response is too long")
             self._h11.receive_data(data)
             self._count_parser_bytes(incomplete + len(data))
 
--- a/src/currantline/wire/_fetch.py
+++ b/src/currantline/wire/_fetch.py
@@ -3,15 +3,24 @@
 import asyncio
 
 from currantline.exceptions import WireError
+from currantline.wire._body_memory import BodyMemory
 from currantline.wire._connect import connect
 from currantline.wire._messages import Request, Response
 
-__all__ = ["fetch"]
+__all__ = ["MAX_FETCHED_BYTES", "fetch"]
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# Maximum size of a body that instances read for themselves. The state of the largest
+# fleet takes a quarter of it, and decoding it takes several times its size.
+MAX_FETCHED_BYTES = 16 * 1024 * 1024
 
 
-async def fetch(address: str, request: Request, *, timeout_ms: float) -> Response:
+async def fetch(
+    address: str,
+    request: Request,
+    *,
+    timeout_ms: float,
+    body_memory: BodyMemory | None = None,
+) -> Response:
     """Send one request and return the complete response.
 
     Parameters
@@ -22,6 +31,8 @@
         The request.
     timeout_ms : float
         Maximum time for connecting and the exchange, in milliseconds.
+    body_memory : BodyMemory, optional
+        Limits the total size of several bodies.
 
     Returns
     -------
@@ -35,7 +46,9 @@
     """
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            connection = await connect(address, max_body_bytes=MAX_BODY_BYTES)
+            connection = await connect(
+                address, max_body_bytes=MAX_FETCHED_BYTES, body_memory=body_memory
+            )
             try:
                 connection.write_request(_add_host(request, address))
                 return await connection.read_response()
--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -69,6 +69,8 @@
         is needed.
     holding : Holding or None
         What the connection holds of the memory account, None if it is not counted.
+    is_silence_expected : bool
+        Whether received bytes end the connection, as there is nothing to answer.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.on_lost: Callable[[], object] | None = None
         self.before_wait: Callable[[], object] | None = None
         self.holding: Holding | None = None
+        self.is_silence_expected = False
         self._on_open = on_open
         self._is_client = is_client
         self._transport: asyncio.Transport
@@ -317,6 +320,9 @@
         if self._is_discarding:
             self._has_discarded = True
             return
+        if self.is_silence_expected:
+            self.abort()
+            return
         is_written = not (self._unwritten or self._transport.get_write_buffer_size())
         if self._is_client and not is_written:
             self._has_early_response = True
--- a/src/currantline/wire/tests/test_limits.py
+++ b/src/currantline/wire/tests/test_limits.py
@@ -6,17 +6,21 @@
 
 import pytest
 
+from currantline.exceptions import BodyTooLargeError
 from currantline.memory_account import CONNECTION_BYTES, MemoryAccount
 from currantline.standin.network import LoopClock, Network, run_session
 from currantline.wire import (
     OWN_PORT_LIMITS,
     AccountedPort,
+    BodyMemory,
+    HttpClient,
     HttpConnection,
     HttpServer,
     Request,
     Response,
     TurnQueue,
     connect,
+    fetch,
 )
 
 ADDRESS = "10.0.0.1:80"
@@ -148,6 +152,52 @@
     return sock
 
 
+class TestFetch:
+    """Answers without end to requests of an instance itself."""
+
+    def test_several(self) -> None:
+        """Guards against answers that together exceed the memory of an instance."""
+        max_bytes = 2_000_000
+
+        async def session() -> None:
+            memory = BodyMemory(max_bytes)
+            loop = asyncio.get_running_loop()
+            await loop.create_server(_EndlessProtocol, "10.0.0.1", 80)
+            request = Request(method="GET", target="/")
+            calls = [fetch(ADDRESS, request, timeout_ms=5_000.0, body_memory=memory)]
+            client = HttpClient(ADDRESS, body_memory=memory)
+            calls.append(client.fetch(request, timeout_ms=5_000.0))
+            results = asyncio.gather(*calls, return_exceptions=True)
+            largest = 0
+            while not results.done():
+                largest = max(largest, memory.total_bytes)
+                await asyncio.sleep(0.0005)
+            assert max_bytes // 2 < largest <= max_bytes
+            for result in await results:
+                assert isinstance(result, BodyTooLargeError)
+                assert "no memory" in str(result)
+            assert memory.total_bytes == 0
+
+        run_session(Network(), session())
+
+
+class _EndlessProtocol(asyncio.Protocol):
+    """Sends a body without end once it has received something."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n")
+        self._send()
+
+    def _send(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.write(bytes(65_536))
+            asyncio.get_running_loop().call_later(0.001, self._send)
+
+
 class TestTurnQueue:
     """Order of requests that were received already."""
 
