Let a planned stop wait for answers that callers are reading

Cause: a request was in progress until its answer was handed to the connection, and a stop waited for requests in progress only.

Change: a stop also waits until the callers have acknowledged what was written to them, or until 0.95 of the grace period, and closes idle connections only then.

--- a/src/currantline/gateway.py
+++ b/src/currantline/gateway.py
@@ -57,9 +57,13 @@
 DRAIN_ACCEPT_FRACTION = 0.45
 
 # Fraction of the grace period after which a leaving instance answers the requests that
-# are still in progress, and stops.
+# are still in progress.
 DRAIN_FRACTION = 0.85
 
+# Fraction of the grace period after which it stops although callers are still reading
+# their responses.
+DELIVERY_FRACTION = 0.95
+
 # Interval between checks whether all requests have completed.
 DRAIN_POLL_INTERVAL_MS = 50.0
 
@@ -171,7 +175,10 @@
         return await self._tasks.wait_for_failure()
 
     async def leave(self) -> None:
-        """Direct callers to other instances, complete requests in flight and stop."""
+        """Direct callers to other instances, complete requests in flight and stop.
+
+        A request is complete when its caller has taken the whole response.
+        """
         started_ms = self._clock.read()
         grace_ms = self._settings.grace_ms
         self._is_leaving = True
@@ -186,7 +193,12 @@
         if self._server.active_requests:
             self._relay.end_waiting()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
-        self._log.write("stopped", busy=self._server.active_requests)
+        await self._deliver_responses(started_ms + DELIVERY_FRACTION * grace_ms)
+        self._log.write(
+            "stopped",
+            busy=self._server.active_requests,
+            cut=self._server.undelivered_responses,
+        )
         await self._stop()
 
     async def _complete_requests(self, end_ms: float) -> None:
@@ -196,6 +208,11 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
             self._server.close_idle()
 
+    async def _deliver_responses(self, end_ms: float) -> None:
+        while self._server.undelivered_responses and self._clock.read() < end_ms:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
+            self._server.close_idle()
+
     def reload(self, settings: InstanceSettings) -> None:
         """Apply changed seeds and a changed grace period.
 
--- a/src/currantline/instance_metrics.py
+++ b/src/currantline/instance_metrics.py
@@ -65,6 +65,7 @@
     meter.add_gauge("store_era", lambda: find_era(replica.revision))
     meter.add_gauge("platform_calls", lambda: store.calls)
     meter.add_gauge("caller_connections", lambda: server.connections)
+    meter.add_gauge("undelivered_responses", lambda: server.undelivered_responses)
     meter.add_gauge("held_body_bytes", lambda: server.held_body_bytes)
     meter.add_gauge("dropped_log_lines", lambda: log.dropped)
 
--- a/src/currantline/relay/_server.py
+++ b/src/currantline/relay/_server.py
@@ -116,6 +116,11 @@
         """Memory reserved for request bodies."""
         return self._bodies.held_bytes
 
+    @property
+    def undelivered_responses(self) -> int:
+        """Number of connections whose callers have not taken all responses."""
+        return self._port.count_undelivered()
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -144,9 +149,10 @@
             self._server.close()
 
     def close_idle(self) -> None:
-        """Close connections without a request in progress."""
+        """Close connections without a request in progress or a response under way."""
         for connection in tuple(self._idle):
-            connection.close()
+            if not connection.has_undelivered:
+                connection.close()
 
     async def stop(self) -> None:
         """Stop listening and abort all connections."""
--- a/src/currantline/relay/tests/test_slow_callers.py
+++ b/src/currantline/relay/tests/test_slow_callers.py
@@ -47,6 +47,7 @@
 
     def __init__(self, clock: ManualClock) -> None:
         super().__init__(MemoryAccount(MAX_BYTES), "callers", clock=clock)
+        self.server: RelayServer
         self.holdings: list[Holding] = []
         self.cuts: list[tuple[int, str]] = []
         self.on_cut = lambda size, reason: self.cuts.append((size, reason))
@@ -74,22 +75,26 @@
         """Send bytes."""
         await asyncio.get_running_loop().sock_sendall(self._sock, data)
 
+    async def receive(self) -> bool:
+        """Receive some bytes; return False if the connection has ended."""
+        loop = asyncio.get_running_loop()
+        try:
+            data = await loop.sock_recv(self._sock, 10_000)
+        except ConnectionError:
+            return False
+        self._received += data
+        return bool(data)
+
     async def read_body(self) -> bytes:
         """Return the body of the next answer, shorter if the connection ends."""
-        loop = asyncio.get_running_loop()
         size = -1
         while size < 0 or len(self._received) < size:
             if size < 0 and b"\r\n\r\n" in self._received:
                 head, _, self._received = self._received.partition(b"\r\n\r\n")
                 size = int(head.lower().split(b"content-length: ")[1].split()[0])
                 continue
-            try:
-                data = await loop.sock_recv(self._sock, 1_000_000)
-            except ConnectionError:
-                data = b""
-            if not data:
+            if not await self.receive():
                 return bytes(self._received)
-            self._received += data
         body = bytes(self._received[:size])
         del self._received[:size]
         return body
@@ -120,6 +125,7 @@
             log=EventLog("i", clock=clock, write=len),
             port=port,
         )
+        port.server = server
         await server.start("127.0.0.1:0")
         caller = Caller(server.address)
         try:
@@ -217,6 +223,29 @@
 
         serve(scenario)
 
+    def test_planned_stop(self) -> None:
+        """Guards against a stop that does not know of an answer under way."""
+
+        async def scenario(
+            caller: Caller, port: _RecordingPort, clock: ManualClock
+        ) -> None:
+            stream = (await start_answer(caller, port)).stream
+            port.server.stop_accepting()
+            port.server.close_idle()
+            assert not stream.is_closing
+            while stream.has_unwritten:
+                await caller.receive()
+            # The socket holds the rest.
+            assert port.count_undelivered() == 1
+            assert len(await caller.read_body()) == ANSWER_BYTES
+            while port.count_undelivered():
+                await asyncio.sleep(POLL_S)
+            port.server.close_idle()
+            await caller.send(encode(make_request("b")))
+            assert await caller.read_body() == b""
+
+        serve(scenario)
+
     def test_leaves(self) -> None:
         """Guards against memory that is held for a caller that has left."""
 
--- a/src/currantline/tests/test_gateway.py
+++ b/src/currantline/tests/test_gateway.py
@@ -11,6 +11,7 @@
     make_configuration,
     make_target_entry,
 )
+from currantline.relay import RelayServer
 from currantline.standin.network import run_on_host
 from currantline.tests.support import (
     APPLY_LIMIT_MS,
@@ -368,6 +369,28 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(
+        ("read_s", "stopped_s"), [(0.0, 2.7), (4.9, 4.9), (9.0, 5.7)]
+    )
+    def test_leaving_with_slow_reader(
+        self, monkeypatch: pytest.MonkeyPatch, read_s: float, stopped_s: float
+    ) -> None:
+        """Guards against a stop that cuts off an answer that a caller still reads."""
+
+        async def scenario(deployment: Deployment) -> None:
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            monkeypatch.setattr(
+                RelayServer,
+                "undelivered_responses",
+                property(lambda server: int(loop.time() - started_s < read_s)),
+            )
+            gateway = deployment.gateways["10.1.0.2"]
+            await run_on_host("10.1.0.2", gateway.leave())
+            assert loop.time() - started_s == pytest.approx(stopped_s, abs=0.1)
+
+        run(scenario)
+
     def test_leaving_takes_nothing_late(self) -> None:
         """Guards against a request that is accepted too late to finish."""
 
--- a/src/currantline/wire/_holding.py
+++ b/src/currantline/wire/_holding.py
@@ -57,6 +57,7 @@
         self.account = account
         self.clock = clock
         self.writing: set[Holding] = set()
+        self._open: set[Holding] = set()
         self.on_cut: Callable[[int, str], object] | None = None
         self._port = account.add_port(name, max_connections)
         self._refreshed_ms = clock.read()
@@ -77,8 +78,18 @@
         if holder is None:
             return None
         stream.holding = Holding(self, holder, stream)
+        self._open.add(stream.holding)
         return stream.holding
 
+    def forget(self, holding: "Holding") -> None:
+        """Forget a connection that has ended."""
+        self.writing.discard(holding)
+        self._open.discard(holding)
+
+    def count_undelivered(self) -> int:
+        """Return the number of connections whose peer has not taken all responses."""
+        return sum(holding.stream.has_undelivered for holding in self._open)
+
     def refresh(self, now: float) -> None:
         """Update the sizes of write buffers, which shrink without a notice."""
         if now - self._refreshed_ms >= REFRESH_INTERVAL_MS:
@@ -238,5 +249,5 @@
         """
         if cut and self._port.on_cut is not None:
             self._port.on_cut(cut, reason)
-        self._port.writing.discard(self)
+        self._port.forget(self)
         self._account.close(self._holder)
