--- a/src/currantline/wire/_connection.py
+++ b/src/currantline/wire/_connection.py
@@ -90,7 +90,7 @@
         self._body_memory = body_memory
         self._is_head_request = False
         self._events_in_turn = 0
-        # Bytes that may still be read of a message with a limit for all of it.
+        # Bytes that may still be read of a response, infinite without such a limit.
         self._left_bytes = math.inf
         self.head_bytes = 0
         self._h11 = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
