--- a/src/currantline/wire/_stream.py
+++ b/src/currantline/wire/_stream.py
@@ -1,17 +1,19 @@
 """Byte stream over one asyncio connection."""
 
 import asyncio
-import fcntl
 import select
 import socket
-import sys
-import termios
 import threading
 from collections import deque
 from collections.abc import Callable
 
 from currantline.exceptions import CurrantlineError, WireError
 from currantline.wire._holding import Holding
+from currantline.wire._sockets import (
+    count_unacknowledged,
+    set_keep_alive,
+    set_write_timeout,
+)
 
 __all__ = ["MAX_PIECE_BYTES", "ByteStream"]
 
@@ -24,9 +26,6 @@
 # Maximum size of the pieces that `ByteStream.write_in_pieces` hands to the transport.
 MAX_PIECE_BYTES = 262_144
 
-# Unanswered keep-alive probes after which the kernel drops a connection.
-KEEP_ALIVE_PROBES = 2
-
 # Closing a socket with unread bytes sends a reset, which may discard a response that
 # the peer has not read yet. The close therefore waits for the peer's EOF: until nothing
 # has come for this long, since a peer may read only after it has sent its whole body,
@@ -138,6 +137,12 @@
         """
         return self.has_unwritten or self._count_unacknowledged() > 0
 
+    @property
+    def _socket(self) -> socket.socket | None:
+        """Socket of the connection, None on an in-memory network."""
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        return sock
+
     @property
     def peer_host(self) -> str:
         """IP address of the peer."""
@@ -152,48 +157,25 @@
         """
         if self._is_lost or self._transport.is_closing():
             return True
-        sock = self._transport.get_extra_info("socket")
-        if sock is None:
+        if self._socket is None:
             return False
         poll = select.poll()
-        poll.register(sock, select.POLLIN)
+        poll.register(self._socket, select.POLLIN)
         return bool(poll.poll(0))
 
     def set_keep_alive(self, timeout_ms: int) -> None:
-        """Let the kernel drop the connection if the peer answers no probes.
-
-        It probes only while all written bytes are acknowledged.
-
-        Parameters
-        ----------
-        timeout_ms : int
-            Maximum time without an answer, in milliseconds.
-        """
-        sock = self._transport.get_extra_info("socket")
-        if sock is None:
-            return
-        idle_s = max(1, timeout_ms // 2000)
-        interval_s = max(1, timeout_ms // 1000 - idle_s) // KEEP_ALIVE_PROBES
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, max(1, interval_s))
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+        """Let the kernel drop the connection if the peer answers no probes for long."""
+        if self._socket is not None:
+            set_keep_alive(self._socket, timeout_ms)
 
     def set_write_timeout(self, timeout_ms: int) -> None:
-        """Let the kernel drop the connection if the peer takes no written bytes.
+        """Let the kernel drop the connection if the peer takes no bytes for long.
 
-        Linux does so even if the peer is alive and only reads nothing, because it also
-        counts the time for which the peer's receive window is closed.
-
-        Parameters
-        ----------
-        timeout_ms : int
-            Maximum time without progress, in milliseconds.
+        It does so even if the peer is alive and only reads nothing.
         """
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None and timeout_ms != self._write_timeout_ms:
+        if self._socket is not None and timeout_ms != self._write_timeout_ms:
             self._write_timeout_ms = timeout_ms
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+            set_write_timeout(self._socket, timeout_ms)
 
     def write(self, data: bytes) -> None:
         """Write bytes to the transport without suspending."""
@@ -385,16 +367,7 @@
         return self._unwritten_bytes + self._transport.get_write_buffer_size()
 
     def _count_unacknowledged(self) -> int:
-        """Return the number of bytes that only the socket holds, 0 if unknown."""
-        sock = self._transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return 0
-        try:
-            size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        except OSError:
-            # Not every system supports this for sockets.
-            return 0
-        return int.from_bytes(size, sys.byteorder)
+        return 0 if self._socket is None else count_unacknowledged(self._socket)
 
     def _write_pieces(self) -> None:
         while self._unwritten and not self._is_writing_paused:
